--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,113 @@
+# Functions that start and stop the demo fleet; sourced by scripts/demo and scripts/faults.
+# Expects the working directory to be the root of the repository. Everything the fleet writes goes
+# to $RUN, and the PID of each process is in PIDS by name.
+
+RUN=${RUN:-build/demo}
+BIN=${BIN:-build}
+PLATFORM=127.0.0.1:17000
+ENTRY1=127.0.0.1:17081
+ENTRY2=127.0.0.1:17082
+OPERATOR_TOKEN=demo-operator-token
+declare -A PIDS
+
+start_process() { # NAME COMMAND...
+    local name=$1
+    shift
+    "$@" >>"$RUN/$name.log" 2>&1 &
+    PIDS[$name]=$!
+}
+
+start_platform() { start_process platform "$BIN/fake-platform" --listen "$PLATFORM" --vm_lag_ms 1000; }
+# Engines in stock differ: two of the six are slower, and every second one ignores old orders.
+start_engine() { # NUMBER
+    local rate=20000 step=8 fencing=true
+    [ "$1" -ge 5 ] && rate=12000 step=11
+    [ $(($1 % 2)) = 0 ] && fencing=false
+    start_process "engine$1" "$BIN/fake-engine" --listen "127.0.0.1:1730$1" --name "engine-$1" \
+        --prefill_rate "$rate" --step_ms "$step" --fencing="$fencing"
+}
+start_service() { # NUMBER
+    start_process "service$1" "$BIN/fake-service" --listen "127.0.0.1:1740$1" --name "service-$1"
+}
+start_agent() { start_process "agent$1" "$BIN/jujube-agent" --settings "apps/demo/settings/agent0$1.toml"; }
+start_entry() { start_process "entry$1" "$BIN/jujube-entry" --settings "apps/demo/settings/entry$1.toml"; }
+
+start_fleet() {
+    mkdir -p "$RUN"
+    rm -f "$RUN"/*.log
+    start_platform
+    for i in 1 2 3 4 5 6; do start_engine "$i"; done
+    for i in 1 2; do start_service "$i"; done
+    for i in 1 2 3 4 5 6 7 8; do start_agent "$i"; done
+    for i in 1 2; do start_entry "$i"; done
+}
+
+wait_for() { # SECONDS COMMAND...
+    local until=$((SECONDS + $1))
+    shift
+    until "$@" >/dev/null 2>&1; do
+        if [ $SECONDS -ge $until ]; then
+            echo "gave up waiting for: $*" >&2
+            return 1
+        fi
+        sleep 0.1
+    done
+}
+
+ctl() { JUJUBE_ENTRY=${CTL_ENTRY:-$ENTRY1} JUJUBE_TOKEN=$OPERATOR_TOKEN "$BIN/jujubectl" "$@"; }
+
+engines_ready() { # COUNT ENTRY
+    [ "$(CTL_ENTRY=$2 ctl engines --json | grep -c '"ready": true')" -ge "$1" ]
+}
+
+# Publishes the demo's profiles, grants a key to each team and waits until both entries serve.
+prepare_fleet() {
+    wait_for 30 curl -sf "http://$ENTRY1/readyz"
+    wait_for 30 curl -sf "http://$ENTRY2/readyz"
+    ctl publish --file apps/demo/profiles.toml
+    KEY_TEAM_A=$(ctl grant team-a)
+    KEY_TEAM_B=$(ctl grant team-b)
+    wait_for 30 engines_ready 8 "$ENTRY1"
+    wait_for 30 engines_ready 8 "$ENTRY2"
+    for entry in "$ENTRY1" "$ENTRY2"; do
+        for key in "$KEY_TEAM_A" "$KEY_TEAM_B"; do
+            wait_for 10 curl -sf -H "Authorization: Bearer $key" "http://$entry/v1/models"
+        done
+    done
+}
+
+write_env() {
+    {
+        echo "ENTRY1_URL=http://$ENTRY1"
+        echo "ENTRY2_URL=http://$ENTRY2"
+        echo "PLATFORM_URL=http://$PLATFORM"
+        echo "SERVICE1_URL=http://127.0.0.1:17401"
+        echo "KEY_TEAM_A=$KEY_TEAM_A"
+        echo "KEY_TEAM_B=$KEY_TEAM_B"
+        echo "OPERATOR_TOKEN=$OPERATOR_TOKEN"
+        for name in "${!PIDS[@]}"; do echo "PID_${name^^}=${PIDS[$name]}"; done | sort
+    } >"$RUN/env"
+}
+
+signal_process() { # SIGNAL NAME
+    kill "-$1" "${PIDS[$2]}" 2>/dev/null || true
+}
+
+stop_fleet() {
+    local pids=("${PIDS[@]}")
+    [ ${#pids[@]} -gt 0 ] || return 0
+    # The system's processes stop gracefully while the platform still answers.
+    for name in "${!PIDS[@]}"; do
+        case $name in entry* | agent*) signal_process CONT "$name" && signal_process TERM "$name" ;; esac
+    done
+    local until=$((SECONDS + 20))
+    for name in "${!PIDS[@]}"; do
+        case $name in
+        entry* | agent*)
+            while kill -0 "${PIDS[$name]}" 2>/dev/null && [ $SECONDS -lt $until ]; do sleep 0.1; done
+            ;;
+        esac
+    done
+    kill -KILL "${pids[@]}" 2>/dev/null || true
+    wait 2>/dev/null || true
+}
--- /dev/null
+++ b/src/agent/engineclient.cpp
@@ -0,0 +1,201 @@
+#include "agent/engineclient.h"
+
+#include "core/text.h"
+#include "wire/json.h"
+
+namespace jujube::agent {
+
+namespace {
+
+constexpr core::Milliseconds StateTimeout{1'000};
+constexpr core::Milliseconds OrderTimeout{2'000};
+// Engines send an empty line at least every 500 ms while a request is queued or running.
+constexpr core::Milliseconds EngineSilence{2'500};
+
+wire::HttpLimits shortLimits(core::Milliseconds total)
+{
+    wire::HttpLimits limits;
+    limits.total = total;
+    limits.progress = total;
+    return limits;
+}
+
+// Splits a stream of newline-separated JSON objects into pieces and the final record.
+class GenerationParser
+{
+public:
+    explicit GenerationParser(EngineClient::OnPiece onPiece) : m_onPiece(std::move(onPiece)) { }
+
+    void feed(std::string_view bytes)
+    {
+        m_pending.append(bytes);
+        GeneratedPiece piece;
+        size_t begin = 0;
+        for (size_t end = m_pending.find('\n'); end != std::string::npos;
+             end = m_pending.find('\n', begin)) {
+            takeLine(std::string_view(m_pending).substr(begin, end - begin), piece);
+            begin = end + 1;
+        }
+        m_pending.erase(0, begin);
+        if (piece.tokens > 0)
+            m_onPiece(piece);
+    }
+
+    const GenerationEnd &end() const { return m_end; }
+    const std::string &error() const { return m_error; }
+
+private:
+    void takeLine(std::string_view line, GeneratedPiece &piece)
+    {
+        if (line.empty())
+            return;
+        const auto object = wire::parseObject(line);
+        if (!object.ok()) {
+            m_error = "malformed line from the engine";
+            return;
+        }
+        if (object->contains("error")) {
+            m_error = wire::textAt(*object, "error");
+            return;
+        }
+        if (object->contains("text")) {
+            piece.text += wire::textAt(*object, "text");
+            piece.tokens += static_cast<uint32_t>(wire::numberAt(*object, "tokens"));
+            return;
+        }
+        m_end.whole = object->value("done").toBool();
+        m_end.usage = {wire::numberAt(*object, "prompt_tokens"),
+                       wire::numberAt(*object, "cached_tokens"),
+                       wire::numberAt(*object, "output_tokens")};
+    }
+
+    EngineClient::OnPiece m_onPiece;
+    std::string m_pending;
+    GenerationEnd m_end;
+    std::string m_error;
+};
+
+} // namespace
+
+EngineClient::EngineClient(wire::HttpClient &http, std::string address)
+    : m_http(http), m_address(std::move(address))
+{
+}
+
+wire::Task<absl::StatusOr<GenerationEnd>> EngineClient::generate(wire::WorkMessage work,
+                                                                 OnPiece onPiece)
+{
+    QJsonObject body;
+    body["request_id"] = wire::qstring(work.requestId);
+    body["prompt"] = wire::qstring(work.prompt);
+    body["max_tokens"] = static_cast<int>(work.maxTokens);
+    body["resume_tokens"] = static_cast<int>(work.resumeTokens);
+    body["priority"] = static_cast<int>(work.priority);
+
+    wire::HttpRequest request;
+    request.address = m_address;
+    request.method = "POST";
+    request.path = "/v1/generate";
+    request.headers.push_back({"Content-Type", "application/json"});
+    request.body = wire::toText(body);
+    wire::HttpLimits limits;
+    limits.total = work.timeLeft;
+    limits.progress = EngineSilence;
+
+    auto parser = std::make_shared<GenerationParser>(std::move(onPiece));
+    const auto response = co_await m_http.stream(
+        std::move(request), limits, [parser](std::string_view bytes) { parser->feed(bytes); });
+    if (!response.ok())
+        co_return response.status();
+    if (response->status != 200)
+        co_return absl::UnavailableError(core::concat("engine answered ", response->status));
+    if (!parser->error().empty())
+        co_return absl::UnavailableError(core::concat("engine: ", parser->error()));
+    co_return parser->end();
+}
+
+wire::Task<absl::StatusOr<wire::HttpResponse>> EngineClient::call(wire::WorkMessage work)
+{
+    wire::HttpRequest request;
+    request.address = m_address;
+    request.method = work.method;
+    request.path = work.path;
+    request.body = work.body;
+    for (const wire::MessageHeader &it : work.headers)
+        request.headers.push_back({it.name, it.value});
+    request.headers.push_back({"X-Request-Id", work.requestId});
+    wire::HttpLimits limits;
+    limits.total = work.timeLeft;
+    limits.progress = work.timeLeft;
+    co_return co_await m_http.send(std::move(request), limits);
+}
+
+wire::Task<absl::Status> EngineClient::cancel(std::string requestId)
+{
+    QJsonObject body;
+    body["request_id"] = wire::qstring(requestId);
+    wire::HttpRequest request;
+    request.address = m_address;
+    request.method = "POST";
+    request.path = "/v1/cancel";
+    request.body = wire::toText(body);
+    const auto response = co_await m_http.send(std::move(request), shortLimits(StateTimeout));
+    co_return response.status();
+}
+
+wire::Task<absl::StatusOr<EngineState>> EngineClient::state()
+{
+    wire::HttpRequest request;
+    request.address = m_address;
+    request.path = "/v1/state";
+    const auto response = co_await m_http.send(std::move(request), shortLimits(StateTimeout));
+    if (!response.ok())
+        co_return response.status();
+    const auto object = wire::parseObject(response->body);
+    if (!object.ok())
+        co_return absl::UnavailableError("engine: malformed state");
+    EngineState state;
+    state.role = core::roleFromName(wire::textAt(*object, "role"));
+    state.ready = object->value("ready").toBool();
+    state.slots = static_cast<uint32_t>(wire::numberAt(*object, "slots"));
+    state.freeKvPieces = static_cast<uint32_t>(wire::numberAt(*object, "free_kv_pieces"));
+    state.lastOrder = {wire::numberAt(*object, "last_term"),
+                       wire::numberAt(*object, "last_sequence")};
+    co_return state;
+}
+
+wire::Task<absl::Status> EngineClient::orderRole(core::Role role, platform::OrderNumber number,
+                                                 wire::SendGuard guard)
+{
+    QJsonObject body;
+    body["order"] = "role";
+    body["role"] = wire::qstring(core::roleName(role));
+    body["term"] = wire::jsonNumber(number.term);
+    body["sequence"] = wire::jsonNumber(number.sequence);
+    wire::HttpRequest request;
+    request.address = m_address;
+    request.method = "POST";
+    request.path = "/v1/orders";
+    request.headers.push_back({"Content-Type", "application/json"});
+    request.body = wire::toText(body);
+    const auto response =
+        co_await m_http.sendGuarded(std::move(request), shortLimits(OrderTimeout), guard);
+    if (!response.ok())
+        co_return response.status();
+    if (response->status == 200 || response->status == 202)
+        co_return absl::OkStatus();
+    if (response->status == 409)
+        co_return absl::FailedPreconditionError("the engine has seen a newer order");
+    co_return absl::UnavailableError(core::concat("engine answered ", response->status));
+}
+
+wire::Task<bool> EngineClient::serviceAlive()
+{
+    wire::HttpRequest request;
+    request.address = m_address;
+    request.path = "/healthz";
+    const auto response = co_await m_http.send(std::move(request), shortLimits(StateTimeout));
+    co_return response.ok();
+}
+
+} // namespace jujube::agent
--- /dev/null
+++ b/src/agent/planfollower.h
@@ -0,0 +1,70 @@
+#pragma once
+
+/** \file
+ * Defines the part of an agent that carries out the plan's orders on its engine.
+ */
+
+#include "agent/endpointgate.h"
+#include "agent/engineclient.h"
+#include "platform/leaseholder.h"
+#include "platform/plan.h"
+
+#include <string>
+
+namespace jujube::agent {
+
+/** Who this agent is towards the plan. */
+struct FollowerIdentity
+{
+    std::string vm;
+    std::string scope;
+    uint64_t incarnation = 0;
+    bool hasEngine = true; ///< Services take no engine orders; drains apply to them too.
+};
+
+/** Carries out the wanted state of one endpoint, one order at a time and never going back.
+ *
+ * Orders are read from the plan in the KV only. What other processes send are hints to read it
+ * sooner. Before an order leaves, the agent takes the endpoint's order lock, reads plan and
+ * registry again, and sends under the lock's remaining time (see GuardedSocket). An agent that was
+ * replaced, or that was paused meanwhile, therefore sends nothing.
+ */
+class PlanFollower
+{
+public:
+    PlanFollower(wire::IoContext &io, platform::KvClient &kv, EngineClient &engine,
+                 EndpointGate &gate, FollowerIdentity identity);
+
+    /** Starts following; runs until stop(). */
+    void start();
+    void stop() { m_stopping = true; }
+    /** Notes that a plan with this number exists. */
+    void hint(platform::OrderNumber number);
+
+private:
+    wire::Task<void> followLoop();
+    wire::Task<void> engineLoop();
+    wire::Task<void> readPlan();
+    wire::Task<void> apply();
+    wire::Task<bool> changeRole(platform::EndpointPlan wanted);
+    wire::Task<bool> waitForRole(core::Role role, platform::LeaseHolder &lock);
+    wire::Task<bool> stillInCharge(platform::EndpointPlan wanted);
+    wire::Task<void> waitIdle();
+
+    wire::IoContext &m_io;
+    platform::KvClient &m_kv;
+    EngineClient &m_engine;
+    EndpointGate &m_gate;
+    FollowerIdentity m_identity;
+    platform::OrderNumber m_hinted;
+    platform::OrderNumber m_read;    ///< Number of the plan that was read last.
+    platform::EndpointPlan m_wanted; ///< Wanted state of this endpoint in that plan.
+    bool m_hasWanted = false;
+    platform::OrderNumber m_applied;
+    core::TimePoint m_readAt{};
+    EngineState m_engineState;
+    bool m_engineKnown = false;
+    bool m_stopping = false;
+};
+
+} // namespace jujube::agent
--- /dev/null
+++ b/src/control/controller.cpp
@@ -0,0 +1,286 @@
+#include "control/controller.h"
+
+#include "core/eventlog.h"
+#include "core/text.h"
+#include "platform/registry.h"
+
+namespace jujube::control {
+
+namespace {
+
+constexpr core::Milliseconds TickInterval{250};
+constexpr core::Milliseconds CompeteInterval{300};
+constexpr core::Milliseconds VmListInterval{1'000};
+// After a lease lapsed its last holder's guarded sends have ended too; this covers what the
+// network still carries.
+constexpr core::Milliseconds TakeOverWait{500};
+
+std::string leaseKey(const std::string &scope)
+{
+    return core::concat("controller/", scope);
+}
+
+} // namespace
+
+Controller::Controller(wire::IoContext &io, platform::KvClient &kv, platform::FleetClient &platform,
+                       entry::KvMirror &mirror, entry::FleetView &fleet, UsageReporter &reporter,
+                       ControllerSettings settings)
+    : m_io(io),
+      m_kv(kv),
+      m_platform(platform),
+      m_mirror(mirror),
+      m_fleet(fleet),
+      m_reporter(reporter),
+      m_settings(std::move(settings)),
+      m_lease(io, kv, leaseKey(m_settings.scope),
+              core::concat(m_settings.name, "/", m_settings.incarnation), m_settings.lease),
+      m_rolePlanner(policy::RolePlannerSettings{})
+{
+}
+
+void Controller::start()
+{
+    wire::coroutineTasks().add(run());
+    wire::coroutineTasks().add(renewLoop());
+}
+
+wire::Task<void> Controller::stop()
+{
+    m_stopping = true;
+    while (!m_ended)
+        co_await m_io.sleep(CompeteInterval / 10);
+    co_await m_lease.release();
+}
+
+wire::Task<void> Controller::run()
+{
+    while (!m_stopping) {
+        if (!m_inCharge) {
+            m_inCharge = co_await takeOver();
+            if (!m_inCharge)
+                co_await m_io.sleep(CompeteInterval);
+            continue;
+        }
+        if (!m_lease.held()) {
+            core::Event("controller.lost").with("term", m_plan.term);
+            m_inCharge = false;
+            continue;
+        }
+        co_await tick();
+        co_await m_io.sleep(TickInterval);
+    }
+    m_ended = true;
+}
+
+wire::Task<void> Controller::renewLoop()
+{
+    while (!m_stopping) {
+        co_await m_io.sleep(m_settings.lease / 5);
+        if (m_inCharge)
+            co_await m_lease.renew();
+    }
+}
+
+wire::Task<bool> Controller::takeOver()
+{
+    if (!co_await m_lease.tryAcquire())
+        co_return false;
+    co_await m_io.sleep(TakeOverWait);
+    const auto current = co_await m_kv.get(platform::planKey(m_settings.scope));
+    if (!current.ok() || !m_lease.held())
+        co_return false;
+    auto plan = platform::Plan::parse(current->value);
+    if (!plan.ok()) {
+        core::Event("plan.unreadable").with("why", plan.status().message());
+        co_return false;
+    }
+    m_planRevision = current->revision;
+    plan->term += 1;
+    plan->sequence = 0;
+    plan->holder = m_settings.name;
+    if (!co_await writePlan(std::move(*plan)))
+        co_return false;
+    core::Event("controller.elected")
+        .with("scope", m_settings.scope)
+        .with("name", m_settings.name)
+        .with("term", m_plan.term);
+    co_return true;
+}
+
+wire::Task<void> Controller::tick()
+{
+    co_await refreshVms();
+    platform::Plan next = m_plan;
+    mergeEndpoints(next);
+    if (m_settings.planRoles)
+        planRoles(next);
+    settleOrders(next);
+    const bool changed = next.serialize() != m_plan.serialize();
+    if (changed && !co_await writePlan(std::move(next)))
+        co_return;
+    co_await sendOrders();
+    if (inCharge())
+        co_await m_reporter.tick(m_plan.term, m_lease);
+}
+
+wire::Task<void> Controller::refreshVms()
+{
+    if (core::BootClock::now() - m_vmsReadAt < VmListInterval)
+        co_return;
+    m_vmsReadAt = core::BootClock::now();
+    const auto vms = co_await m_platform.listVms();
+    if (!vms.ok())
+        co_return;
+    m_leavingVms.clear();
+    for (const platform::VmListing &it : *vms) {
+        if (it.leaving)
+            m_leavingVms.insert(it.vm);
+    }
+}
+
+// Every registered endpoint gets a wanted state: the operators' intent first, then the platform's
+// list, else active in the role it has.
+void Controller::mergeEndpoints(platform::Plan &plan) const
+{
+    std::map<std::string, core::ShardValue> engines;
+    const std::string enginesKey = core::shardKey(core::shards::Engines);
+    if (const platform::KvEntry *entry = m_mirror.find(enginesKey))
+        engines[std::string(core::shards::Engines)] = {entry->revision, entry->value};
+    const auto config = core::Configuration::create(engines);
+
+    std::set<std::string> registered;
+    for (const platform::KvEntry &it : m_mirror.list(platform::AgentPrefix)) {
+        const auto record = platform::AgentRecord::parse(it.value);
+        if (!record.ok())
+            continue;
+        registered.insert(record->vm);
+        core::EngineIntent intent =
+            config.ok() ? (*config)->engineIntent(record->vm) : core::EngineIntent::Active;
+        if (intent == core::EngineIntent::Active && m_leavingVms.contains(record->vm))
+            intent = core::EngineIntent::Drained;
+        const auto known = plan.endpoints.find(record->vm);
+        const core::Role role =
+            known == plan.endpoints.end() ? core::Role::Mixed : known->second.role;
+        plan.setEndpoint(record->vm, role, intent);
+    }
+    std::erase_if(plan.endpoints, [&](const auto &it) { return !registered.contains(it.first); });
+}
+
+void Controller::planRoles(platform::Plan &plan)
+{
+    std::vector<policy::RoleView> engines;
+    for (const auto &link : m_fleet.links()) {
+        const platform::AgentRecord &record = link->record();
+        const auto planned = plan.endpoints.find(record.vm);
+        if (record.kind != core::WorkKind::Language || planned == plan.endpoints.end())
+            continue;
+        if (planned->second.intent != core::EngineIntent::Active)
+            continue;
+        const core::LoadReport &load = link->load();
+        policy::RoleView view;
+        view.vm = record.vm;
+        view.domain = record.domain;
+        view.model = record.model;
+        view.role = planned->second.role;
+        view.available = link->up() && load.ready && load.role == planned->second.role;
+        view.queuedTokens = load.queuedTokens;
+        view.outstandingOutput = load.outstandingOutput;
+        view.running = load.running;
+        view.slots = load.slots;
+        view.prefillRate = load.prefillRate;
+        view.decodeRate = load.decodeRate;
+        engines.push_back(std::move(view));
+    }
+    const auto change = m_rolePlanner.plan(engines, core::BootClock::now());
+    if (!change)
+        return;
+    plan.setEndpoint(change->vm, change->role, core::EngineIntent::Active);
+    core::Event("role.planned")
+        .with("vm", change->vm)
+        .with("role", core::roleName(change->role))
+        .with("gain_s", change->gainSeconds)
+        .with("term", plan.term)
+        .with("sequence", plan.sequence);
+}
+
+// A withdrawn endpoint goes back to the platform once it has drained. The order is written as an
+// intent here and sent only after that write succeeded.
+void Controller::settleOrders(platform::Plan &plan) const
+{
+    for (const auto &[vm, endpoint] : plan.endpoints) {
+        if (endpoint.intent != core::EngineIntent::Withdrawn)
+            continue;
+        const auto links = m_fleet.links();
+        const auto link = std::find_if(links.begin(), links.end(), [&vm = vm](const auto &it) {
+            return it->record().vm == vm;
+        });
+        if (link == links.end())
+            continue;
+        const core::LoadReport &load = (*link)->load();
+        const platform::OrderNumber applied{load.appliedTerm, load.appliedSequence};
+        if (applied < endpoint.number)
+            continue;
+        const std::string id = core::concat("remove-", vm, "-", (*link)->record().incarnation);
+        const bool known = std::any_of(plan.fleetOrders.begin(), plan.fleetOrders.end(),
+                                       [&id](const auto &it) { return it.id == id; });
+        if (known)
+            continue;
+        plan.fleetOrders.push_back({id, platform::FleetAction::Remove, (*link)->record().domain, vm,
+                                    platform::FleetOrderState::Intended, core::wallTime().count()});
+    }
+}
+
+wire::Task<bool> Controller::writePlan(platform::Plan plan)
+{
+    ++plan.writeNumber;
+    const std::string key = platform::planKey(m_settings.scope);
+    const std::string text = plan.serialize();
+    auto revision = co_await m_kv.compareAndSwap(key, m_planRevision, text);
+    if (!revision.ok() && platform::isUncertain(revision.status())) {
+        const auto current = co_await m_kv.get(key);
+        if (current.ok() && current->value == text)
+            revision = current->revision;
+    }
+    if (!revision.ok()) {
+        // Another controller wrote the plan, or nobody can tell: start over from a new term.
+        core::Event("controller.deposed")
+            .with("term", plan.term)
+            .with("why", revision.status().message());
+        m_inCharge = false;
+        co_await m_lease.release();
+        co_return false;
+    }
+    m_plan = std::move(plan);
+    m_planRevision = *revision;
+    m_mirror.apply({{key, text, *revision, false}});
+    co_return true;
+}
+
+wire::Task<void> Controller::sendOrders()
+{
+    for (size_t i = 0; i < m_plan.fleetOrders.size(); ++i) {
+        const platform::FleetOrder order = m_plan.fleetOrders[i];
+        if (order.state == platform::FleetOrderState::Done)
+            continue;
+        // An earlier controller, or a lost answer, may have brought it there already.
+        const auto received = co_await m_platform.orderReceived(order.id);
+        if (!received.ok() || !inCharge())
+            co_return;
+        if (!*received) {
+            const absl::Status sent =
+                co_await m_platform.sendOrder(order, m_plan.term, {m_lease.validUntil()});
+            core::Event("fleet.order.sent")
+                .with("order", order.id)
+                .with("result", sent.ok() ? "ok" : sent.message());
+            // Whatever became of it, the next tick reads back before anything is sent again.
+            if (!sent.ok())
+                continue;
+        }
+        platform::Plan next = m_plan;
+        next.fleetOrders[i].state = platform::FleetOrderState::Done;
+        if (!co_await writePlan(std::move(next)))
+            co_return;
+    }
+}
+
+} // namespace jujube::control
--- /dev/null
+++ b/src/control/controller.h
@@ -0,0 +1,79 @@
+#pragma once
+
+/** \file
+ * Defines the controller of a scope: a role that one entry holds by lease.
+ */
+
+#include "control/usagereporter.h"
+#include "entry/fleetview.h"
+#include "entry/kvmirror.h"
+#include "platform/fleetclient.h"
+#include "platform/leaseholder.h"
+#include "policy/roleplanner.h"
+
+#include <set>
+#include <string>
+
+namespace jujube::control {
+
+/** Settings of a controller candidate. */
+struct ControllerSettings
+{
+    std::string name; ///< Of the entry.
+    std::string scope;
+    uint64_t incarnation = 0;
+    core::Milliseconds lease{5'000};
+    bool planRoles = true;
+};
+
+/** Competes for the controller role of its scope and, while it holds it, keeps the plan.
+ *
+ * Losing the lease needs no cooperation of the loser: the successor raises the term in the plan,
+ * which makes every later write of the loser fail, and the guarded sends of the loser end before
+ * its lease does.
+ */
+class Controller
+{
+public:
+    Controller(wire::IoContext &io, platform::KvClient &kv, platform::FleetClient &platform,
+               entry::KvMirror &mirror, entry::FleetView &fleet, UsageReporter &reporter,
+               ControllerSettings settings);
+
+    void start();
+    /** Gives the role up and ends. */
+    wire::Task<void> stop();
+
+    bool inCharge() const { return m_inCharge && m_lease.held(); }
+    uint64_t term() const { return m_plan.term; }
+
+private:
+    wire::Task<void> run();
+    wire::Task<void> renewLoop();
+    wire::Task<bool> takeOver();
+    wire::Task<void> tick();
+    wire::Task<void> refreshVms();
+    void mergeEndpoints(platform::Plan &plan) const;
+    void planRoles(platform::Plan &plan);
+    void settleOrders(platform::Plan &plan) const;
+    wire::Task<bool> writePlan(platform::Plan plan);
+    wire::Task<void> sendOrders();
+
+    wire::IoContext &m_io;
+    platform::KvClient &m_kv;
+    platform::FleetClient &m_platform;
+    entry::KvMirror &m_mirror;
+    entry::FleetView &m_fleet;
+    UsageReporter &m_reporter;
+    ControllerSettings m_settings;
+    platform::LeaseHolder m_lease;
+    policy::RolePlanner m_rolePlanner;
+    platform::Plan m_plan;
+    uint64_t m_planRevision = 0;
+    std::set<std::string> m_leavingVms;
+    core::TimePoint m_vmsReadAt{};
+    bool m_inCharge = false;
+    bool m_stopping = false;
+    bool m_ended = false;
+};
+
+} // namespace jujube::control
--- /dev/null
+++ b/src/control/usagereporter.h
@@ -0,0 +1,87 @@
+#pragma once
+
+/** \file
+ * Defines how usage windows are added up, sealed and reported to the platform.
+ */
+
+#include "platform/fleetclient.h"
+#include "platform/leaseholder.h"
+#include "platform/usageledger.h"
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace jujube::control {
+
+using TeamFigures = std::map<std::string, platform::UsageFigures>;
+
+/** Figures of one window as fixed before the first report. */
+struct SealedWindow
+{
+    uint64_t window = 0;
+    uint64_t term = 0;
+    TeamFigures reported;                        ///< What every report of this window says.
+    TeamFigures own;                             ///< Part of it that was counted in this window.
+    std::map<uint64_t, TeamFigures> adjustments; ///< Late counts of earlier windows, included.
+    bool done = false;                           ///< All teams have been reported.
+
+    std::string serialize() const;
+    static absl::StatusOr<SealedWindow> parse(const std::string &text);
+};
+
+/** Adds up the pages of a window.
+ *
+ * Both ends of a request count it. The entry's count decides while the entry lives: it alone
+ * knows what reached the caller. When an entry is gone, its last counts may be missing, and the
+ * larger of both ends' figures is right.
+ */
+TeamFigures addUp(const std::vector<platform::UsagePage> &pages,
+                  const std::function<bool(uint64_t)> &entryLives);
+
+struct ReporterSettings
+{
+    std::string scope;
+    std::chrono::seconds window{60};
+    core::Milliseconds grace{10'000};
+    std::chrono::seconds keep{7'200}; ///< How long pages are kept for late counts.
+};
+
+/** Seals each window once and reports it; used by the controller alone. */
+class UsageReporter
+{
+public:
+    UsageReporter(platform::KvClient &kv, platform::FleetClient &platform,
+                  ReporterSettings settings, std::function<bool(uint64_t)> entryLives);
+
+    /** Seals and reports what is due. Sends only while the lease is held. */
+    wire::Task<void> tick(uint64_t term, const platform::LeaseHolder &lease);
+
+private:
+    wire::Task<bool> load();
+    uint64_t newestClosedWindow() const;
+    wire::Task<bool> sealThrough(uint64_t newest, uint64_t term,
+                                 const platform::LeaseHolder &lease);
+    wire::Task<bool> noteChangedPages();
+    wire::Task<absl::StatusOr<TeamFigures>> total(uint64_t window);
+    wire::Task<bool> seal(uint64_t window, std::vector<uint64_t> lateWindows, uint64_t term);
+    wire::Task<bool> report(SealedWindow &sealed, uint64_t term,
+                            const platform::LeaseHolder &lease);
+    std::string sealedPrefix() const;
+    TeamFigures includedSoFar(uint64_t window) const;
+    wire::Task<void> dropOld(uint64_t newest);
+
+    platform::KvClient &m_kv;
+    platform::FleetClient &m_platform;
+    ReporterSettings m_settings;
+    std::function<bool(uint64_t)> m_entryLives;
+    std::map<uint64_t, SealedWindow> m_sealed;
+    std::set<uint64_t> m_changed; ///< Windows with pages written since they were added up.
+    uint64_t m_usageRevision = 0;
+    uint64_t m_loadedTerm = 0;
+    core::TimePoint m_nextCheck{};
+};
+
+} // namespace jujube::control
--- /dev/null
+++ b/src/core/configuration.h
@@ -0,0 +1,140 @@
+#pragma once
+
+/** \file
+ * Defines the operators' configuration: profiles, services, teams, keys and engine intents.
+ */
+
+#include <absl/status/statusor.h>
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jujube::core {
+
+/** What one kind of language work needs. Services pick the profile that fits them. */
+struct Profile
+{
+    std::string name;
+    std::string model;
+    uint32_t priority = 5; ///< 0 (lowest) to 9.
+    uint32_t maxOutputTokens = 0;
+    uint32_t maxPromptTokens = 0;
+    std::chrono::milliseconds firstToken{};    ///< Objective for the time to first token.
+    std::chrono::milliseconds betweenTokens{}; ///< Objective for the time between tokens.
+    std::chrono::milliseconds deadline{};      ///< Time within which the answer must be whole.
+    uint32_t minDomains = 1;        ///< Failure domains that must keep an endpoint for it.
+    std::vector<std::string> teams; ///< Teams that may use it; empty means every team.
+
+    bool allows(std::string_view team) const;
+};
+
+/** One route of an application service. The longest matching prefix decides. */
+struct ServiceRoute
+{
+    std::string prefix;
+    bool idempotent = false;
+    bool open = false; ///< Open to all: no key is needed.
+    std::chrono::milliseconds deadline{};
+};
+
+struct Service
+{
+    std::string name;
+    std::vector<ServiceRoute> routes;
+    std::vector<std::string> teams;
+
+    bool allows(std::string_view team) const;
+    const ServiceRoute *routeFor(std::string_view path) const;
+};
+
+struct Team
+{
+    std::string name;
+    double weight = 1.0; ///< Share of the fleet relative to other teams.
+};
+
+/** A key's record. The key itself is never stored. */
+struct KeyRecord
+{
+    std::string keyId;
+    std::string team;
+    std::string salt; ///< Hexadecimal.
+    std::string hash; ///< Hexadecimal SHA-256 of salt and secret.
+};
+
+/** What an operator wants of one endpoint. */
+enum class EngineIntent { Active, Drained, Withdrawn };
+
+/** The parts the configuration is kept in, one KV value each. */
+namespace shards {
+inline constexpr std::string_view Profiles = "profiles";
+inline constexpr std::string_view Keys = "keys";
+inline constexpr std::string_view Engines = "engines";
+inline constexpr std::string_view All[] = {Profiles, Keys, Engines};
+} // namespace shards
+
+/** Prefix of the KV values that hold the configuration. */
+inline constexpr const char *ConfigPrefix = "fleet/config/";
+
+/** The name of the KV value that holds a shard. */
+std::string shardKey(std::string_view shard);
+
+/** One shard as stored: its text and the KV revision it was written at. */
+struct ShardValue
+{
+    uint64_t revision = 0;
+    std::string value;
+};
+
+/** An immutable, checked view of the whole configuration.
+ *
+ * Request threads hold it by shared pointer; a change replaces it whole.
+ */
+class Configuration
+{
+public:
+    /** Parses all shards. Absent shards count as empty. Errors name the shard and the value. */
+    static absl::StatusOr<std::shared_ptr<const Configuration>>
+    create(const std::map<std::string, ShardValue> &shards);
+
+    /** Highest KV revision of any shard. KV revisions grow over all keys, so it never goes back. */
+    uint64_t version() const { return m_version; }
+    const std::map<std::string, ShardValue> &shardValues() const { return m_shards; }
+
+    const Profile *profile(std::string_view name) const;
+    const Service *service(std::string_view name) const;
+    const Team *team(std::string_view name) const;
+    const KeyRecord *key(std::string_view keyId) const;
+    EngineIntent engineIntent(std::string_view vm) const;
+
+    const std::map<std::string, Profile, std::less<>> &profiles() const { return m_profiles; }
+    const std::map<std::string, Service, std::less<>> &services() const { return m_services; }
+    const std::map<std::string, Team, std::less<>> &teams() const { return m_teams; }
+    const std::map<std::string, KeyRecord, std::less<>> &keys() const { return m_keys; }
+    const std::map<std::string, EngineIntent, std::less<>> &engines() const { return m_engines; }
+
+private:
+    uint64_t m_version = 0;
+    std::map<std::string, ShardValue> m_shards;
+    std::map<std::string, Profile, std::less<>> m_profiles;
+    std::map<std::string, Service, std::less<>> m_services;
+    std::map<std::string, Team, std::less<>> m_teams;
+    std::map<std::string, KeyRecord, std::less<>> m_keys;
+    std::map<std::string, EngineIntent, std::less<>> m_engines;
+};
+
+/** Text of an intent in KV and on the command line: active, drained or withdrawn. */
+std::string_view intentName(EngineIntent intent);
+
+/** Checks a shard's text before it is published.
+ *
+ * \return an InvalidArgument status that names the offending key and value, or OK.
+ */
+absl::Status checkShard(std::string_view shard, const std::string &value);
+
+} // namespace jujube::core
--- /dev/null
+++ b/src/core/hybridclock.cpp
@@ -0,0 +1,46 @@
+#include "core/hybridclock.h"
+
+#include "core/clock.h"
+
+#include <algorithm>
+
+namespace jujube::core {
+
+namespace {
+
+// A peer with a broken wall clock must not drag the whole fleet's time line away with it.
+constexpr uint64_t MaxDriftMs = 60'000;
+
+uint64_t wallAsHybrid() noexcept
+{
+    return static_cast<uint64_t>(wallTime().count()) << 16U;
+}
+
+} // namespace
+
+uint64_t HybridClock::tick() noexcept
+{
+    uint64_t last = m_last.load(std::memory_order_relaxed);
+    uint64_t next = 0;
+    do {
+        next = std::max(last + 1, wallAsHybrid());
+    } while (!m_last.compare_exchange_weak(last, next, std::memory_order_acq_rel));
+    return next;
+}
+
+void HybridClock::observe(uint64_t remote) noexcept
+{
+    if (physicalMs(remote) > static_cast<uint64_t>(wallTime().count()) + MaxDriftMs)
+        return;
+    uint64_t last = m_last.load(std::memory_order_relaxed);
+    while (last < remote
+           && !m_last.compare_exchange_weak(last, remote, std::memory_order_acq_rel)) { }
+}
+
+HybridClock &processClock() noexcept
+{
+    static HybridClock clock;
+    return clock;
+}
+
+} // namespace jujube::core
--- /dev/null
+++ b/src/core/tomltable.h
@@ -0,0 +1,102 @@
+#pragma once
+
+/** \file
+ * Defines checked reading of TOML tables, used for settings files and published configuration.
+ */
+
+#include <absl/status/statusor.h>
+#include <toml++/toml.h>
+
+#include <chrono>
+#include <functional>
+#include <initializer_list>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jujube::core {
+
+/** Collects every error of one document, so that a user sees all of them at once. */
+class TomlErrors
+{
+public:
+    explicit TomlErrors(std::string document) : m_document(std::move(document)) { }
+
+    void add(std::string message) { m_messages.push_back(std::move(message)); }
+    bool empty() const { return m_messages.empty(); }
+    const std::string &document() const { return m_document; }
+    /** One InvalidArgument status that lists all messages, or OK. */
+    absl::Status status() const;
+
+private:
+    std::string m_document;
+    std::vector<std::string> m_messages;
+};
+
+/** Default and inclusive bounds of a numeric setting. */
+template <typename T> struct Bounds
+{
+    T fallback;
+    T lowest;
+    T highest;
+};
+
+/** One TOML table whose values are read with type and range checks.
+ *
+ * Each error names the document, the key, the value found and what is allowed.
+ *
+ * \code
+ * TomlErrors errors("entry1.toml");
+ * auto table = TomlTable::parse(text, errors);
+ * const auto port = table->integer<uint16_t>("port", {8080, 1, 65535});
+ * table->rejectUnknown();
+ * return errors.status();
+ * \endcode
+ */
+class TomlTable
+{
+public:
+    /** Parses a document. \a errors must outlive the table. */
+    static absl::StatusOr<TomlTable> parse(const std::string &text, TomlErrors &errors);
+    /** Reads and parses a file. */
+    static absl::StatusOr<TomlTable> load(const std::string &path, TomlErrors &errors);
+
+    std::string requiredString(std::string_view key);
+    std::string string(std::string_view key, std::string_view fallback);
+    std::string choice(std::string_view key, std::initializer_list<std::string_view> allowed);
+    std::vector<std::string> strings(std::string_view key);
+    bool boolean(std::string_view key, bool fallback);
+    double number(std::string_view key, Bounds<double> bounds);
+    std::chrono::milliseconds milliseconds(std::string_view key, Bounds<int64_t> bounds);
+    /** Reads an IPv4 "address:port". */
+    std::string endpoint(std::string_view key, bool required = true);
+
+    template <typename T> T integer(std::string_view key, Bounds<T> bounds)
+    {
+        return static_cast<T>(boundedInteger(key,
+                                             {static_cast<int64_t>(bounds.fallback),
+                                              static_cast<int64_t>(bounds.lowest),
+                                              static_cast<int64_t>(bounds.highest)}));
+    }
+
+    /** Calls \a visit for each table of an array of tables. */
+    void forEachTable(std::string_view key, const std::function<void(TomlTable &)> &visit);
+    /** Adds an error for each key that nothing asked for. */
+    void rejectUnknown();
+
+private:
+    TomlTable(std::shared_ptr<toml::table> table, TomlErrors &errors, std::string path);
+
+    const toml::node *find(std::string_view key);
+    int64_t boundedInteger(std::string_view key, Bounds<int64_t> bounds);
+    void addError(std::string_view key, const toml::node *node, std::string_view allowed);
+
+    std::shared_ptr<toml::table> m_table;
+    TomlErrors *m_errors;
+    std::string m_path;
+    std::set<std::string, std::less<>> m_asked;
+};
+
+} // namespace jujube::core
--- /dev/null
+++ b/src/entry/entryprocess.cpp
@@ -0,0 +1,489 @@
+#include "entry/entryprocess.h"
+
+#include "core/eventlog.h"
+#include "core/keyhash.h"
+#include "core/metrics.h"
+#include "core/text.h"
+#include "wire/events.h"
+#include "wire/json.h"
+
+#include <algorithm>
+
+namespace jujube::entry {
+
+namespace {
+
+constexpr core::Milliseconds ConnectionSilence{8'000};
+constexpr core::Milliseconds RetryPause{500};
+constexpr core::Milliseconds ViewInterval{100};
+constexpr core::Milliseconds StatusInterval{1'000};
+constexpr core::Milliseconds PruneInterval{5'000};
+// A registered entry whose host refuses connections for this long is taken off the register.
+constexpr core::Milliseconds PruneAfter{30'000};
+constexpr core::Milliseconds DrainPoll{20};
+constexpr core::Milliseconds FinalFlushLimit{10'000};
+constexpr core::Milliseconds TimelineTimeout{2'000};
+constexpr size_t PrefixBlocksPerEndpoint = 50'000;
+
+control::ControllerSettings controllerSettings(const EntrySettings &settings, uint64_t incarnation)
+{
+    return {settings.name, settings.scope, incarnation, settings.controllerLease,
+            settings.planRoles};
+}
+
+control::ReporterSettings reporterSettings(const EntrySettings &settings)
+{
+    control::ReporterSettings result;
+    result.scope = settings.scope;
+    result.window = settings.usageWindow;
+    result.grace = settings.usageGrace;
+    return result;
+}
+
+} // namespace
+
+// The interface other entries hold after their login.
+class EntryProcess::PeerServer : public wire::schema::PeerSession::Server
+{
+public:
+    PeerServer(EntryProcess &process, std::function<void()> touch)
+        : m_process(process), m_touch(std::move(touch))
+    {
+    }
+
+    kj::Promise<void> exchange(ExchangeContext context) override
+    {
+        m_touch();
+        m_process.m_peers.answer(context.getParams().getState(), context.getResults());
+        return kj::READY_NOW;
+    }
+
+    kj::Promise<void> events(EventsContext context) override
+    {
+        m_touch();
+        wire::writeEvents(context.getParams().getAfter(), context.getResults());
+        context.getResults().setProcess(m_process.m_settings.name.c_str());
+        return kj::READY_NOW;
+    }
+
+private:
+    EntryProcess &m_process;
+    std::function<void()> m_touch;
+};
+
+EntryProcess::EntryProcess(wire::IoContext &io, EntrySettings settings, EntryView &view)
+    : m_io(io),
+      m_settings(std::move(settings)),
+      m_view(view),
+      m_incarnation(core::randomIncarnation()),
+      m_identity{m_settings.name, m_settings.fleetSecret},
+      m_http(io),
+      m_kv(m_http, m_settings.platform, m_settings.platformTimeout),
+      m_platform(m_http, m_settings.platform, m_settings.platformTimeout),
+      m_mirror(io, m_kv, platform::FleetPrefix),
+      m_peers(io, m_identity, m_mirror, {m_settings.name, m_incarnation, false}),
+      m_fleet(
+          io, m_identity, m_settings.maxCandidates, [this]() { return pingMessage(); },
+          [this](const core::Evidence &evidence) { m_mirror.noteEvidence(evidence); }),
+      m_router(policy::RouterSettings{}),
+      m_prefixes(PrefixBlocksPerEndpoint),
+      m_retries(policy::RetrySettings{}),
+      m_ledger(m_kv, m_settings.scope, platform::UsageSide::Entry, m_incarnation),
+      m_claims(io, m_kv, m_settings.scope, m_settings.claimShards, m_settings.claimKeep),
+      m_random(core::randomIncarnation()),
+      m_reporter(m_kv, m_platform, reporterSettings(m_settings),
+                 [this](uint64_t entry) {
+                     return entry == m_incarnation || m_liveEntries.contains(entry);
+                 }),
+      m_controller(io, m_kv, m_platform, m_mirror, m_fleet, m_reporter,
+                   controllerSettings(m_settings, m_incarnation)),
+      m_server(
+          io, m_identity,
+          [this](std::function<void()> touch) {
+              wire::RpcServer::Sessions sessions;
+              sessions.peer = kj::heap<PeerServer>(*this, std::move(touch));
+              return sessions;
+          },
+          ConnectionSilence)
+{
+    m_mirror.onChange([this](const platform::KvEntry &entry) { mirrorChanged(entry); });
+}
+
+EntryProcess::~EntryProcess() = default;
+
+void EntryProcess::start(std::function<void(absl::Status)> failed)
+{
+    wire::coroutineTasks().add(startup(std::move(failed)));
+}
+
+void EntryProcess::stop(std::function<void()> stopped)
+{
+    if (std::exchange(m_stopping, true))
+        return;
+    m_peers.setStopping();
+    wire::coroutineTasks().add(shutdown(std::move(stopped)));
+}
+
+wire::Task<void> EntryProcess::startup(std::function<void(absl::Status)> failed)
+{
+    const absl::Status listening = co_await m_server.listen(m_settings.rpcListen);
+    if (!listening.ok()) {
+        failed(listening);
+        co_return;
+    }
+    core::Event("entry.started")
+        .with("name", m_settings.name)
+        .with("incarnation", m_incarnation)
+        .with("address", m_settings.httpListen);
+    m_mirror.start();
+    m_controller.start();
+    wire::coroutineTasks().add(viewLoop());
+    wire::coroutineTasks().add(flushLoop());
+    wire::coroutineTasks().add(pruneLoop());
+    co_await registerLoop();
+}
+
+wire::Task<void> EntryProcess::registerLoop()
+{
+    const platform::EntryRecord record{m_settings.name, m_settings.rpcListen, m_settings.domain,
+                                       m_incarnation};
+    while (!m_stopping) {
+        const auto entry = co_await m_kv.update(
+            platform::entryKey(m_settings.name),
+            [text = record.serialize()](const platform::KvEntry &) { return text; });
+        if (entry.ok()) {
+            m_mirror.apply({*entry});
+            core::Event("entry.registered").with("name", m_settings.name);
+            co_return;
+        }
+        co_await m_io.sleep(RetryPause);
+    }
+}
+
+wire::Task<void> EntryProcess::flushLoop()
+{
+    while (true) {
+        co_await m_io.sleep(m_settings.usageFlush);
+        const absl::Status status = co_await m_ledger.flush();
+        if (!status.ok())
+            core::Event("usage.flush.failed").with("why", status.message());
+    }
+}
+
+// Publishes what the request threads read, and takes up changes of the mirror.
+wire::Task<void> EntryProcess::viewLoop()
+{
+    core::TimePoint statusDue{};
+    auto last = policy::Freshness::Confirmed;
+    while (true) {
+        co_await m_io.sleep(ViewInterval);
+        const core::TimePoint now = core::BootClock::now();
+        const auto freshness = policy::judgeFreshness(m_mirror.evidence(), m_peers.views(), now,
+                                                      policy::FreshnessSettings{});
+        if (freshness != last) {
+            core::Event("configuration.freshness")
+                .with("verdict",
+                      freshness == policy::Freshness::Confirmed    ? "confirmed"
+                          : freshness == policy::Freshness::Outage ? "kv-outage"
+                                                                   : "cut-off")
+                .with("version", m_mirror.version());
+            last = freshness;
+        }
+        m_view.freshness = freshness;
+        m_view.everConfirmed = m_mirror.everConfirmed();
+        if (now < statusDue)
+            continue;
+        statusDue = now + StatusInterval;
+        m_view.status.store(std::make_shared<const std::string>(statusText()));
+        core::gaugeMetric("jujube_kv_calls", {}, static_cast<double>(m_kv.callCount()));
+        core::gaugeMetric("jujube_configuration_version", {},
+                          static_cast<double>(m_mirror.version()));
+        core::gaugeMetric("jujube_sessions", {}, static_cast<double>(m_sessions.size()));
+    }
+}
+
+wire::Task<void> EntryProcess::pruneLoop()
+{
+    while (true) {
+        co_await m_io.sleep(PruneInterval);
+        if (!m_controller.inCharge())
+            continue;
+        for (const std::string &name : m_peers.goneSince(core::BootClock::now() - PruneAfter)) {
+            const platform::KvEntry *entry = m_mirror.find(platform::entryKey(name));
+            if (!entry)
+                continue;
+            core::Event("entry.pruned").with("name", name);
+            co_await m_kv.remove(entry->key, entry->revision);
+        }
+    }
+}
+
+void EntryProcess::mirrorChanged(const platform::KvEntry &entry)
+{
+    const bool scheduled = m_configurationChanged || m_membershipChanged;
+    if (entry.key.starts_with(core::ConfigPrefix))
+        m_configurationChanged = true;
+    else
+        m_membershipChanged = true;
+    // The engines shard holds the operators' drains, which concern membership too.
+    if (entry.key == core::shardKey(core::shards::Engines))
+        m_membershipChanged = true;
+    if (!scheduled) {
+        // One rebuild for all changes that arrive together.
+        wire::coroutineTasks().add(kj::evalLater([this]() { applyChanges(); }));
+    }
+}
+
+void EntryProcess::applyChanges()
+{
+    if (std::exchange(m_configurationChanged, false))
+        rebuildConfiguration();
+    if (std::exchange(m_membershipChanged, false))
+        rebuildMembership();
+}
+
+void EntryProcess::rebuildConfiguration()
+{
+    std::map<std::string, core::ShardValue> shards;
+    for (const platform::KvEntry &it : m_mirror.list(core::ConfigPrefix)) {
+        const std::string name = it.key.substr(std::string_view(core::ConfigPrefix).size());
+        shards[name] = {it.revision, it.value};
+    }
+    auto config = core::Configuration::create(shards);
+    if (!config.ok()) {
+        // Written past the operators' interface: the last good configuration stays in force.
+        core::Event("configuration.invalid").with("why", config.status().message());
+        return;
+    }
+    m_view.configuration.store(*config);
+    core::Event("configuration.applied").with("version", (*config)->version());
+    stopWithdrawnKeys(**config);
+}
+
+void EntryProcess::stopWithdrawnKeys(const core::Configuration &config)
+{
+    for (const auto &session : m_sessions) {
+        if (!session->keyId().empty() && !config.key(session->keyId()))
+            session->keyWithdrawn();
+    }
+}
+
+void EntryProcess::rebuildMembership()
+{
+    std::vector<platform::AgentRecord> agents;
+    for (const platform::KvEntry &it : m_mirror.list(platform::AgentPrefix)) {
+        const auto record = platform::AgentRecord::parse(it.value);
+        if (record.ok())
+            agents.push_back(*record);
+    }
+    std::vector<platform::EntryRecord> entries;
+    m_liveEntries.clear();
+    for (const platform::KvEntry &it : m_mirror.list(platform::EntryPrefix)) {
+        const auto record = platform::EntryRecord::parse(it.value);
+        if (!record.ok())
+            continue;
+        entries.push_back(*record);
+        m_liveEntries.insert(record->incarnation);
+    }
+    std::set<std::string> leaving;
+    if (const platform::KvEntry *entry = m_mirror.find(platform::planKey(m_settings.scope))) {
+        const auto plan = platform::Plan::parse(entry->value);
+        if (plan.ok()) {
+            m_plan = plan->number();
+            for (const auto &[vm, endpoint] : plan->endpoints) {
+                if (endpoint.intent != core::EngineIntent::Active)
+                    leaving.insert(vm);
+            }
+        }
+    }
+    // The operators' word counts at once, before the controller has put it into the plan.
+    for (const auto &[vm, intent] : m_view.configuration.load()->engines()) {
+        if (intent != core::EngineIntent::Active)
+            leaving.insert(vm);
+    }
+    m_fleet.setAgents(agents);
+    m_fleet.setLeaving(std::move(leaving));
+    m_peers.setEntries(entries);
+}
+
+wire::PingMessage EntryProcess::pingMessage() const
+{
+    return {m_mirror.evidence(), m_plan.term, m_plan.sequence};
+}
+
+std::shared_ptr<RequestSession> EntryProcess::runSession(CallerRequest request, AnswerSink sink)
+{
+    request.work.entry = m_incarnation;
+    const SessionServices services{m_io,     m_fleet,  m_router, m_prefixes,   m_retries,
+                                   m_ledger, m_claims, m_random, m_incarnation};
+    auto session = std::make_shared<RequestSession>(services, std::move(request), std::move(sink));
+    m_sessions.insert(session);
+    wire::coroutineTasks().add(runToEnd(session));
+    return session;
+}
+
+wire::Task<void> EntryProcess::runToEnd(std::shared_ptr<RequestSession> session)
+{
+    co_await session->run();
+    m_sessions.erase(session);
+}
+
+void EntryProcess::publish(const std::string &shard, uint64_t fromRevision,
+                           const std::string &value, OperatorDone done)
+{
+    wire::coroutineTasks().add(publishShard(shard, fromRevision, value, std::move(done)));
+}
+
+wire::Task<void> EntryProcess::publishShard(std::string shard, uint64_t fromRevision,
+                                            std::string value, OperatorDone done)
+{
+    const std::string key = core::shardKey(shard);
+    auto revision = co_await m_kv.compareAndSwap(key, fromRevision, value);
+    if (!revision.ok()) {
+        const auto current = co_await m_kv.get(key);
+        const bool landed = platform::isUncertain(revision.status()) && current.ok()
+            && current->value == value && current->revision > fromRevision;
+        if (landed) {
+            revision = current->revision;
+        } else if (current.ok()) {
+            const std::string message =
+                core::concat("shard '", shard, "' is at revision ", current->revision,
+                             ", the change was made from revision ", fromRevision,
+                             ": look at the newer one and make the change again");
+            done({409,
+                  wire::toText(QJsonObject{{"error", wire::qstring(message)},
+                                           {"revision", wire::jsonNumber(current->revision)}})});
+            co_return;
+        } else {
+            done({503,
+                  wire::toText(QJsonObject{{"error",
+                                            "the platform's key-value service does not answer; "
+                                            "the change may or may not have been accepted"}})});
+            co_return;
+        }
+    }
+    m_mirror.apply({{key, value, *revision, false}});
+    core::Event("configuration.published").with("shard", shard).with("revision", *revision);
+    done({200, wire::toText(QJsonObject{{"revision", wire::jsonNumber(*revision)}})});
+}
+
+void EntryProcess::timeline(uint64_t after, OperatorDone done)
+{
+    wire::coroutineTasks().add(collectTimeline(after, std::move(done)));
+}
+
+wire::Task<void> EntryProcess::collectTimeline(uint64_t after, OperatorDone done)
+{
+    using AgentEvents = capnp::Response<wire::schema::AgentSession::EventsResults>;
+    using PeerEvents = capnp::Response<wire::schema::PeerSession::EventsResults>;
+    std::vector<core::LoggedEvent> events = core::eventsAfter(after);
+    const auto add = [&events](const std::vector<core::LoggedEvent> &more) {
+        events.insert(events.end(), more.begin(), more.end());
+    };
+    for (const auto &link : m_fleet.links()) {
+        const auto connection = link->connection();
+        if (!connection)
+            continue;
+        try {
+            auto request = connection->rpc->agent.eventsRequest();
+            request.setAfter(after);
+            auto reply =
+                co_await m_io.within(TimelineTimeout, kj::Promise<AgentEvents>(request.send()));
+            add(wire::readEvents<AgentEvents &>(reply));
+        } catch (const kj::Exception &) {
+            core::Event("timeline.gap").with("process", link->record().vm);
+        }
+    }
+    for (const auto &connection : m_peers.connections()) {
+        try {
+            auto request = connection->peer.eventsRequest();
+            request.setAfter(after);
+            auto reply =
+                co_await m_io.within(TimelineTimeout, kj::Promise<PeerEvents>(request.send()));
+            add(wire::readEvents<PeerEvents &>(reply));
+        } catch (const kj::Exception &) {
+            core::Event("timeline.gap").with("process", "peer");
+        }
+    }
+    std::stable_sort(events.begin(), events.end(),
+                     [](const auto &a, const auto &b) { return a.hybridTime < b.hybridTime; });
+    QJsonArray lines;
+    for (const core::LoggedEvent &it : events)
+        lines.append(wire::qstring(it.line));
+    done({200, wire::toText(QJsonObject{{"events", lines}})});
+}
+
+std::string EntryProcess::statusText() const
+{
+    QJsonArray engines;
+    for (const auto &link : m_fleet.links()) {
+        const core::LoadReport &load = link->load();
+        QJsonObject it;
+        it["vm"] = wire::qstring(link->record().vm);
+        it["failure_domain"] = wire::qstring(link->record().domain);
+        it["kind"] = link->record().kind == core::WorkKind::Language ? "language" : "service";
+        it["serves"] = wire::qstring(link->record().model);
+        it["up"] = link->up();
+        it["ready"] = load.ready;
+        it["leaving"] = load.leaving || m_fleet.leaving(link->record().vm);
+        it["role"] = wire::qstring(core::roleName(load.role));
+        it["running"] = static_cast<int>(load.running);
+        it["slots"] = static_cast<int>(load.slots);
+        it["queued"] = static_cast<int>(load.queuedRequests);
+        it["prefill_rate"] = load.prefillRate;
+        it["decode_rate"] = load.decodeRate;
+        it["free_kv_pieces"] = static_cast<int>(load.freeKvPieces);
+        it["applied"] =
+            QString::fromStdString(core::concat(load.appliedTerm, ".", load.appliedSequence));
+        engines.append(it);
+    }
+    QJsonArray peers;
+    const core::TimePoint now = core::BootClock::now();
+    for (const policy::PeerView &peer : m_peers.views()) {
+        QJsonObject it;
+        it["name"] = wire::qstring(peer.name);
+        it["refused"] = peer.refused;
+        it["heard_ms_ago"] = static_cast<qint64>(core::toMessageMs(now - peer.heardAt));
+        peers.append(it);
+    }
+    QJsonObject status;
+    status["entry"] = wire::qstring(m_settings.name);
+    status["version"] = wire::jsonNumber(m_mirror.version());
+    status["confirmed_ms_ago"] =
+        static_cast<qint64>(core::toMessageMs(now - m_mirror.evidence().confirmedAt));
+    status["controller"] = m_controller.inCharge();
+    status["term"] = wire::jsonNumber(m_plan.term);
+    status["sequence"] = wire::jsonNumber(m_plan.sequence);
+    status["sessions"] = static_cast<qint64>(m_sessions.size());
+    status["kv_calls"] = wire::jsonNumber(m_kv.callCount());
+    status["known_agents"] = static_cast<qint64>(m_fleet.knownAgents());
+    status["engines"] = engines;
+    status["peers"] = peers;
+    return wire::toText(status);
+}
+
+wire::Task<void> EntryProcess::shutdown(std::function<void()> stopped)
+{
+    core::Event("entry.stopping").with("name", m_settings.name).with("sessions", m_sessions.size());
+    co_await m_controller.stop();
+    const core::TimePoint limit = core::BootClock::now() + m_settings.stopLimit;
+    while (!m_sessions.empty() && core::BootClock::now() < limit)
+        co_await m_io.sleep(DrainPoll);
+    const core::TimePoint flushLimit = core::BootClock::now() + FinalFlushLimit;
+    while ((!m_ledger.clean() || !m_claims.idle()) && core::BootClock::now() < flushLimit) {
+        const absl::Status status = co_await m_ledger.flush();
+        if (!status.ok() || !m_claims.idle())
+            co_await m_io.sleep(DrainPoll);
+    }
+    const auto entry = co_await m_kv.get(platform::entryKey(m_settings.name));
+    if (entry.ok()) {
+        const auto record = platform::EntryRecord::parse(entry->value);
+        if (record.ok() && record->incarnation == m_incarnation)
+            co_await m_kv.remove(entry->key, entry->revision);
+    }
+    m_mirror.stop();
+    core::Event("entry.stopped").with("name", m_settings.name);
+    stopped();
+}
+
+} // namespace jujube::entry
--- /dev/null
+++ b/src/entry/entryprocess.h
@@ -0,0 +1,94 @@
+#pragma once
+
+/** \file
+ * Defines the assembly of an entry process on its KJ thread.
+ */
+
+#include "control/controller.h"
+#include "control/usagereporter.h"
+#include "entry/entrysettings.h"
+#include "entry/entryview.h"
+#include "entry/fleetview.h"
+#include "entry/kvmirror.h"
+#include "entry/operatorapi.h"
+#include "entry/peerset.h"
+#include "entry/requestsession.h"
+#include "wire/rpc.h"
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <set>
+
+namespace jujube::entry {
+
+/** Everything an entry runs on its KJ thread. */
+class EntryProcess
+{
+public:
+    EntryProcess(wire::IoContext &io, EntrySettings settings, EntryView &view);
+    ~EntryProcess();
+
+    /** Binds, registers and follows the KV. \a failed is called if that is impossible. */
+    void start(std::function<void(absl::Status)> failed);
+    /** Graceful shutdown of this part, once the last caller has been answered. */
+    void stop(std::function<void()> stopped);
+
+    /** Runs a caller's request. */
+    std::shared_ptr<RequestSession> runSession(CallerRequest request, AnswerSink sink);
+    void publish(const std::string &shard, uint64_t fromRevision, const std::string &value,
+                 OperatorDone done);
+    void timeline(uint64_t after, OperatorDone done);
+
+private:
+    class PeerServer;
+    class AgentStub;
+
+    wire::Task<void> startup(std::function<void(absl::Status)> failed);
+    wire::Task<void> shutdown(std::function<void()> stopped);
+    wire::Task<void> registerLoop();
+    wire::Task<void> flushLoop();
+    wire::Task<void> viewLoop();
+    wire::Task<void> pruneLoop();
+    wire::Task<void> runToEnd(std::shared_ptr<RequestSession> session);
+    wire::Task<void> publishShard(std::string shard, uint64_t fromRevision, std::string value,
+                                  OperatorDone done);
+    wire::Task<void> collectTimeline(uint64_t after, OperatorDone done);
+
+    void mirrorChanged(const platform::KvEntry &entry);
+    void applyChanges();
+    void rebuildConfiguration();
+    void rebuildMembership();
+    void stopWithdrawnKeys(const core::Configuration &config);
+    wire::PingMessage pingMessage() const;
+    std::string statusText() const;
+
+    wire::IoContext &m_io;
+    EntrySettings m_settings;
+    EntryView &m_view;
+    uint64_t m_incarnation;
+    wire::RpcIdentity m_identity;
+    wire::HttpClient m_http;
+    platform::KvClient m_kv;
+    platform::FleetClient m_platform;
+    KvMirror m_mirror;
+    PeerSet m_peers;
+    FleetView m_fleet;
+    policy::Router m_router;
+    policy::PrefixIndex m_prefixes;
+    policy::RetryBudget m_retries;
+    platform::UsageLedger m_ledger;
+    platform::ClaimStore m_claims;
+    std::mt19937_64 m_random;
+    control::UsageReporter m_reporter;
+    control::Controller m_controller;
+    wire::RpcServer m_server;
+    std::set<std::shared_ptr<RequestSession>> m_sessions;
+    std::set<uint64_t> m_liveEntries;
+    platform::OrderNumber m_plan;
+    bool m_configurationChanged = false;
+    bool m_membershipChanged = false;
+    bool m_stopping = false;
+};
+
+} // namespace jujube::entry
--- /dev/null
+++ b/src/entry/entrysettings.h
@@ -0,0 +1,48 @@
+#pragma once
+
+/** \file
+ * Defines the settings of an entry.
+ */
+
+#include "core/clock.h"
+#include "wire/httpserver.h"
+
+#include <absl/status/statusor.h>
+
+#include <chrono>
+#include <string>
+
+namespace jujube::entry {
+
+/** Checked contents of an entry's TOML file. */
+struct EntrySettings
+{
+    std::string name;
+    std::string domain;
+    std::string scope;
+    std::string httpListen;
+    std::string rpcListen;
+    std::string platform;
+    std::string fleetSecret;
+    std::string operatorToken;
+    int httpThreads = 4;
+    wire::HttpServerLimits limits;
+    size_t maxCandidates = 24;
+    uint32_t claimShards = 16;
+    std::chrono::minutes claimKeep{60};
+    std::chrono::seconds usageWindow{60};
+    core::Milliseconds usageGrace{10'000}; ///< From the end of a window to its sealing.
+    core::Milliseconds usageFlush{1'000};
+    core::Milliseconds controllerLease{5'000};
+    core::Milliseconds platformTimeout{2'000};
+    core::Milliseconds stopDelay{1'000}; ///< From not ready to closing the listeners.
+    core::Milliseconds stopLimit{120'000};
+    bool planRoles = true;
+    bool planEndpoints = false;
+    double endpointHourPrice = 1.0;
+    double requestWorth = 0.01;
+
+    static absl::StatusOr<EntrySettings> load(const std::string &path);
+};
+
+} // namespace jujube::entry
--- /dev/null
+++ b/src/entry/fleetview.cpp
@@ -0,0 +1,93 @@
+#include "entry/fleetview.h"
+
+#include "core/keyhash.h"
+#include "core/text.h"
+
+#include <algorithm>
+
+namespace jujube::entry {
+
+FleetView::FleetView(wire::IoContext &io, wire::RpcIdentity identity, size_t maxCandidates,
+                     std::function<wire::PingMessage()> ping,
+                     std::function<void(const core::Evidence &)> onEvidence)
+    : m_io(io),
+      m_identity(std::move(identity)),
+      m_maxCandidates(maxCandidates),
+      m_ping(std::move(ping)),
+      m_onEvidence(std::move(onEvidence))
+{
+}
+
+void FleetView::setAgents(const std::vector<platform::AgentRecord> &agents)
+{
+    m_known = agents.size();
+    std::set<std::string> wanted;
+    for (const platform::AgentRecord &record : selectAgents(agents)) {
+        wanted.insert(record.vm);
+        auto &link = m_links[record.vm];
+        if (link) {
+            link->updateRecord(record);
+            continue;
+        }
+        link = std::make_shared<AgentLink>(m_io, m_identity, record, m_ping, m_onEvidence);
+        link->start();
+    }
+    for (auto it = m_links.begin(); it != m_links.end();) {
+        if (wanted.contains(it->first)) {
+            ++it;
+            continue;
+        }
+        it->second->close();
+        it = m_links.erase(it);
+    }
+}
+
+std::vector<platform::AgentRecord>
+FleetView::selectAgents(std::vector<platform::AgentRecord> agents) const
+{
+    struct Ranked
+    {
+        uint64_t rank = 0;
+        platform::AgentRecord record;
+    };
+    // By served model and failure domain, each in this entry's own order.
+    std::map<std::string, std::map<std::string, std::vector<Ranked>>> groups;
+    for (platform::AgentRecord &it : agents) {
+        const uint64_t rank = core::stableHash(core::concat(m_identity.process, "/", it.vm));
+        auto &group = groups[it.model][it.domain];
+        group.push_back({rank, std::move(it)});
+    }
+    std::vector<platform::AgentRecord> selected;
+    for (auto &[model, domains] : groups) {
+        const size_t share = (m_maxCandidates + domains.size() - 1) / domains.size();
+        for (auto &[domain, ranked] : domains) {
+            std::sort(ranked.begin(), ranked.end(),
+                      [](const Ranked &a, const Ranked &b) { return a.rank < b.rank; });
+            for (size_t i = 0; i < std::min(share, ranked.size()); ++i)
+                selected.push_back(std::move(ranked[i].record));
+        }
+    }
+    return selected;
+}
+
+std::vector<std::shared_ptr<AgentLink>> FleetView::candidates(core::WorkKind kind,
+                                                              const std::string &model) const
+{
+    std::vector<std::shared_ptr<AgentLink>> result;
+    for (const auto &[vm, link] : m_links) {
+        const platform::AgentRecord &record = link->record();
+        if (record.kind == kind && record.model == model && !m_leaving.contains(vm))
+            result.push_back(link);
+    }
+    return result;
+}
+
+std::vector<std::shared_ptr<AgentLink>> FleetView::links() const
+{
+    std::vector<std::shared_ptr<AgentLink>> result;
+    for (const auto &[vm, link] : m_links)
+        result.push_back(link);
+    return result;
+}
+
+} // namespace jujube::entry
--- /dev/null
+++ b/src/entry/kvmirror.cpp
@@ -0,0 +1,132 @@
+#include "entry/kvmirror.h"
+
+#include "core/eventlog.h"
+
+#include <algorithm>
+#include <set>
+
+namespace jujube::entry {
+
+namespace {
+
+// The age of the evidence is counted from the start of a watch, so this bounds it.
+constexpr core::Milliseconds WatchWait{1'000};
+constexpr core::Milliseconds RetryPause{200};
+
+} // namespace
+
+KvMirror::KvMirror(wire::IoContext &io, platform::KvClient &kv, std::string prefix)
+    : m_io(io), m_kv(kv), m_prefix(std::move(prefix))
+{
+}
+
+void KvMirror::start()
+{
+    wire::coroutineTasks().add(watchLoop());
+}
+
+wire::Task<void> KvMirror::watchLoop()
+{
+    bool listed = false;
+    bool reachable = true;
+    while (!m_stopping) {
+        const core::TimePoint before = core::BootClock::now();
+        auto listing = listed ? co_await m_kv.watch(m_prefix, m_watchedRevision, WatchWait)
+                              : co_await m_kv.list(m_prefix);
+        if (!listing.ok()) {
+            if (std::exchange(reachable, false))
+                core::Event("kv.unreachable").with("why", listing.status().message());
+            co_await m_io.sleep(RetryPause);
+            continue;
+        }
+        if (!std::exchange(reachable, true))
+            core::Event("kv.reachable").with("revision", listing->revision);
+        if (listed)
+            apply(listing->entries);
+        else
+            applyListing(*listing);
+        listed = true;
+        m_watchedRevision = std::max(m_watchedRevision, listing->revision);
+        m_evidence = {m_version, before};
+    }
+}
+
+void KvMirror::applyListing(const platform::KvListing &listing)
+{
+    std::set<std::string> present;
+    for (const platform::KvEntry &it : listing.entries) {
+        present.insert(it.key);
+        applyOne(it);
+    }
+    // What a peer told of before, and the KV no longer has, was deleted in between.
+    std::vector<platform::KvEntry> gone;
+    for (const auto &[key, entry] : m_entries) {
+        if (!entry.deleted && entry.revision <= listing.revision && !present.contains(key))
+            gone.push_back({key, {}, listing.revision, true});
+    }
+    apply(gone);
+}
+
+void KvMirror::apply(const std::vector<platform::KvEntry> &changes)
+{
+    for (const platform::KvEntry &it : changes)
+        applyOne(it);
+}
+
+void KvMirror::applyOne(const platform::KvEntry &entry)
+{
+    auto [it, isNew] = m_entries.try_emplace(entry.key, entry);
+    if (!isNew) {
+        if (entry.revision <= it->second.revision)
+            return;
+        const auto range = m_byRevision.equal_range(it->second.revision);
+        for (auto index = range.first; index != range.second; ++index) {
+            if (index->second == entry.key) {
+                m_byRevision.erase(index);
+                break;
+            }
+        }
+        it->second = entry;
+    }
+    m_byRevision.emplace(entry.revision, entry.key);
+    m_version = std::max(m_version, entry.revision);
+    if (m_onChange)
+        m_onChange(it->second);
+}
+
+std::vector<platform::KvEntry> KvMirror::changesAfter(uint64_t version, size_t limit) const
+{
+    std::vector<platform::KvEntry> result;
+    for (auto it = m_byRevision.upper_bound(version); it != m_byRevision.end(); ++it) {
+        if (result.size() >= limit && it->first != result.back().revision)
+            break;
+        result.push_back(m_entries.at(it->second));
+    }
+    return result;
+}
+
+void KvMirror::noteEvidence(const core::Evidence &evidence)
+{
+    if (evidence.version <= m_version && evidence.confirmedAt > m_evidence.confirmedAt)
+        m_evidence = {m_version, evidence.confirmedAt};
+}
+
+const platform::KvEntry *KvMirror::find(const std::string &key) const
+{
+    const auto it = m_entries.find(key);
+    return it == m_entries.end() || it->second.deleted ? nullptr : &it->second;
+}
+
+std::vector<platform::KvEntry> KvMirror::list(const std::string &prefix) const
+{
+    std::vector<platform::KvEntry> result;
+    for (auto it = m_entries.lower_bound(prefix); it != m_entries.end(); ++it) {
+        if (it->first.compare(0, prefix.size(), prefix) != 0)
+            break;
+        if (!it->second.deleted)
+            result.push_back(it->second);
+    }
+    return result;
+}
+
+} // namespace jujube::entry
--- /dev/null
+++ b/src/entry/kvmirror.h
@@ -0,0 +1,70 @@
+#pragma once
+
+/** \file
+ * Defines an entry's copy of the fleet's part of the KV, kept current by watch and by peers.
+ */
+
+#include "core/work.h"
+#include "platform/kvclient.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace jujube::entry {
+
+/** Mirrors every key under one prefix.
+ *
+ * Changes come from the KV's watch or from another entry's mirror; both are applied by revision,
+ * so a key never goes back whatever order they arrive in. Deletions are kept as entries, for they
+ * have to reach the peers as well.
+ */
+class KvMirror
+{
+public:
+    using OnChange = std::function<void(const platform::KvEntry &)>;
+
+    KvMirror(wire::IoContext &io, platform::KvClient &kv, std::string prefix);
+
+    /** Called for every applied change. */
+    void onChange(OnChange callback) { m_onChange = std::move(callback); }
+    /** Starts watching the KV. */
+    void start();
+    void stop() { m_stopping = true; }
+
+    /** Applies changes of a peer, or of a write of this process. */
+    void apply(const std::vector<platform::KvEntry> &changes);
+    /** Changes newer than a version, oldest first, at most \a limit of them. */
+    std::vector<platform::KvEntry> changesAfter(uint64_t version, size_t limit) const;
+
+    /** Takes evidence from elsewhere. It counts only if this mirror has all it speaks of. */
+    void noteEvidence(const core::Evidence &evidence);
+    /** Newest evidence that this mirror's content was the newest in the KV. */
+    const core::Evidence &evidence() const { return m_evidence; }
+    /** Revision of the newest change applied. */
+    uint64_t version() const { return m_version; }
+    bool everConfirmed() const { return m_evidence.confirmedAt != core::TimePoint{}; }
+
+    const platform::KvEntry *find(const std::string &key) const;
+    /** Entries that exist under a prefix. */
+    std::vector<platform::KvEntry> list(const std::string &prefix) const;
+
+private:
+    wire::Task<void> watchLoop();
+    void applyListing(const platform::KvListing &listing);
+    void applyOne(const platform::KvEntry &entry);
+
+    wire::IoContext &m_io;
+    platform::KvClient &m_kv;
+    std::string m_prefix;
+    OnChange m_onChange;
+    std::map<std::string, platform::KvEntry> m_entries;
+    std::multimap<uint64_t, std::string> m_byRevision;
+    uint64_t m_version = 0;
+    uint64_t m_watchedRevision = 0;
+    core::Evidence m_evidence;
+    bool m_stopping = false;
+};
+
+} // namespace jujube::entry
--- /dev/null
+++ b/src/entry/peerset.cpp
@@ -0,0 +1,160 @@
+#include "entry/peerset.h"
+
+#include "core/eventlog.h"
+#include "core/hybridclock.h"
+#include "wire/messages.h"
+
+namespace jujube::entry {
+
+namespace {
+
+constexpr core::Milliseconds ExchangeInterval{500};
+constexpr core::Milliseconds ExchangeTimeout{1'000};
+constexpr core::Milliseconds DialTimeout{1'000};
+constexpr core::Milliseconds RedialPause{300};
+constexpr size_t MaxChangesPerExchange = 500;
+
+using ExchangeReply = capnp::Response<wire::schema::PeerSession::ExchangeResults>;
+
+std::vector<platform::KvEntry> readChanges(capnp::List<wire::schema::Change>::Reader reader)
+{
+    std::vector<platform::KvEntry> changes;
+    for (const auto it : reader)
+        changes.push_back(
+            {it.getKey().cStr(), it.getValue().cStr(), it.getRevision(), it.getDeleted()});
+    return changes;
+}
+
+} // namespace
+
+PeerSet::PeerSet(wire::IoContext &io, wire::RpcIdentity identity, KvMirror &mirror, OwnState own)
+    : m_io(io), m_identity(std::move(identity)), m_mirror(mirror), m_own(std::move(own))
+{
+}
+
+void PeerSet::setEntries(const std::vector<platform::EntryRecord> &entries)
+{
+    std::map<std::string, std::shared_ptr<Peer>> next;
+    for (const platform::EntryRecord &record : entries) {
+        if (record.name == m_own.process)
+            continue;
+        const auto known = m_peers.find(record.name);
+        if (known != m_peers.end() && known->second->record.address == record.address) {
+            known->second->record = record;
+            next[record.name] = known->second;
+            continue;
+        }
+        auto peer = std::make_shared<Peer>();
+        peer->record = record;
+        peer->knownSince = core::BootClock::now();
+        next[record.name] = peer;
+        wire::coroutineTasks().add(maintain(peer));
+    }
+    for (const auto &[name, peer] : m_peers) {
+        const auto kept = next.find(name);
+        if (kept == next.end() || kept->second != peer)
+            peer->removed = true;
+    }
+    m_peers = std::move(next);
+}
+
+std::vector<policy::PeerView> PeerSet::views() const
+{
+    std::vector<policy::PeerView> result;
+    for (const auto &[name, peer] : m_peers)
+        result.push_back({name, peer->heardAt, peer->refused});
+    return result;
+}
+
+std::vector<std::shared_ptr<wire::RpcConnection>> PeerSet::connections() const
+{
+    std::vector<std::shared_ptr<wire::RpcConnection>> result;
+    for (const auto &[name, peer] : m_peers) {
+        if (peer->connection)
+            result.push_back(peer->connection);
+    }
+    return result;
+}
+
+std::vector<std::string> PeerSet::goneSince(core::TimePoint since) const
+{
+    std::vector<std::string> result;
+    for (const auto &[name, peer] : m_peers) {
+        if (peer->refused && peer->heardAt < since && peer->knownSince < since)
+            result.push_back(name);
+    }
+    return result;
+}
+
+wire::Task<void> PeerSet::maintain(std::shared_ptr<Peer> peer)
+{
+    while (!peer->removed) {
+        if (!peer->connection) {
+            auto dialled = co_await wire::dial(m_io, peer->record.address, m_identity, DialTimeout);
+            peer->refused = !dialled.ok() && wire::isRefused(dialled.status());
+            if (!dialled.ok()) {
+                co_await m_io.sleep(RedialPause);
+                continue;
+            }
+            peer->connection = *dialled;
+            core::Event("peer.up").with("peer", peer->record.name);
+        }
+        if (!co_await exchange(peer)) {
+            core::Event("peer.down").with("peer", peer->record.name);
+            peer->connection = nullptr;
+            continue;
+        }
+        co_await m_io.sleep(ExchangeInterval);
+    }
+    peer->connection = nullptr;
+}
+
+wire::Task<bool> PeerSet::exchange(std::shared_ptr<Peer> peer)
+{
+    try {
+        const core::TimePoint before = core::BootClock::now();
+        auto request = peer->connection->peer.exchangeRequest();
+        writeState(request.initState());
+        auto reply =
+            co_await m_io.within(ExchangeTimeout, kj::Promise<ExchangeReply>(request.send()));
+        const core::TimePoint now = core::BootClock::now();
+        const auto state = reply.getState();
+        core::processClock().observe(state.getHybridTime());
+        m_mirror.apply(readChanges(reply.getChanges()));
+        // The reply may have travelled for the whole round trip: its evidence is older by that.
+        core::Evidence evidence = wire::read(state.getEvidence());
+        evidence.confirmedAt -= now - before;
+        m_mirror.noteEvidence(evidence);
+        peer->heardAt = before;
+        co_return true;
+    } catch (const kj::Exception &) {
+        co_return false;
+    }
+}
+
+void PeerSet::answer(wire::schema::PeerState::Reader state,
+                     wire::schema::PeerSession::ExchangeResults::Builder results) const
+{
+    core::processClock().observe(state.getHybridTime());
+    writeState(results.initState());
+    const auto changes = m_mirror.changesAfter(state.getVersion(), MaxChangesPerExchange);
+    auto list = results.initChanges(static_cast<uint>(changes.size()));
+    for (uint i = 0; i < list.size(); ++i) {
+        list[i].setKey(changes[i].key.c_str());
+        list[i].setValue(changes[i].value.c_str());
+        list[i].setRevision(changes[i].revision);
+        list[i].setDeleted(changes[i].deleted);
+    }
+}
+
+void PeerSet::writeState(wire::schema::PeerState::Builder builder) const
+{
+    builder.setHybridTime(core::processClock().tick());
+    builder.setProcess(m_own.process.c_str());
+    builder.setIncarnation(m_own.incarnation);
+    wire::write(builder.initEvidence(), m_mirror.evidence());
+    builder.setVersion(m_mirror.version());
+    builder.setStopping(m_own.stopping);
+}
+
+} // namespace jujube::entry
--- /dev/null
+++ b/src/platform/leaseholder.cpp
@@ -0,0 +1,63 @@
+#include "platform/leaseholder.h"
+
+namespace jujube::platform {
+
+LeaseHolder::LeaseHolder(wire::IoContext &io, KvClient &kv, std::string key, std::string holder,
+                         core::Milliseconds ttl)
+    : m_io(io), m_kv(kv), m_key(std::move(key)), m_holder(std::move(holder)), m_ttl(ttl)
+{
+}
+
+wire::Task<bool> LeaseHolder::tryAcquire()
+{
+    const auto current = co_await m_kv.get(m_key);
+    if (!current.ok() || current->revision != 0)
+        co_return false;
+    const core::TimePoint before = core::BootClock::now();
+    const auto lease = co_await m_kv.grantLease(m_ttl);
+    if (!lease.ok())
+        co_return false;
+    const auto revision = co_await m_kv.compareAndSwap(m_key, 0, m_holder, *lease);
+    bool taken = revision.ok();
+    if (!taken && isUncertain(revision.status())) {
+        // The answer was lost; the key itself tells who holds it.
+        const auto readBack = co_await m_kv.get(m_key);
+        taken = readBack.ok() && readBack->value == m_holder;
+    }
+    if (!taken) {
+        co_await m_kv.revokeLease(*lease);
+        co_return false;
+    }
+    m_lease = *lease;
+    m_validUntil = before + m_ttl;
+    co_return held();
+}
+
+wire::Task<bool> LeaseHolder::renew()
+{
+    if (m_lease.empty())
+        co_return false;
+    const core::TimePoint before = core::BootClock::now();
+    const absl::Status status = co_await m_kv.renewLease(m_lease);
+    if (status.ok()) {
+        m_validUntil = before + m_ttl;
+        co_return held();
+    }
+    if (absl::IsNotFound(status)) {
+        // The service says that it lapsed: nothing may be done under it from now on.
+        m_validUntil = {};
+        m_lease.clear();
+    }
+    co_return held();
+}
+
+wire::Task<void> LeaseHolder::release()
+{
+    m_validUntil = {};
+    if (m_lease.empty())
+        co_return;
+    const std::string lease = std::exchange(m_lease, {});
+    co_await m_kv.revokeLease(lease);
+}
+
+} // namespace jujube::platform
--- /dev/null
+++ b/src/platform/registry.cpp
@@ -0,0 +1,69 @@
+#include "platform/registry.h"
+
+#include "core/text.h"
+#include "wire/json.h"
+
+namespace jujube::platform {
+
+std::string AgentRecord::serialize() const
+{
+    QJsonObject object;
+    object["vm"] = wire::qstring(vm);
+    object["address"] = wire::qstring(address);
+    object["domain"] = wire::qstring(domain);
+    object["kind"] = kind == core::WorkKind::Language ? "language" : "service";
+    object["model"] = wire::qstring(model);
+    object["incarnation"] = QString::number(incarnation);
+    return wire::toText(object);
+}
+
+absl::StatusOr<AgentRecord> AgentRecord::parse(const std::string &text)
+{
+    const auto object = wire::parseObject(text);
+    if (!object.ok())
+        return absl::DataLossError(core::concat("agent record: ", object.status().message()));
+    AgentRecord record;
+    record.vm = wire::textAt(*object, "vm");
+    record.address = wire::textAt(*object, "address");
+    record.domain = wire::textAt(*object, "domain");
+    record.kind = wire::textAt(*object, "kind") == "service" ? core::WorkKind::Service
+                                                             : core::WorkKind::Language;
+    record.model = wire::textAt(*object, "model");
+    record.incarnation = wire::numberAt(*object, "incarnation");
+    return record;
+}
+
+std::string EntryRecord::serialize() const
+{
+    QJsonObject object;
+    object["name"] = wire::qstring(name);
+    object["address"] = wire::qstring(address);
+    object["domain"] = wire::qstring(domain);
+    object["incarnation"] = QString::number(incarnation);
+    return wire::toText(object);
+}
+
+absl::StatusOr<EntryRecord> EntryRecord::parse(const std::string &text)
+{
+    const auto object = wire::parseObject(text);
+    if (!object.ok())
+        return absl::DataLossError(core::concat("entry record: ", object.status().message()));
+    EntryRecord record;
+    record.name = wire::textAt(*object, "name");
+    record.address = wire::textAt(*object, "address");
+    record.domain = wire::textAt(*object, "domain");
+    record.incarnation = wire::numberAt(*object, "incarnation");
+    return record;
+}
+
+std::string agentKey(const std::string &vm)
+{
+    return core::concat(AgentPrefix, vm);
+}
+
+std::string entryKey(const std::string &name)
+{
+    return core::concat(EntryPrefix, name);
+}
+
+} // namespace jujube::platform
--- /dev/null
+++ b/src/platform/registry.h
@@ -0,0 +1,50 @@
+#pragma once
+
+/** \file
+ * Defines the registry of running processes in the KV.
+ */
+
+#include "core/work.h"
+#include "platform/kvclient.h"
+
+#include <absl/status/statusor.h>
+
+#include <string>
+
+namespace jujube::platform {
+
+/** An endpoint VM's agent as registered. One write at its start, one when it leaves. */
+struct AgentRecord
+{
+    std::string vm;
+    std::string address; ///< RPC address of the agent.
+    std::string domain;
+    core::WorkKind kind = core::WorkKind::Language;
+    std::string model; ///< Language: the model it serves. Service: the service's name.
+    uint64_t incarnation = 0;
+
+    std::string serialize() const;
+    static absl::StatusOr<AgentRecord> parse(const std::string &text);
+};
+
+/** An entry as registered. */
+struct EntryRecord
+{
+    std::string name;
+    std::string address; ///< RPC address for other entries.
+    std::string domain;
+    uint64_t incarnation = 0;
+
+    std::string serialize() const;
+    static absl::StatusOr<EntryRecord> parse(const std::string &text);
+};
+
+/** Everything that every entry mirrors lies under this prefix, so one watch covers it. */
+inline constexpr const char *FleetPrefix = "fleet/";
+inline constexpr const char *AgentPrefix = "fleet/agents/";
+inline constexpr const char *EntryPrefix = "fleet/entries/";
+
+std::string agentKey(const std::string &vm);
+std::string entryKey(const std::string &name);
+
+} // namespace jujube::platform
--- /dev/null
+++ b/src/platform/usageledger.cpp
@@ -0,0 +1,158 @@
+#include "platform/usageledger.h"
+
+#include "core/text.h"
+#include "wire/json.h"
+
+namespace jujube::platform {
+
+namespace {
+
+// Pages of windows this far back are no longer changed by anything and need not be kept.
+constexpr size_t MaxKeptPages = 32;
+
+std::string_view sideName(UsageSide side)
+{
+    return side == UsageSide::Entry ? "entry" : "agent";
+}
+
+} // namespace
+
+void UsageFigures::add(const UsageFigures &other)
+{
+    requests += other.requests;
+    usage.promptTokens += other.usage.promptTokens;
+    usage.cachedTokens += other.usage.cachedTokens;
+    usage.outputTokens += other.usage.outputTokens;
+}
+
+std::string UsagePage::serialize() const
+{
+    QJsonArray array;
+    for (const UsageRow &row : rows) {
+        QJsonObject object;
+        object["peer"] = QString::number(row.peer);
+        object["team"] = wire::qstring(row.team);
+        object["requests"] = wire::jsonNumber(row.figures.requests);
+        object["prompt"] = wire::jsonNumber(row.figures.usage.promptTokens);
+        object["cached"] = wire::jsonNumber(row.figures.usage.cachedTokens);
+        object["output"] = wire::jsonNumber(row.figures.usage.outputTokens);
+        array.append(object);
+    }
+    QJsonObject page;
+    page["side"] = wire::qstring(sideName(side));
+    page["incarnation"] = QString::number(incarnation);
+    page["rows"] = array;
+    return wire::toText(page);
+}
+
+absl::StatusOr<UsagePage> UsagePage::parse(const std::string &text)
+{
+    const auto object = wire::parseObject(text);
+    if (!object.ok())
+        return absl::DataLossError(core::concat("usage page: ", object.status().message()));
+    UsagePage page;
+    page.side = wire::textAt(*object, "side") == "agent" ? UsageSide::Agent : UsageSide::Entry;
+    page.incarnation = wire::numberAt(*object, "incarnation");
+    for (const QJsonValue &it : object->value("rows").toArray()) {
+        const QJsonObject row = it.toObject();
+        UsageFigures figures;
+        figures.requests = wire::numberAt(row, "requests");
+        figures.usage = {wire::numberAt(row, "prompt"), wire::numberAt(row, "cached"),
+                         wire::numberAt(row, "output")};
+        page.rows.push_back({wire::numberAt(row, "peer"), wire::textAt(row, "team"), figures});
+    }
+    return page;
+}
+
+std::string usagePrefix(const std::string &scope)
+{
+    return core::concat("usage/", scope, "/");
+}
+
+std::string usagePrefix(const std::string &scope, uint64_t window)
+{
+    return core::concat(usagePrefix(scope), window, "/");
+}
+
+uint64_t windowOf(std::chrono::milliseconds wall, std::chrono::seconds length)
+{
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(wall).count();
+    return static_cast<uint64_t>(seconds - seconds % length.count());
+}
+
+UsageLedger::UsageLedger(KvClient &kv, std::string scope, UsageSide side, uint64_t incarnation)
+    : m_kv(kv), m_scope(std::move(scope)), m_side(side), m_incarnation(incarnation)
+{
+}
+
+void UsageLedger::count(uint64_t window, uint64_t peer, const std::string &team,
+                        const UsageFigures &figures)
+{
+    Page &page = m_pages[window];
+    page.rows[{peer, team}].add(figures);
+    ++page.changes;
+}
+
+bool UsageLedger::clean() const
+{
+    for (const auto &[window, page] : m_pages) {
+        if (page.changes != page.written)
+            return false;
+    }
+    return true;
+}
+
+wire::Task<absl::Status> UsageLedger::flush()
+{
+    std::vector<uint64_t> changed;
+    for (const auto &[window, page] : m_pages) {
+        if (page.changes != page.written)
+            changed.push_back(window);
+    }
+    for (const uint64_t window : changed) {
+        const absl::Status status = co_await flushPage(window);
+        if (!status.ok())
+            co_return status;
+    }
+    while (m_pages.size() > MaxKeptPages
+           && m_pages.begin()->second.changes == m_pages.begin()->second.written)
+        m_pages.erase(m_pages.begin());
+    co_return absl::OkStatus();
+}
+
+wire::Task<absl::Status> UsageLedger::flushPage(uint64_t window)
+{
+    const std::string key =
+        core::concat(usagePrefix(m_scope, window), sideName(m_side), "-", m_incarnation);
+    const uint64_t changes = m_pages[window].changes;
+    const std::string text = pageText(m_pages[window]);
+    auto revision = co_await m_kv.compareAndSwap(key, m_pages[window].revision, text);
+    if (!revision.ok() && (isConflict(revision.status()) || isUncertain(revision.status()))) {
+        // Only this process writes the key, so a conflict means that an earlier answer was lost.
+        const auto current = co_await m_kv.get(key);
+        if (!current.ok())
+            co_return current.status();
+        m_pages[window].revision = current->revision;
+        if (current->value == text)
+            revision = current->revision;
+        else
+            revision = co_await m_kv.compareAndSwap(key, current->revision, text);
+    }
+    if (!revision.ok())
+        co_return revision.status();
+    m_pages[window].revision = *revision;
+    m_pages[window].written = changes;
+    co_return absl::OkStatus();
+}
+
+std::string UsageLedger::pageText(const Page &page) const
+{
+    UsagePage result;
+    result.side = m_side;
+    result.incarnation = m_incarnation;
+    for (const auto &[key, figures] : page.rows)
+        result.rows.push_back({key.peer, key.team, figures});
+    return result.serialize();
+}
+
+} // namespace jujube::platform
--- /dev/null
+++ b/src/policy/fairqueue.h
@@ -0,0 +1,106 @@
+#pragma once
+
+/** \file
+ * Defines the team-fair queue in front of one endpoint, with admission by deadline.
+ */
+
+#include "core/clock.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace jujube::policy {
+
+/** One unit of waiting work. */
+struct QueuedWork
+{
+    std::string id;
+    std::string team;
+    double weight = 1.0;
+    double cost = 1.0;         ///< Token cost charged to the team when the work starts.
+    uint32_t priority = 5;     ///< Higher starts first within a team.
+    core::TimePoint startBy{}; ///< Latest start that still meets the deadline.
+    core::TimePoint queuedAt{};
+};
+
+/** Answer to an offer. */
+struct Admission
+{
+    bool accepted = false;
+    core::Milliseconds expectedWait{};
+    core::Milliseconds retryAfter{}; ///< When a refused caller should come back.
+};
+
+/** Bounds of the queue. */
+struct FairQueueSettings
+{
+    size_t maxQueued = 512;
+    core::Milliseconds minRetryAfter{200};
+    core::Milliseconds maxRetryAfter{10'000};
+};
+
+/** Serves teams by virtual token counters and refuses early what cannot start in time.
+ *
+ * Each team has a counter of the weighted cost it was served; the waiting team with the smallest
+ * counter goes next. A team that returns after a pause is lifted to the smallest counter of the
+ * teams at work, so that idle time earns no credit. Within a team the order is priority, then the
+ * latest allowed start.
+ *
+ * Admission compares the predicted wait at the team's own fair share with the latest start. A
+ * team's backlog therefore counts against that team alone: a flood of one team is refused to that
+ * team and leaves the others' answers as they were.
+ */
+class FairQueue
+{
+public:
+    explicit FairQueue(FairQueueSettings settings);
+
+    /** Queues the work or refuses it.
+     *
+     * \param costRate cost units a second that the endpoint works off at present.
+     */
+    Admission offer(const QueuedWork &work, core::TimePoint now, double costRate);
+    /** Takes the next work and charges its team. */
+    std::optional<QueuedWork> take();
+    /** Removes one unit, for a cancelled request. */
+    bool remove(const std::string &id);
+    /** Removes and returns what can no longer start in time. */
+    std::vector<QueuedWork> takeExpired(core::TimePoint now);
+    /** Corrects a team's charge once the real cost of a unit is known. */
+    void settle(const std::string &team, double weight, double estimated, double actual);
+
+    size_t size() const { return m_count; }
+    bool empty() const { return m_count == 0; }
+    double queuedCost() const { return m_queuedCost; }
+    std::optional<core::TimePoint> oldest() const;
+
+private:
+    struct Order
+    {
+        bool operator()(const QueuedWork &a, const QueuedWork &b) const;
+    };
+    struct TeamQueue
+    {
+        double counter = 0;
+        double weight = 1.0;
+        double queuedCost = 0;
+        std::multiset<QueuedWork, Order> work;
+    };
+
+    double smallestActiveCounter() const;
+    core::Milliseconds expectedWait(const QueuedWork &work, double costRate) const;
+    void erased(TeamQueue &team, double cost);
+
+    FairQueueSettings m_settings;
+    std::map<std::string, TeamQueue> m_teams;
+    size_t m_count = 0;
+    double m_queuedCost = 0;
+    double m_floor = 0; ///< Counter of the team served last; the lift for an empty queue.
+};
+
+} // namespace jujube::policy
--- /dev/null
+++ b/src/policy/freshness.cpp
@@ -0,0 +1,18 @@
+#include "policy/freshness.h"
+
+#include <algorithm>
+
+namespace jujube::policy {
+
+Freshness judgeFreshness(const core::Evidence &newest, const std::vector<PeerView> &peers,
+                         core::TimePoint now, const FreshnessSettings &settings)
+{
+    if (now - newest.confirmedAt <= settings.maxAge)
+        return Freshness::Confirmed;
+    const bool allAccountedFor = std::all_of(peers.begin(), peers.end(), [&](const PeerView &it) {
+        return it.refused || now - it.heardAt <= settings.heardWithin;
+    });
+    return allAccountedFor ? Freshness::Outage : Freshness::CutOff;
+}
+
+} // namespace jujube::policy
--- /dev/null
+++ b/src/policy/roleplanner.cpp
@@ -0,0 +1,120 @@
+#include "policy/roleplanner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+namespace jujube::policy {
+
+namespace {
+
+double asSeconds(std::chrono::nanoseconds duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+RolePlanner::RolePlanner(RolePlannerSettings settings) : m_settings(settings)
+{
+}
+
+std::optional<RoleChange> RolePlanner::plan(const std::vector<RoleView> &engines,
+                                            core::TimePoint now)
+{
+    std::map<std::string, std::vector<RoleView>> byModel;
+    for (const RoleView &it : engines)
+        byModel[it.model].push_back(it);
+    for (const auto &[model, group] : byModel) {
+        if (auto change = planModel(model, group, now))
+            return change;
+    }
+    return std::nullopt;
+}
+
+void RolePlanner::observe(Forecast &forecast, const std::vector<RoleView> &engines,
+                          core::TimePoint now) const
+{
+    double prefill = 0;
+    double decode = 0;
+    double count = 0;
+    for (const RoleView &it : engines) {
+        if (!it.available || it.prefillRate <= 0 || it.decodeRate <= 0)
+            continue;
+        prefill += static_cast<double>(it.queuedTokens) / it.prefillRate;
+        decode +=
+            static_cast<double>(it.outstandingOutput) / (it.decodeRate * std::max(it.slots, 1U));
+        ++count;
+    }
+    if (count == 0)
+        return;
+    const double elapsed = forecast.at == core::TimePoint{} ? 0 : asSeconds(now - forecast.at);
+    const double weight = 1 - std::exp(-elapsed / asSeconds(m_settings.smoothing));
+    forecast.prefillWait += weight * (prefill / count - forecast.prefillWait);
+    forecast.decodeWait += weight * (decode / count - forecast.decodeWait);
+    forecast.at = now;
+}
+
+std::optional<RoleChange> RolePlanner::planModel(const std::string &model,
+                                                 const std::vector<RoleView> &engines,
+                                                 core::TimePoint now)
+{
+    Forecast &forecast = m_forecasts[model];
+    observe(forecast, engines, now);
+    if (now - forecast.lastChange < m_settings.settle)
+        return std::nullopt;
+    // An engine that is away already is one too many.
+    const bool allAvailable = std::all_of(engines.begin(), engines.end(),
+                                          [](const RoleView &it) { return it.available; });
+    if (!allAvailable)
+        return std::nullopt;
+
+    const double imbalance = forecast.prefillWait - forecast.decodeWait;
+    const core::Role wanted = imbalance > 0 ? core::Role::Prefill : core::Role::Decode;
+    const core::Role opposite = imbalance > 0 ? core::Role::Decode : core::Role::Prefill;
+    const double gain =
+        std::abs(imbalance) * m_settings.specialistGain * static_cast<double>(engines.size());
+    if (gain < asSeconds(m_settings.changeCost) * m_settings.margin)
+        return std::nullopt;
+
+    // A specialist of the other kind is turned back before a mixed engine is specialised.
+    const RoleView *best = nullptr;
+    for (const RoleView &it : engines) {
+        const auto changed = m_changedAt.find(it.vm);
+        const bool recent =
+            changed != m_changedAt.end() && now - changed->second < m_settings.reversal;
+        const core::Role target = it.role == opposite ? core::Role::Mixed : wanted;
+        if (it.role == wanted || recent || !keepsCoverage(it, target, engines))
+            continue;
+        const bool better = !best || (it.role == opposite && best->role != opposite)
+            || (it.role == best->role && it.running < best->running);
+        if (better)
+            best = &it;
+    }
+    if (!best)
+        return std::nullopt;
+    forecast.lastChange = now;
+    m_changedAt[best->vm] = now;
+    return RoleChange{best->vm, best->role == opposite ? core::Role::Mixed : wanted, gain};
+}
+
+bool RolePlanner::keepsCoverage(const RoleView &candidate, core::Role role,
+                                const std::vector<RoleView> &engines) const
+{
+    if (role == core::Role::Mixed)
+        return true;
+    std::set<std::string> domains;
+    std::set<std::string> mixedDomains;
+    uint32_t mixed = 0;
+    for (const RoleView &it : engines) {
+        domains.insert(it.domain);
+        if (it.vm == candidate.vm || it.role != core::Role::Mixed)
+            continue;
+        ++mixed;
+        mixedDomains.insert(it.domain);
+    }
+    const size_t wantedDomains = std::min<size_t>(2, domains.size());
+    return mixed >= std::max(m_settings.minMixed, 1U) && mixedDomains.size() >= wantedDomains;
+}
+
+} // namespace jujube::policy
--- /dev/null
+++ b/src/wire/guardedsocket.cpp
@@ -0,0 +1,145 @@
+#include "wire/guardedsocket.h"
+#include "core/text.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <atomic>
+#include <cerrno>
+#include <csignal>
+#include <cstring>
+#include <ctime>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace jujube::wire {
+
+namespace {
+
+constexpr size_t MaxGuardedSockets = 16;
+constexpr int NoSocket = 0;
+
+// Descriptors the signal handler may shut down. Plain lock-free atomics only: the handler may
+// interrupt any thread at any instruction.
+// Zero means free; a descriptor is stored incremented, since static storage starts out as zero.
+std::array<std::atomic<int>, MaxGuardedSockets> guardedFds;
+std::array<timer_t, MaxGuardedSockets> guardTimers;
+
+int guardSignal()
+{
+    return SIGRTMIN + 3;
+}
+
+void shutDownSlot(int /*signal*/, siginfo_t *info, void * /*context*/)
+{
+    const int savedErrno = errno;
+    const auto slot = static_cast<size_t>(info->si_value.sival_int);
+    if (slot < MaxGuardedSockets) {
+        const int fd = guardedFds[slot].load();
+        if (fd != NoSocket)
+            shutdown(fd - 1, SHUT_RDWR);
+    }
+    errno = savedErrno;
+}
+
+void installHandler()
+{
+    static const bool installed = [] {
+        struct sigaction action
+        {
+        };
+        action.sa_sigaction = shutDownSlot;
+        action.sa_flags = SA_SIGINFO | SA_RESTART;
+        sigemptyset(&action.sa_mask);
+        return sigaction(guardSignal(), &action, nullptr) == 0;
+    }();
+    (void)installed;
+}
+
+absl::StatusOr<size_t> claimSlot(int fd)
+{
+    for (size_t i = 0; i < MaxGuardedSockets; ++i) {
+        int expected = NoSocket;
+        if (guardedFds[i].compare_exchange_strong(expected, fd + 1))
+            return i;
+    }
+    return absl::ResourceExhaustedError("too many guarded sends at once");
+}
+
+bool armTimer(size_t slot, core::TimePoint notAfter)
+{
+    sigevent event{};
+    // Directed at this thread, which does the sending: a process-wide signal could be delivered
+    // to another thread while this one already runs on after a pause.
+    event.sigev_notify = SIGEV_THREAD_ID;
+    event._sigev_un._tid = gettid();
+    event.sigev_signo = guardSignal();
+    event.sigev_value.sival_int = static_cast<int>(slot);
+    if (timer_create(CLOCK_BOOTTIME, &event, &guardTimers[slot]) != 0)
+        return false;
+    const auto since = notAfter.time_since_epoch();
+    const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(since);
+    itimerspec when{};
+    when.it_value.tv_sec = seconds.count();
+    when.it_value.tv_nsec = (since - seconds).count();
+    return timer_settime(guardTimers[slot], TIMER_ABSTIME, &when, nullptr) == 0;
+}
+
+absl::StatusOr<sockaddr_in> parseAddress(const std::string &address)
+{
+    const size_t colon = address.rfind(':');
+    sockaddr_in result{};
+    result.sin_family = AF_INET;
+    const std::string host = address.substr(0, colon);
+    if (colon == std::string::npos || inet_pton(AF_INET, host.c_str(), &result.sin_addr) != 1)
+        return absl::InvalidArgumentError(core::concat("not an IPv4 address and port: ", address));
+    result.sin_port = htons(static_cast<uint16_t>(std::stoul(address.substr(colon + 1))));
+    return result;
+}
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<GuardedSocket>> GuardedSocket::connect(const std::string &address,
+                                                                      core::TimePoint notAfter)
+{
+    const auto remaining = notAfter - core::BootClock::now();
+    if (remaining <= std::chrono::milliseconds(1))
+        return absl::DeadlineExceededError("the lease has lapsed; nothing was sent");
+    const auto peer = parseAddress(address);
+    if (!peer.ok())
+        return peer.status();
+
+    installHandler();
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (fd < 0)
+        return absl::ResourceExhaustedError(core::concat("no socket: ", std::strerror(errno)));
+    const auto slot = claimSlot(fd);
+    if (!slot.ok()) {
+        close(fd);
+        return slot.status();
+    }
+    std::unique_ptr<GuardedSocket> guarded(new GuardedSocket(fd, *slot));
+    const unsigned int userTimeoutMs = core::toMessageMs(remaining);
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMs, sizeof(userTimeoutMs));
+    if (!armTimer(*slot, notAfter))
+        return absl::InternalError(core::concat("no timer: ", std::strerror(errno)));
+    const int rc = ::connect(fd, reinterpret_cast<const sockaddr *>(&*peer), sizeof(*peer));
+    if (rc != 0 && errno != EINPROGRESS)
+        return absl::UnavailableError(core::concat(address, ": ", std::strerror(errno)));
+    return guarded;
+}
+
+GuardedSocket::GuardedSocket(int fd, size_t slot) : m_fd(fd), m_slot(slot)
+{
+}
+
+GuardedSocket::~GuardedSocket()
+{
+    // The timer goes first, so that the handler cannot shut a descriptor that was reused.
+    timer_delete(guardTimers[m_slot]);
+    guardedFds[m_slot].store(NoSocket);
+    close(m_fd);
+}
+
+} // namespace jujube::wire
--- /dev/null
+++ b/src/wire/httpclient.cpp
@@ -0,0 +1,153 @@
+#include "wire/httpclient.h"
+
+#include "core/text.h"
+#include "wire/guardedsocket.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace jujube::wire {
+
+namespace {
+
+constexpr const char *SendStatePayload = "jujube/send-state";
+constexpr size_t ReadBufferBytes = 16UL << 10U;
+
+absl::Status failure(SendState state, std::string_view message)
+{
+    absl::Status status = absl::UnavailableError(core::toAbsl(message));
+    status.SetPayload(SendStatePayload,
+                      absl::Cord(state == SendState::NotSent ? "not-sent" : "maybe-sent"));
+    return status;
+}
+
+core::Milliseconds until(core::TimePoint deadline)
+{
+    const auto left = std::chrono::ceil<core::Milliseconds>(deadline - core::BootClock::now());
+    return std::max(left, core::Milliseconds(0));
+}
+
+std::optional<kj::HttpMethod> parseMethod(const std::string &name)
+{
+    std::optional<kj::HttpMethod> result;
+    KJ_IF_MAYBE (method, kj::tryParseHttpMethod(name.c_str())) {
+        result = *method;
+    }
+    return result;
+}
+
+kj::HttpHeaders requestHeaders(const kj::HttpHeaderTable &table, const HttpRequest &request)
+{
+    kj::HttpHeaders headers(table);
+    headers.set(kj::HttpHeaderId::HOST, kj::heapString(request.address.c_str()));
+    for (const HttpHeader &header : request.headers)
+        headers.add(kj::heapString(header.name.c_str()), kj::heapString(header.value.c_str()));
+    return headers;
+}
+
+std::string contentTypeOf(const kj::HttpHeaders &headers)
+{
+    std::string result;
+    KJ_IF_MAYBE (value, headers.get(kj::HttpHeaderId::CONTENT_TYPE)) {
+        result = value->cStr();
+    }
+    return result;
+}
+
+// One request on a connected stream. Bytes of the body go to onBytes as they arrive.
+Task<absl::StatusOr<HttpResponse>> exchange(IoContext &io, const kj::HttpHeaderTable &table,
+                                            kj::Own<kj::AsyncIoStream> connection,
+                                            HttpRequest request, HttpLimits limits,
+                                            HttpClient::OnBytes onBytes)
+{
+    const core::TimePoint deadline = core::BootClock::now() + limits.total;
+    const auto method = parseMethod(request.method);
+    if (!method)
+        co_return failure(SendState::NotSent, core::concat("unknown method ", request.method));
+    try {
+        auto client = kj::newHttpClient(table, *connection);
+        const kj::HttpHeaders headers = requestHeaders(table, request);
+        auto pending = client->request(*method, request.path.c_str(), headers, request.body.size());
+        if (!request.body.empty()) {
+            co_await io.within(until(deadline),
+                               pending.body->write(request.body.data(), request.body.size()));
+        }
+        pending.body = nullptr;
+        auto response = co_await io.within(until(deadline), kj::mv(pending.response));
+        HttpResponse result;
+        result.status = response.statusCode;
+        result.contentType = contentTypeOf(*response.headers);
+
+        char buf[ReadBufferBytes];
+        size_t received = 0;
+        while (true) {
+            const auto wait = std::min(limits.progress, until(deadline));
+            const size_t n = co_await io.within(wait, response.body->tryRead(buf, 1, sizeof(buf)));
+            if (n == 0)
+                break;
+            received += n;
+            if (received > limits.maxBody)
+                co_return failure(SendState::MaybeSent, "response body over its bound");
+            onBytes(std::string_view(buf, n));
+        }
+        co_return result;
+    } catch (const kj::Exception &ex) {
+        co_return failure(SendState::MaybeSent, ex.getDescription().cStr());
+    }
+}
+
+} // namespace
+
+SendState sendStateOf(const absl::Status &status)
+{
+    const auto payload = status.GetPayload(SendStatePayload);
+    return payload && *payload == "not-sent" ? SendState::NotSent : SendState::MaybeSent;
+}
+
+HttpClient::HttpClient(IoContext &io) : m_io(io), m_table(kj::HttpHeaderTable::Builder().build())
+{
+}
+
+Task<absl::StatusOr<HttpResponse>> HttpClient::send(HttpRequest request, HttpLimits limits)
+{
+    auto body = std::make_shared<std::string>();
+    auto result = co_await stream(std::move(request), limits,
+                                  [body](std::string_view bytes) { body->append(bytes); });
+    if (result.ok())
+        result->body = std::move(*body);
+    co_return result;
+}
+
+Task<absl::StatusOr<HttpResponse>> HttpClient::stream(HttpRequest request, HttpLimits limits,
+                                                      OnBytes onBytes)
+{
+    kj::Own<kj::AsyncIoStream> connection;
+    try {
+        auto address = co_await m_io.network().parseAddress(request.address.c_str());
+        connection = co_await m_io.within(limits.total, address->connect());
+    } catch (const kj::Exception &ex) {
+        co_return failure(SendState::NotSent,
+                          core::concat(request.address, ": ", ex.getDescription().cStr()));
+    }
+    co_return co_await exchange(m_io, *m_table, kj::mv(connection), std::move(request), limits,
+                                std::move(onBytes));
+}
+
+Task<absl::StatusOr<HttpResponse>> HttpClient::sendGuarded(HttpRequest request, HttpLimits limits,
+                                                           SendGuard guard)
+{
+    auto socket = GuardedSocket::connect(request.address, guard.notAfter);
+    if (!socket.ok())
+        co_return failure(SendState::NotSent, core::toStd(socket.status().message()));
+    limits.total = std::min(limits.total, until(guard.notAfter));
+    auto body = std::make_shared<std::string>();
+    // The descriptor belongs to the guarded socket, so KJ must not close it.
+    auto connection = m_io.lowLevel.wrapSocketFd((*socket)->fd());
+    auto result = co_await exchange(m_io, *m_table, kj::mv(connection), std::move(request), limits,
+                                    [body](std::string_view bytes) { body->append(bytes); });
+    if (result.ok())
+        result->body = std::move(*body);
+    co_return result;
+}
+
+} // namespace jujube::wire
--- /dev/null
+++ b/src/wire/httpserver.cpp
@@ -0,0 +1,519 @@
+#include "wire/httpserver.h"
+#include "core/text.h"
+
+#include <absl/strings/match.h>
+#include <QAbstractHttpServer>
+#include <QCoreApplication>
+#include <QEventLoop>
+#include <QHttpServerRequest>
+#include <QPointer>
+#include <QTcpServer>
+#include <QThread>
+#include <QTimer>
+#include <QUrl>
+#include <QUrlQuery>
+
+#include <arpa/inet.h>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <future>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace jujube::wire {
+
+namespace {
+
+constexpr int ListenBacklog = 1024;
+
+// Dynamic properties that tie a socket to the exchange on it and a thread to its context object.
+constexpr const char *ActiveProperty = "exchangeActive";
+constexpr const char *EndedProperty = "exchangeEnded";
+constexpr const char *ContextProperty = "context";
+
+std::atomic<int> liveExchanges{0};
+
+std::string methodName(QHttpServerRequest::Method method)
+{
+    switch (method) {
+    case QHttpServerRequest::Method::Get:
+        return "GET";
+    case QHttpServerRequest::Method::Put:
+        return "PUT";
+    case QHttpServerRequest::Method::Delete:
+        return "DELETE";
+    case QHttpServerRequest::Method::Post:
+        return "POST";
+    case QHttpServerRequest::Method::Head:
+        return "HEAD";
+    case QHttpServerRequest::Method::Options:
+        return "OPTIONS";
+    case QHttpServerRequest::Method::Patch:
+        return "PATCH";
+    default:
+        return "UNKNOWN";
+    }
+}
+
+IncomingRequest convert(const QHttpServerRequest &request)
+{
+    IncomingRequest result;
+    result.method = methodName(request.method());
+    result.path = request.url().path(QUrl::FullyDecoded).toStdString();
+    result.rawPath = request.url().path(QUrl::FullyEncoded).toStdString();
+    result.query = request.url().query(QUrl::FullyEncoded).toStdString();
+    for (const auto &[name, value] : request.headers())
+        result.headers.emplace_back(name.toStdString(), value.toStdString());
+    result.body = request.body().toStdString();
+    return result;
+}
+
+enum class PortSharing { Exclusive, BetweenThreads };
+
+absl::StatusOr<int> listenOn(const sockaddr_in &address, PortSharing sharing)
+{
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    const int one = 1;
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+    if (sharing == PortSharing::BetweenThreads)
+        setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &one, sizeof(one));
+    if (bind(fd, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) != 0
+        || listen(fd, ListenBacklog) != 0) {
+        const std::string reason = std::strerror(errno);
+        close(fd);
+        return absl::UnavailableError(core::concat("cannot listen: ", reason));
+    }
+    return fd;
+}
+
+uint16_t boundPort(int fd)
+{
+    sockaddr_in address{};
+    socklen_t size = sizeof(address);
+    getsockname(fd, reinterpret_cast<sockaddr *>(&address), &size);
+    return ntohs(address.sin_port);
+}
+
+// Qt's HTTP server buffers whatever arrives. This watches the raw bytes of one connection ahead
+// of it and refuses a request whose head or body is over the bound before Qt reads it.
+class RequestBounds
+{
+public:
+    enum class Verdict { Ok, HeaderTooLarge, BodyTooLarge };
+
+    explicit RequestBounds(const HttpServerLimits &limits) : m_limits(limits) { }
+
+    Verdict inspect(const QByteArray &bytes)
+    {
+        m_received += static_cast<size_t>(bytes.size());
+        if (!m_headSeen) {
+            m_head.append(bytes);
+            const qsizetype end = m_head.indexOf("\r\n\r\n");
+            if (end < 0) {
+                return static_cast<size_t>(m_head.size()) > m_limits.maxHeaderBytes
+                    ? Verdict::HeaderTooLarge
+                    : Verdict::Ok;
+            }
+            if (static_cast<size_t>(end) > m_limits.maxHeaderBytes)
+                return Verdict::HeaderTooLarge;
+            m_headSeen = true;
+            m_headBytes = static_cast<size_t>(end) + 4;
+            if (contentLength(m_head.left(end)) > m_limits.maxBodyBytes)
+                return Verdict::BodyTooLarge;
+            m_head.clear();
+        }
+        return m_received > m_headBytes + m_limits.maxBodyBytes ? Verdict::BodyTooLarge
+                                                                : Verdict::Ok;
+    }
+
+    void requestTaken()
+    {
+        m_received = 0;
+        m_headSeen = false;
+        m_head.clear();
+    }
+
+private:
+    static size_t contentLength(const QByteArray &head)
+    {
+        for (const QByteArray &line : head.split('\n')) {
+            if (!line.toLower().startsWith("content-length:"))
+                continue;
+            bool ok = false;
+            const qulonglong length = line.mid(line.indexOf(':') + 1).trimmed().toULongLong(&ok);
+            return ok ? length : std::numeric_limits<size_t>::max();
+        }
+        return 0;
+    }
+
+    HttpServerLimits m_limits;
+    QByteArray m_head;
+    size_t m_received = 0;
+    size_t m_headBytes = 0;
+    bool m_headSeen = false;
+};
+
+class BoundedTcpServer : public QTcpServer
+{
+public:
+    explicit BoundedTcpServer(const HttpServerLimits &limits) : m_limits(limits) { }
+
+protected:
+    void incomingConnection(qintptr descriptor) override
+    {
+        auto *socket = new QTcpSocket(this);
+        socket->setSocketDescriptor(descriptor);
+        socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+        if (m_connections >= m_limits.maxConnections) {
+            refuse(socket, 503, "too many connections");
+            QObject::connect(socket, &QTcpSocket::disconnected, socket, &QObject::deleteLater);
+            return;
+        }
+        ++m_connections;
+        // Connected before Qt's HTTP server sees the socket, so these slots run first.
+        QObject::connect(socket, &QTcpSocket::disconnected, this, [this]() { --m_connections; });
+        watchBounds(socket);
+        watchIdle(socket);
+        addPendingConnection(socket);
+    }
+
+private:
+    void watchBounds(QTcpSocket *socket)
+    {
+        auto bounds = std::make_shared<RequestBounds>(m_limits);
+        QObject::connect(socket, &QTcpSocket::readyRead, socket, [socket, bounds]() {
+            if (socket->property(ActiveProperty).toBool())
+                return;
+            if (socket->property(EndedProperty).toBool()) {
+                socket->setProperty(EndedProperty, false);
+                bounds->requestTaken();
+            }
+            switch (bounds->inspect(socket->peek(socket->bytesAvailable()))) {
+            case RequestBounds::Verdict::Ok:
+                return;
+            case RequestBounds::Verdict::HeaderTooLarge:
+                refuse(socket, 431, "header over its bound");
+                return;
+            case RequestBounds::Verdict::BodyTooLarge:
+                refuse(socket, 413, "body over its bound");
+                return;
+            }
+        });
+    }
+
+    void watchIdle(QTcpSocket *socket)
+    {
+        auto *timer = new QTimer(socket);
+        timer->setInterval(m_limits.idle);
+        QObject::connect(timer, &QTimer::timeout, socket, [socket]() {
+            if (!socket->property(ActiveProperty).toBool())
+                socket->abort();
+        });
+        QObject::connect(socket, &QTcpSocket::readyRead, timer, qOverload<>(&QTimer::start));
+        timer->start();
+    }
+
+    static void refuse(QTcpSocket *socket, int status, std::string_view message)
+    {
+        const std::string body = core::concat("{\"error\":{\"code\":", status, ",\"message\":\"",
+                                              message, "\",\"outcome\":\"not-run\"}}");
+        const std::string text =
+            core::concat("HTTP/1.1 ", status,
+                         " Refused\r\nContent-Type: ", "application/json\r\nConnection: close\r\n",
+                         "Content-Length: ", body.size(), "\r\n\r\n", body);
+        socket->write(text.data(), static_cast<qint64>(text.size()));
+        // Taking the rest away leaves nothing for Qt's parser, whose slot runs after this one.
+        socket->readAll();
+        QObject::connect(socket, &QTcpSocket::readyRead, socket, [socket]() { socket->readAll(); });
+        socket->disconnectFromHost();
+    }
+
+    HttpServerLimits m_limits;
+    int m_connections = 0;
+};
+
+class QtHttpServer : public QAbstractHttpServer
+{
+public:
+    explicit QtHttpServer(HttpServer::Handler handler) : m_handler(std::move(handler)) { }
+
+protected:
+    bool handleRequest(const QHttpServerRequest &request, QTcpSocket *socket) override
+    {
+        socket->setProperty(ActiveProperty, true);
+        auto exchange = Exchange::create(makeResponder(request, socket), socket);
+        m_handler(convert(request), std::move(exchange));
+        return true;
+    }
+
+    void missingHandler(const QHttpServerRequest & /*request*/, QTcpSocket *socket) override
+    {
+        socket->abort();
+    }
+
+private:
+    HttpServer::Handler m_handler;
+};
+
+QByteArray bytes(std::string_view text)
+{
+    return {text.data(), static_cast<qsizetype>(text.size())};
+}
+
+} // namespace
+
+std::string_view IncomingRequest::header(std::string_view name) const
+{
+    for (const auto &[key, value] : headers) {
+        if (absl::EqualsIgnoreCase(key, core::toAbsl(name)))
+            return value;
+    }
+    return {};
+}
+
+std::string IncomingRequest::queryValue(std::string_view name) const
+{
+    const QUrlQuery parsed(QString::fromStdString(query));
+    return parsed
+        .queryItemValue(QString::fromUtf8(name.data(), static_cast<qsizetype>(name.size())),
+                        QUrl::FullyDecoded)
+        .toStdString();
+}
+
+std::shared_ptr<Exchange> Exchange::create(QHttpServerResponder responder, QTcpSocket *socket)
+{
+    auto *exchange = new Exchange(std::move(responder), socket);
+    return {exchange, [](Exchange *it) {
+                QMetaObject::invokeMethod(
+                    it->m_thread, [it]() { delete it; }, Qt::AutoConnection);
+            }};
+}
+
+Exchange::Exchange(QHttpServerResponder responder, QTcpSocket *socket)
+    : m_responder(std::move(responder)),
+      m_socket(socket),
+      m_thread(socket->thread()->property(ContextProperty).value<QObject *>())
+{
+    ++liveExchanges;
+    m_disconnected = QObject::connect(socket, &QTcpSocket::disconnected, m_thread, [this]() {
+        if (m_state != State::Ended && m_onDisconnect)
+            std::exchange(m_onDisconnect, nullptr)();
+    });
+}
+
+Exchange::~Exchange()
+{
+    --liveExchanges;
+    QObject::disconnect(m_disconnected);
+    if (m_state != State::Ended)
+        abort();
+    if (m_socket) {
+        m_socket->setProperty(ActiveProperty, false);
+        m_socket->setProperty(EndedProperty, true);
+    }
+}
+
+void Exchange::send(const OutgoingResponse &response)
+{
+    if (m_state != State::Fresh || !m_socket)
+        return;
+    m_responder.writeStatusLine(static_cast<QHttpServerResponder::StatusCode>(response.status));
+    m_responder.writeHeader("Content-Type", bytes(response.contentType));
+    for (const OutgoingHeader &header : response.headers)
+        m_responder.writeHeader(bytes(header.name), bytes(header.value));
+    m_responder.writeHeader("Content-Length", QByteArray::number(qulonglong(response.body.size())));
+    m_responder.writeBody(bytes(response.body));
+    m_state = State::Ended;
+}
+
+void Exchange::begin(int status, const std::string &contentType)
+{
+    if (m_state != State::Fresh || !m_socket)
+        return;
+    m_responder.writeStatusLine(static_cast<QHttpServerResponder::StatusCode>(status));
+    m_responder.writeHeader("Content-Type", bytes(contentType));
+    m_responder.writeHeader("Cache-Control", "no-cache");
+    m_responder.writeHeader("Transfer-Encoding", "chunked");
+    m_responder.writeBody(QByteArray());
+    m_state = State::Streaming;
+}
+
+void Exchange::write(std::string_view data)
+{
+    if (m_state != State::Streaming || !m_socket || data.empty())
+        return;
+    QByteArray chunk = QByteArray::number(qulonglong(data.size()), 16);
+    chunk.append("\r\n");
+    chunk.append(data.data(), static_cast<qsizetype>(data.size()));
+    chunk.append("\r\n");
+    m_responder.writeBody(chunk);
+}
+
+void Exchange::end()
+{
+    if (m_state != State::Streaming || !m_socket)
+        return;
+    m_responder.writeBody(QByteArray("0\r\n\r\n"));
+    m_state = State::Ended;
+}
+
+void Exchange::abort()
+{
+    m_state = State::Ended;
+    if (m_socket)
+        m_socket->abort();
+}
+
+bool Exchange::connected() const
+{
+    return m_socket && m_socket->state() == QAbstractSocket::ConnectedState;
+}
+
+int64_t Exchange::unsentBytes() const
+{
+    return m_socket ? m_socket->bytesToWrite() : 0;
+}
+
+void Exchange::onDisconnect(std::function<void()> callback)
+{
+    if (!connected()) {
+        callback();
+        return;
+    }
+    m_onDisconnect = std::move(callback);
+}
+
+void Exchange::post(std::function<void(Exchange &)> function)
+{
+    QMetaObject::invokeMethod(
+        m_thread,
+        [self = shared_from_this(), function = std::move(function)]() { function(*self); },
+        Qt::QueuedConnection);
+}
+
+// One thread with its own event loop, listening socket and Qt HTTP server.
+class HttpServer::Worker
+{
+public:
+    Worker(int fd, const HttpServerLimits &limits, Handler handler)
+    {
+        std::promise<void> started;
+        auto ready = started.get_future();
+        m_thread = std::thread([this, fd, limits, handler = std::move(handler), &started]() {
+            run(fd, limits, handler, started);
+        });
+        ready.wait();
+    }
+
+    ~Worker()
+    {
+        stop();
+        delete m_context;
+    }
+
+    void post(std::function<void()> function)
+    {
+        QMetaObject::invokeMethod(m_context, std::move(function), Qt::QueuedConnection);
+    }
+
+    void stopAccepting()
+    {
+        post([this]() {
+            // Connections the kernel has already accepted are served before the socket closes.
+            m_listener->close();
+        });
+    }
+
+    void stop()
+    {
+        if (!m_thread.joinable())
+            return;
+        post([this]() { m_loop->quit(); });
+        m_thread.join();
+    }
+
+private:
+    void run(int fd, const HttpServerLimits &limits, const Handler &handler,
+             std::promise<void> &started)
+    {
+        // Outlives the loop: exchanges dropped later still post to it, to no effect.
+        auto *context = new QObject;
+        QEventLoop loop;
+        BoundedTcpServer listener(limits);
+        QtHttpServer server(handler);
+        QThread::currentThread()->setProperty(ContextProperty, QVariant::fromValue(context));
+        listener.setSocketDescriptor(fd);
+        server.bind(&listener);
+        m_context = context;
+        m_loop = &loop;
+        m_listener = &listener;
+        started.set_value();
+        loop.exec();
+        // The server owns the listener once bound; give it back to this scope.
+        listener.setParent(nullptr);
+    }
+
+    std::thread m_thread;
+    QObject *m_context = nullptr;
+    QEventLoop *m_loop = nullptr;
+    QTcpServer *m_listener = nullptr;
+};
+
+absl::StatusOr<std::unique_ptr<HttpServer>> HttpServer::create(const std::string &address,
+                                                               int threads, HttpServerLimits limits,
+                                                               Handler handler)
+{
+    const size_t colon = address.rfind(':');
+    sockaddr_in target{};
+    target.sin_family = AF_INET;
+    const std::string host = address.substr(0, colon);
+    if (colon == std::string::npos || inet_pton(AF_INET, host.c_str(), &target.sin_addr) != 1)
+        return absl::InvalidArgumentError(core::concat("not an IPv4 address and port: ", address));
+    target.sin_port = htons(static_cast<uint16_t>(std::stoul(address.substr(colon + 1))));
+
+    // Sharing a port between threads would also let a second process share it unnoticed, and
+    // requests would be split between the two; an exclusive listener finds that out first.
+    const auto probe = listenOn(target, PortSharing::Exclusive);
+    if (!probe.ok())
+        return absl::UnavailableError(
+            core::concat(address, ": ", core::toStd(probe.status().message())));
+    close(*probe);
+
+    std::unique_ptr<HttpServer> server(new HttpServer);
+    for (int i = 0; i < threads; ++i) {
+        const auto fd = listenOn(target, PortSharing::BetweenThreads);
+        if (!fd.ok())
+            return absl::UnavailableError(core::concat(address, ": ", fd.status().message()));
+        server->m_port = boundPort(*fd);
+        target.sin_port = htons(server->m_port);
+        server->m_workers.push_back(std::make_unique<Worker>(*fd, limits, handler));
+    }
+    return server;
+}
+
+HttpServer::~HttpServer()
+{
+    stop();
+}
+
+void HttpServer::stopAccepting()
+{
+    for (const auto &worker : m_workers)
+        worker->stopAccepting();
+}
+
+int HttpServer::activeExchanges() const
+{
+    return liveExchanges.load();
+}
+
+void HttpServer::stop()
+{
+    for (const auto &worker : m_workers)
+        worker->stop();
+}
+
+} // namespace jujube::wire
--- /dev/null
+++ b/src/wire/json.cpp
@@ -0,0 +1,51 @@
+#include "wire/json.h"
+#include "core/text.h"
+
+namespace jujube::wire {
+
+namespace {
+
+constexpr uint64_t LargestExactDouble = 1ULL << 53U;
+
+} // namespace
+
+absl::StatusOr<QJsonObject> parseObject(std::string_view text)
+{
+    QJsonParseError error;
+    const QByteArray bytes(text.data(), static_cast<qsizetype>(text.size()));
+    const QJsonDocument document = QJsonDocument::fromJson(bytes, &error);
+    if (error.error != QJsonParseError::NoError) {
+        return absl::InvalidArgumentError(core::concat(
+            "not JSON: ", error.errorString().toStdString(), " at byte ", error.offset));
+    }
+    if (!document.isObject())
+        return absl::InvalidArgumentError("not a JSON object");
+    return document.object();
+}
+
+std::string toText(const QJsonObject &object)
+{
+    return QJsonDocument(object).toJson(QJsonDocument::Compact).toStdString();
+}
+
+std::string textAt(const QJsonObject &object, const char *key)
+{
+    return object.value(QLatin1String(key)).toString().toStdString();
+}
+
+uint64_t numberAt(const QJsonObject &object, const char *key)
+{
+    const QJsonValue value = object.value(QLatin1String(key));
+    if (value.isString())
+        return value.toString().toULongLong();
+    return static_cast<uint64_t>(value.toDouble());
+}
+
+QJsonValue jsonNumber(uint64_t value)
+{
+    if (value < LargestExactDouble)
+        return static_cast<qint64>(value);
+    return QString::number(value);
+}
+
+} // namespace jujube::wire
--- /dev/null
+++ b/src/wire/processmain.cpp
@@ -0,0 +1,74 @@
+#include "wire/processmain.h"
+
+#include "core/eventlog.h"
+
+#include <QCoreApplication>
+#include <QSocketNotifier>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+namespace jujube::wire {
+
+namespace {
+
+int createSignalFd()
+{
+    sigset_t mask;
+    sigemptyset(&mask);
+    sigaddset(&mask, SIGTERM);
+    sigaddset(&mask, SIGINT);
+    // Blocked before any thread starts, so that every thread inherits the mask.
+    pthread_sigmask(SIG_BLOCK, &mask, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    return signalfd(-1, &mask, SFD_CLOEXEC | SFD_NONBLOCK);
+}
+
+[[noreturn]] void endProcess(int code)
+{
+    std::cout.flush();
+    std::cerr.flush();
+    std::_Exit(code);
+}
+
+} // namespace
+
+ProcessMain::ProcessMain() : m_signalFd(createSignalFd())
+{
+}
+
+void ProcessMain::onStop(StopHandler handler)
+{
+    m_stop = std::move(handler);
+}
+
+void ProcessMain::fail(const absl::Status &status)
+{
+    core::Event("process.failed").with("why", status.message());
+    endProcess(ExitFailure);
+}
+
+int ProcessMain::run()
+{
+    QSocketNotifier notifier(m_signalFd, QSocketNotifier::Read);
+    QObject::connect(&notifier, &QSocketNotifier::activated, &notifier, [this]() {
+        signalfd_siginfo info{};
+        while (read(m_signalFd, &info, sizeof(info)) == sizeof(info)) {
+            if (m_stopping) {
+                core::Event("process.stop.forced");
+                endProcess(ExitFailure);
+            }
+            m_stopping = true;
+            if (!m_stop)
+                endProcess(ExitOk);
+            m_stop([]() { endProcess(ExitOk); });
+        }
+    });
+    QCoreApplication::exec();
+    endProcess(ExitOk);
+}
+
+} // namespace jujube::wire
--- /dev/null
+++ b/test/fakes/fakeserver.h
@@ -0,0 +1,63 @@
+#pragma once
+
+/** \file
+ * Defines what all stand-ins share: an HTTP server, a history and faults.
+ */
+
+#include "wire/httpserver.h"
+#include "wire/json.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace jujube::test {
+
+using Answer = std::shared_ptr<wire::Exchange>;
+
+/** Serves one stand-in on a single thread.
+ *
+ * Every stand-in answers GET /history (JSON lines) and POST /faults (a JSON object whose members
+ * stay in force until they are set again). The faults known to all:
+ * - delay_ms: every answer is held back this long.
+ * - outage: requests are cut without an answer and without an effect.
+ * - lose_answers: requests take effect, but the connection is cut instead of answered.
+ */
+class FakeServer
+{
+public:
+    using Handler = std::function<void(const wire::IncomingRequest &, const Answer &)>;
+
+    FakeServer(std::string name, Handler handler);
+
+    /** Serves until SIGTERM. \return the process's exit code. */
+    int run(const std::string &address);
+
+    /** Adds a record to the history; members "at_us" and "kind" are set here. */
+    void record(const std::string &kind, QJsonObject details);
+    /** A fault's value, or the fallback when it is not set. */
+    double fault(const char *name, double fallback = 0) const;
+    void setFault(const char *name, double value);
+    /** Called on the server's thread after faults were set. */
+    void onFaults(std::function<void(const QJsonObject &)> callback);
+
+    /** Answers, unless a fault delays or loses the answer. */
+    void answer(const Answer &to, int status, const QJsonObject &body);
+
+private:
+    void dispatch(const wire::IncomingRequest &request, const Answer &to);
+
+    std::string m_name;
+    Handler m_handler;
+    std::function<void(const QJsonObject &)> m_onFaults;
+    mutable std::mutex m_mutex;
+    std::map<std::string, double> m_faults;
+    std::string m_history;
+};
+
+/** Wall-clock microseconds since the epoch. */
+int64_t nowUs();
+
+} // namespace jujube::test
--- /dev/null
+++ b/test/fakes/fakeservice.cpp
@@ -0,0 +1,69 @@
+/** \file
+ * Program fake-service: stands in for an application service with repeatable and unrepeatable
+ * calls.
+ *
+ * GET paths answer from the path alone. POST paths run an effect, which is recorded with the
+ * request id. Faults beside the common ones: none; lose_answers runs the effect and cuts the
+ * connection.
+ */
+
+#include "fakes/fakeserver.h"
+
+#include <gflags/gflags.h>
+#include <QCoreApplication>
+
+DEFINE_string(listen, "127.0.0.1:7300", "address to serve on");
+DEFINE_string(name, "service", "name in the log");
+
+namespace {
+
+using namespace jujube;
+using test::Answer;
+
+class FakeService
+{
+public:
+    FakeService()
+        : m_server(FLAGS_name, [this](const wire::IncomingRequest &request, const Answer &to) {
+              handle(request, to);
+          })
+    {
+    }
+
+    int run() { return m_server.run(FLAGS_listen); }
+
+private:
+    void handle(const wire::IncomingRequest &request, const Answer &to)
+    {
+        if (request.path == "/healthz") {
+            m_server.answer(to, 200, {});
+            return;
+        }
+        QJsonObject details;
+        details["path"] = wire::qstring(request.path);
+        details["method"] = wire::qstring(request.method);
+        details["request_id"] = wire::qstring(request.header("X-Request-Id"));
+        details["body"] = wire::qstring(request.body);
+        details["authorization"] = wire::qstring(request.header("Authorization"));
+        m_server.record("service.run", details);
+        QJsonObject answer;
+        answer["path"] = wire::qstring(request.path);
+        answer["echo"] = wire::qstring(request.body);
+        if (request.method != "GET")
+            answer["receipt"] = ++m_receipts;
+        m_server.answer(to, 200, answer);
+    }
+
+    test::FakeServer m_server;
+    int m_receipts = 0;
+};
+
+} // namespace
+
+int main(int argc, char *argv[])
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    QCoreApplication app(argc, argv);
+    FakeService service;
+    return service.run();
+}
