--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -4,9 +4,12 @@
 
 RUN=${RUN:-build/demo}
 BIN=${BIN:-build}
-PLATFORM=127.0.0.1:17000
-ENTRY1=127.0.0.1:17081
-ENTRY2=127.0.0.1:17082
+# First two digits of every port, so that several fleets can run beside each other.
+PORTS=${PORTS:-17}
+SETTINGS=$RUN/settings
+PLATFORM=127.0.0.1:${PORTS}000
+ENTRY1=127.0.0.1:${PORTS}081
+ENTRY2=127.0.0.1:${PORTS}082
 OPERATOR_TOKEN=demo-operator-token
 declare -A PIDS
 
@@ -23,18 +26,24 @@
     local rate=20000 step=8 fencing=true
     [ "$1" -ge 5 ] && rate=12000 step=11
     [ $(($1 % 2)) = 0 ] && fencing=false
-    start_process "engine$1" "$BIN/fake-engine" --listen "127.0.0.1:1730$1" --name "engine-$1" \
+    start_process "engine$1" "$BIN/fake-engine" --listen "127.0.0.1:${PORTS}30$1" --name "engine-$1" \
         --prefill_rate "$rate" --step_ms "$step" --fencing="$fencing"
 }
 start_service() { # NUMBER
-    start_process "service$1" "$BIN/fake-service" --listen "127.0.0.1:1740$1" --name "service-$1"
+    start_process "service$1" "$BIN/fake-service" --listen "127.0.0.1:${PORTS}40$1" --name "service-$1"
 }
-start_agent() { start_process "agent$1" "$BIN/jujube-agent" --settings "apps/demo/settings/agent0$1.toml"; }
-start_entry() { start_process "entry$1" "$BIN/jujube-entry" --settings "apps/demo/settings/entry$1.toml"; }
+start_agent() { start_process "agent$1" "$BIN/jujube-agent" --settings "$SETTINGS/agent0$1.toml"; }
+start_entry() { start_process "entry$1" "$BIN/jujube-entry" --settings "$SETTINGS/entry$1.toml"; }
 
-start_fleet() {
-    mkdir -p "$RUN"
-    rm -f "$RUN"/*.log
+prepare_settings() {
+    mkdir -p "$SETTINGS"
+    rm -f "$RUN"/*.log "$RUN"/*.jsonl
+    for file in apps/demo/settings/*.toml; do
+        sed "s/127.0.0.1:17/127.0.0.1:$PORTS/" "$file" >"$SETTINGS/$(basename "$file")"
+    done
+}
+
+start_processes() {
     start_platform
     for i in 1 2 3 4 5 6; do start_engine "$i"; done
     for i in 1 2; do start_service "$i"; done
@@ -42,6 +51,11 @@
     for i in 1 2; do start_entry "$i"; done
 }
 
+start_fleet() {
+    prepare_settings
+    start_processes
+}
+
 wait_for() { # SECONDS COMMAND...
     local until=$((SECONDS + $1))
     shift
@@ -81,7 +95,7 @@
         echo "ENTRY1_URL=http://$ENTRY1"
         echo "ENTRY2_URL=http://$ENTRY2"
         echo "PLATFORM_URL=http://$PLATFORM"
-        echo "SERVICE1_URL=http://127.0.0.1:17401"
+        echo "SERVICE1_URL=http://127.0.0.1:${PORTS}401"
         echo "KEY_TEAM_A=$KEY_TEAM_A"
         echo "KEY_TEAM_B=$KEY_TEAM_B"
         echo "OPERATOR_TOKEN=$OPERATOR_TOKEN"
@@ -89,6 +103,13 @@
     } >"$RUN/env"
 }
 
+# Saves what the stand-ins recorded, for jujube-check.
+save_histories() {
+    curl -s "http://$PLATFORM/history" >"$RUN/platform.jsonl"
+    for i in 1 2 3 4 5 6; do curl -s "http://127.0.0.1:${PORTS}30$i/history" >"$RUN/engine$i.jsonl"; done
+    for i in 1 2; do curl -s "http://127.0.0.1:${PORTS}40$i/history" >"$RUN/service$i.jsonl"; done
+}
+
 signal_process() { # SIGNAL NAME
     kill "-$1" "${PIDS[$2]}" 2>/dev/null || true
 }
--- a/src/agent/agentprocess.cpp
+++ b/src/agent/agentprocess.cpp
@@ -164,7 +164,7 @@
 {
     platform::AgentRecord record;
     record.vm = m_settings.vm;
-    record.address = m_settings.rpcListen;
+    record.address = m_settings.rpcAddress;
     record.domain = m_settings.domain;
     record.kind = m_settings.kind;
     record.model = m_settings.model;
--- a/src/agent/agentsettings.cpp
+++ b/src/agent/agentsettings.cpp
@@ -15,6 +15,9 @@
     settings.domain = table->requiredString("failure_domain");
     settings.scope = table->string("scope", "main");
     settings.rpcListen = table->endpoint("rpc_listen");
+    settings.rpcAddress = table->endpoint("rpc_address", false);
+    if (settings.rpcAddress.empty())
+        settings.rpcAddress = settings.rpcListen;
     settings.httpListen = table->endpoint("http_listen");
     settings.endpoint = table->endpoint("endpoint");
     settings.platform = table->endpoint("platform");
--- a/src/agent/agentsettings.h
+++ b/src/agent/agentsettings.h
@@ -20,6 +20,7 @@
     std::string domain;
     std::string scope;
     std::string rpcListen;
+    std::string rpcAddress; ///< Where others reach it, if that is not where it listens.
     std::string httpListen;
     std::string endpoint; ///< Address of the engine or service beside this agent.
     std::string platform;
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -140,7 +140,7 @@
 
 // Every registered endpoint gets a wanted state: the operators' intent first, then the platform's
 // list, else active in the role it has.
-void Controller::mergeEndpoints(platform::Plan &plan) const
+void Controller::mergeEndpoints(platform::Plan &plan)
 {
     std::map<std::string, core::ShardValue> engines;
     const std::string enginesKey = core::shardKey(core::shards::Engines);
@@ -154,14 +154,18 @@
         if (!record.ok())
             continue;
         registered.insert(record->vm);
-        core::EngineIntent intent =
-            config.ok() ? (*config)->engineIntent(record->vm) : core::EngineIntent::Active;
-        if (intent == core::EngineIntent::Active && m_leavingVms.contains(record->vm))
-            intent = core::EngineIntent::Drained;
+        core::EngineWish wish =
+                config.ok() ? (*config)->engineWish(record->vm) : core::EngineWish {};
+        if (wish.intent == core::EngineIntent::Active && m_leavingVms.contains(record->vm))
+            wish.intent = core::EngineIntent::Drained;
         const auto known = plan.endpoints.find(record->vm);
         const core::Role role =
-            known == plan.endpoints.end() ? core::Role::Mixed : known->second.role;
-        plan.setEndpoint(record->vm, role, intent);
+                known == plan.endpoints.end() ? core::Role::Mixed : known->second.role;
+        if (wish.role)
+            m_pinned.insert(record->vm);
+        else
+            m_pinned.erase(record->vm);
+        plan.setEndpoint(record->vm, wish.role.value_or(role), wish.intent);
     }
     std::erase_if(plan.endpoints, [&](const auto &it) { return !registered.contains(it.first); });
 }
@@ -174,7 +178,7 @@
         const auto planned = plan.endpoints.find(record.vm);
         if (record.kind != core::WorkKind::Language || planned == plan.endpoints.end())
             continue;
-        if (planned->second.intent != core::EngineIntent::Active)
+        if (planned->second.intent != core::EngineIntent::Active || m_pinned.contains(record.vm))
             continue;
         const core::LoadReport &load = link->load();
         policy::RoleView view;
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -52,7 +52,7 @@
     wire::Task<bool> takeOver();
     wire::Task<void> tick();
     wire::Task<void> refreshVms();
-    void mergeEndpoints(platform::Plan &plan) const;
+    void mergeEndpoints(platform::Plan &plan);
     void planRoles(platform::Plan &plan);
     void settleOrders(platform::Plan &plan) const;
     wire::Task<bool> writePlan(platform::Plan plan);
@@ -70,6 +70,7 @@
     platform::Plan m_plan;
     uint64_t m_planRevision = 0;
     std::set<std::string> m_leavingVms;
+    std::set<std::string> m_pinned; ///< VMs whose role an operator has fixed.
     core::TimePoint m_vmsReadAt{};
     bool m_inCharge = false;
     bool m_stopping = false;
--- a/src/core/clock.h
+++ b/src/core/clock.h
@@ -21,7 +21,7 @@
     using rep = duration::rep;
     using period = duration::period;
     using time_point = std::chrono::time_point<BootClock>;
-    static constexpr bool is_steady = true;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming)
 
     static time_point now() noexcept;
 };
--- a/src/core/configuration.cpp
+++ b/src/core/configuration.cpp
@@ -81,6 +81,18 @@
     return key;
 }
 
+EngineWish readWish(TomlTable &table)
+{
+    EngineWish wish;
+    const std::string intent = table.choice("intent", {"active", "drained", "withdrawn"});
+    if (intent != "active")
+        wish.intent = intent == "drained" ? EngineIntent::Drained : EngineIntent::Withdrawn;
+    if (table.has("role"))
+        wish.role = roleFromName(table.choice("role", {"mixed", "prefill", "decode"}));
+    table.rejectUnknown();
+    return wish;
+}
+
 template <typename T>
 void insertUnique(std::map<std::string, T, std::less<>> &map, std::string name, T value,
                   TomlErrors &errors, std::string_view what)
@@ -159,12 +171,7 @@
         });
         root->forEachTable("engine", [&](TomlTable &it) {
             const std::string vm = it.requiredString("vm");
-            const std::string intent = it.choice("intent", {"active", "drained", "withdrawn"});
-            it.rejectUnknown();
-            const EngineIntent wanted = intent == "drained" ? EngineIntent::Drained
-                : intent == "withdrawn"                     ? EngineIntent::Withdrawn
-                                                            : EngineIntent::Active;
-            insertUnique(config->m_engines, vm, wanted, errors, "engine");
+            insertUnique(config->m_engines, vm, readWish(it), errors, "engine");
         });
         root->rejectUnknown();
         if (!errors.empty())
@@ -193,10 +200,10 @@
     return findIn(m_keys, keyId);
 }
 
-EngineIntent Configuration::engineIntent(std::string_view vm) const
+EngineWish Configuration::engineWish(std::string_view vm) const
 {
-    const EngineIntent *intent = findIn(m_engines, vm);
-    return intent ? *intent : EngineIntent::Active;
+    const EngineWish *wish = findIn(m_engines, vm);
+    return wish ? *wish : EngineWish {};
 }
 
 absl::Status checkShard(std::string_view shard, const std::string &value)
--- a/src/core/configuration.h
+++ b/src/core/configuration.h
@@ -4,12 +4,15 @@
  * Defines the operators' configuration: profiles, services, teams, keys and engine intents.
  */
 
+#include "core/work.h"
+
 #include <absl/status/statusor.h>
 
 #include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -70,6 +73,13 @@
 /** What an operator wants of one endpoint. */
 enum class EngineIntent { Active, Drained, Withdrawn };
 
+/** An operator's word on one endpoint. */
+struct EngineWish
+{
+    EngineIntent intent = EngineIntent::Active;
+    std::optional<Role> role; ///< A role the planner must not change.
+};
+
 /** The parts the configuration is kept in, one KV value each. */
 namespace shards {
 inline constexpr std::string_view Profiles = "profiles";
@@ -110,13 +120,13 @@
     const Service *service(std::string_view name) const;
     const Team *team(std::string_view name) const;
     const KeyRecord *key(std::string_view keyId) const;
-    EngineIntent engineIntent(std::string_view vm) const;
+    EngineWish engineWish(std::string_view vm) const;
 
     const std::map<std::string, Profile, std::less<>> &profiles() const { return m_profiles; }
     const std::map<std::string, Service, std::less<>> &services() const { return m_services; }
     const std::map<std::string, Team, std::less<>> &teams() const { return m_teams; }
     const std::map<std::string, KeyRecord, std::less<>> &keys() const { return m_keys; }
-    const std::map<std::string, EngineIntent, std::less<>> &engines() const { return m_engines; }
+    const std::map<std::string, EngineWish, std::less<>> &engines() const { return m_engines; }
 
 private:
     uint64_t m_version = 0;
@@ -125,7 +135,7 @@
     std::map<std::string, Service, std::less<>> m_services;
     std::map<std::string, Team, std::less<>> m_teams;
     std::map<std::string, KeyRecord, std::less<>> m_keys;
-    std::map<std::string, EngineIntent, std::less<>> m_engines;
+    std::map<std::string, EngineWish, std::less<>> m_engines;
 };
 
 /** Text of an intent in KV and on the command line: active, drained or withdrawn. */
--- a/src/core/tomltable.h
+++ b/src/core/tomltable.h
@@ -63,6 +63,7 @@
     /** Reads and parses a file. */
     static absl::StatusOr<TomlTable> load(const std::string &path, TomlErrors &errors);
 
+    bool has(std::string_view key) const { return m_table->contains(key); }
     std::string requiredString(std::string_view key);
     std::string string(std::string_view key, std::string_view fallback);
     std::string choice(std::string_view key, std::initializer_list<std::string_view> allowed);
--- a/src/entry/completionrequest.cpp
+++ b/src/entry/completionrequest.cpp
@@ -23,7 +23,8 @@
     if (!content.isArray())
         return wrongType(field, "a string or an array of text parts");
     std::string text;
-    for (const QJsonValue &part : content.toArray()) {
+    for (const auto &it : content.toArray()) {
+        const QJsonObject part = it.toObject();
         if (!part["text"].isString())
             return wrongType(field, "an array of parts with a string 'text'");
         text += part["text"].toString().toStdString();
@@ -37,7 +38,8 @@
         return wrongType("messages", "a non-empty array");
     std::string prompt;
     int index = 0;
-    for (const QJsonValue &message : messages.toArray()) {
+    for (const auto &it : messages.toArray()) {
+        const QJsonObject message = it.toObject();
         const std::string field = core::concat("messages[", index++, "]");
         if (!message["role"].isString())
             return wrongType(field + ".role", "a string");
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -145,7 +145,7 @@
 
 wire::Task<void> EntryProcess::registerLoop()
 {
-    const platform::EntryRecord record{m_settings.name, m_settings.rpcListen, m_settings.domain,
+    const platform::EntryRecord record{m_settings.name, m_settings.rpcAddress, m_settings.domain,
                                        m_incarnation};
     while (!m_stopping) {
         const auto entry = co_await m_kv.update(
@@ -297,8 +297,8 @@
         }
     }
     // The operators' word counts at once, before the controller has put it into the plan.
-    for (const auto &[vm, intent] : m_view.configuration.load()->engines()) {
-        if (intent != core::EngineIntent::Active)
+    for (const auto &[vm, wish] : m_view.configuration.load()->engines()) {
+        if (wish.intent != core::EngineIntent::Active)
             leaving.insert(vm);
     }
     m_fleet.setAgents(agents);
--- a/src/entry/entrysettings.cpp
+++ b/src/entry/entrysettings.cpp
@@ -16,6 +16,9 @@
     settings.scope = table->string("scope", "main");
     settings.httpListen = table->endpoint("http_listen");
     settings.rpcListen = table->endpoint("rpc_listen");
+    settings.rpcAddress = table->endpoint("rpc_address", false);
+    if (settings.rpcAddress.empty())
+        settings.rpcAddress = settings.rpcListen;
     settings.platform = table->endpoint("platform");
     settings.fleetSecret = table->requiredString("fleet_secret");
     settings.operatorToken = table->requiredString("operator_token");
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -22,6 +22,7 @@
     std::string scope;
     std::string httpListen;
     std::string rpcListen;
+    std::string rpcAddress; ///< Where others reach it, if that is not where it listens.
     std::string platform;
     std::string fleetSecret;
     std::string operatorToken;
--- a/src/platform/fleetclient.cpp
+++ b/src/platform/fleetclient.cpp
@@ -66,7 +66,7 @@
     if (!object.ok() || response->status != 200)
         co_return absl::UnavailableError("platform: no list of VMs");
     std::vector<VmListing> vms;
-    for (const QJsonValue &it : object->value("vms").toArray()) {
+    for (const auto &it : object->value("vms").toArray()) {
         const QJsonObject vm = it.toObject();
         vms.push_back({wire::textAt(vm, "vm"), wire::textAt(vm, "domain"),
                        wire::textAt(vm, "state") == "leaving"});
--- a/src/platform/kvclient.cpp
+++ b/src/platform/kvclient.cpp
@@ -25,7 +25,7 @@
 {
     KvListing listing;
     listing.revision = wire::numberAt(object, "revision");
-    for (const QJsonValue &it : object.value("entries").toArray())
+    for (const auto &it : object.value("entries").toArray())
         listing.entries.push_back(entryFrom(it.toObject()));
     return listing;
 }
--- a/src/platform/plan.cpp
+++ b/src/platform/plan.cpp
@@ -75,7 +75,7 @@
     const QJsonObject endpoints = object->value("endpoints").toObject();
     for (auto it = endpoints.begin(); it != endpoints.end(); ++it)
         plan.endpoints[it.key().toStdString()] = endpointFromJson(it.value().toObject());
-    for (const QJsonValue &it : object->value("orders").toArray())
+    for (const auto &it : object->value("orders").toArray())
         plan.fleetOrders.push_back(orderFromJson(it.toObject()));
     return plan;
 }
--- a/src/platform/usageledger.cpp
+++ b/src/platform/usageledger.cpp
@@ -53,7 +53,7 @@
     UsagePage page;
     page.side = wire::textAt(*object, "side") == "agent" ? UsageSide::Agent : UsageSide::Entry;
     page.incarnation = wire::numberAt(*object, "incarnation");
-    for (const QJsonValue &it : object->value("rows").toArray()) {
+    for (const auto &it : object->value("rows").toArray()) {
         const QJsonObject row = it.toObject();
         UsageFigures figures;
         figures.requests = wire::numberAt(row, "requests");
--- a/src/wire/processmain.cpp
+++ b/src/wire/processmain.cpp
@@ -58,7 +58,7 @@
         signalfd_siginfo info{};
         while (read(m_signalFd, &info, sizeof(info)) == sizeof(info)) {
             if (m_stopping) {
-                core::Event("process.stop.forced");
+                core::Event("process.stop.forced").with("signals", 2);
                 endProcess(ExitFailure);
             }
             m_stopping = true;
--- a/test/fakes/fakeengine.cpp
+++ b/test/fakes/fakeengine.cpp
@@ -174,7 +174,7 @@
         object["last_term"] = wire::jsonNumber(m_lastTerm);
         object["last_sequence"] = wire::jsonNumber(m_lastSequence);
         // Load figures are those of a while ago.
-        const int64_t shown = test::nowUs() - FLAGS_load_lag_ms * 1'000;
+        const int64_t shown = test::nowUs() - int64_t(FLAGS_load_lag_ms) * 1'000;
         while (m_loads.size() > 1 && m_loads[1].atUs <= shown)
             m_loads.pop_front();
         object["free_kv_pieces"] = m_loads.empty() ? FLAGS_kv_pieces : m_loads.front().freePieces;
@@ -198,9 +198,7 @@
         m_server.record("engine.order", details);
         m_lastTerm = term;
         m_lastSequence = sequence;
-        for (const auto &it : m_requests)
-            it->to->abort();
-        m_requests.clear();
+        cutAll();
         m_changing = true;
         const core::Role role = core::roleFromName(wire::textAt(body, "role"));
         const int epoch = m_epoch;
@@ -219,7 +217,7 @@
         const auto after = std::strtoll(request.queryValue("after").c_str(), nullptr, 10);
         QJsonArray events;
         for (const CacheEvent &it : m_cacheEvents) {
-            const bool late = test::nowUs() - it.atUs < FLAGS_load_lag_ms * 1'000;
+            const bool late = test::nowUs() - it.atUs < int64_t(FLAGS_load_lag_ms) * 1'000;
             if (it.number > after && !late && it.number % CacheEventGap != 0)
                 events.append(QJsonObject{{"number", static_cast<qint64>(it.number)},
                                           {"block", QString::number(it.block)}});
@@ -263,6 +261,10 @@
             m_requests.remove(it);
         }
         keepAlive();
+        for (const auto &it : m_requests) {
+            if (!it->to->connected())
+                recordEnd(*it, false);
+        }
         m_requests.remove_if([](const auto &it) { return !it->to->connected(); });
         noteLoad();
         const double decodeMs =
@@ -315,12 +317,27 @@
         last["cached_tokens"] = static_cast<int>(request.cachedTokens);
         last["output_tokens"] = static_cast<int>(request.produced - request.resumed);
         write(request, last);
+        recordEnd(request, whole);
+        if (!request.silenced)
+            request.to->end();
+    }
+
+    void recordEnd(const Request &request, bool whole)
+    {
         m_server.record("engine.end",
                         {{"request_id", wire::qstring(request.id)},
                          {"whole", whole},
-                         {"produced", static_cast<int>(request.produced)}});
-        if (!request.silenced)
-            request.to->end();
+                         {"prompt_tokens", static_cast<int>(request.promptTokens)},
+                         {"produced", static_cast<int>(request.produced - request.resumed)}});
+    }
+
+    void cutAll()
+    {
+        for (const auto &it : m_requests) {
+            recordEnd(*it, false);
+            it->to->abort();
+        }
+        m_requests.clear();
     }
 
     void write(Request &request, const QJsonObject &line)
@@ -335,7 +352,7 @@
     {
         const int64_t now = test::nowUs();
         for (const auto &it : m_requests) {
-            if (!it->silenced && now - it->lastWriteUs > KeepAliveMs * 1'000) {
+            if (!it->silenced && now - it->lastWriteUs > int64_t(KeepAliveMs) * 1'000) {
                 it->to->write("\n");
                 it->lastWriteUs = now;
             }
@@ -361,9 +378,7 @@
     void takeFaults(const QJsonObject &faults)
     {
         if (faults.value("crash").toBool()) {
-            for (const auto &it : m_requests)
-                it->to->abort();
-            m_requests.clear();
+            cutAll();
             m_down = true;
             ++m_epoch;
             const int downMs = static_cast<int>(m_server.fault("crash_ms", 2'000));
--- /dev/null
+++ b/test/fakes/relay.cpp
@@ -0,0 +1,148 @@
+/** \file
+ * Program relay: passes TCP connections on, and can make the open ones silent for good.
+ *
+ * SIGUSR1 silences every connection that is open now: both ends stay connected and no further
+ * byte passes, while new connections work. SIGUSR2 starts or ends a partition, during which no
+ * byte passes on any connection.
+ */
+
+#include "core/text.h"
+#include "wire/processmain.h"
+
+#include <absl/strings/str_split.h>
+#include <gflags/gflags.h>
+#include <QCoreApplication>
+#include <QHostAddress>
+#include <QPointer>
+#include <QSocketNotifier>
+#include <QTcpServer>
+#include <QTcpSocket>
+
+#include <csignal>
+#include <iostream>
+#include <memory>
+#include <set>
+#include <sys/signalfd.h>
+#include <unistd.h>
+#include <vector>
+
+DEFINE_string(pairs, "", "LISTEN_PORT=TARGET_PORT pairs on the loopback address, by commas");
+
+namespace {
+
+// One relayed connection: a socket at each side.
+struct Link
+{
+    QPointer<QTcpSocket> near;
+    QPointer<QTcpSocket> far;
+    bool silenced = false;
+};
+
+class Relay
+{
+public:
+    bool listen(quint16 port, quint16 target)
+    {
+        auto server = std::make_unique<QTcpServer>();
+        QTcpServer *it = server.get();
+        QObject::connect(it, &QTcpServer::newConnection, it, [this, it, target]() {
+            while (QTcpSocket *socket = it->nextPendingConnection())
+                open(socket, target);
+        });
+        m_servers.push_back(std::move(server));
+        return it->listen(QHostAddress::LocalHost, port);
+    }
+
+    void silenceOpen()
+    {
+        for (const auto &link : m_links)
+            link->silenced = true;
+    }
+
+    void togglePartition()
+    {
+        m_partitioned = !m_partitioned;
+        if (m_partitioned)
+            return;
+        for (const auto &link : m_links) {
+            forward(*link, link->near, link->far);
+            forward(*link, link->far, link->near);
+        }
+    }
+
+private:
+    void open(QTcpSocket *near, quint16 target)
+    {
+        auto link = std::make_shared<Link>();
+        link->near = near;
+        link->far = new QTcpSocket(near);
+        m_links.insert(link);
+        for (QTcpSocket *it : {link->near.data(), link->far.data()}) {
+            it->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+            QObject::connect(it, &QTcpSocket::readyRead, it, [this, link, it]() {
+                forward(*link, it, it == link->near ? link->far : link->near);
+            });
+            QObject::connect(it, &QTcpSocket::disconnected, it, [this, link]() { close(link); });
+            QObject::connect(it, &QTcpSocket::errorOccurred, it, [this, link]() { close(link); });
+        }
+        link->far->connectToHost(QHostAddress::LocalHost, target);
+    }
+
+    void forward(const Link &link, QTcpSocket *from, QTcpSocket *to)
+    {
+        if (link.silenced || m_partitioned || !from || !to)
+            return;
+        // Writing before the connection stands is fine: Qt keeps the bytes until then.
+        to->write(from->readAll());
+    }
+
+    void close(const std::shared_ptr<Link> &link)
+    {
+        if (link->silenced || m_links.erase(link) == 0)
+            return;
+        for (QTcpSocket *it : {link->far.data(), link->near.data()}) {
+            if (it)
+                it->disconnectFromHost();
+        }
+        if (link->near)
+            link->near->deleteLater();
+    }
+
+    std::vector<std::unique_ptr<QTcpServer>> m_servers;
+    std::set<std::shared_ptr<Link>> m_links;
+    bool m_partitioned = false;
+};
+
+} // namespace
+
+int main(int argc, char *argv[])
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    sigset_t mask;
+    sigemptyset(&mask);
+    sigaddset(&mask, SIGUSR1);
+    sigaddset(&mask, SIGUSR2);
+    pthread_sigmask(SIG_BLOCK, &mask, nullptr);
+    const int fd = signalfd(-1, &mask, SFD_NONBLOCK | SFD_CLOEXEC);
+    QCoreApplication app(argc, argv);
+    Relay relay;
+    for (const absl::string_view pair : absl::StrSplit(FLAGS_pairs, ',', absl::SkipEmpty())) {
+        const std::vector<std::string> ports = absl::StrSplit(pair, '=');
+        const auto port = static_cast<quint16>(std::stoul(ports.at(0)));
+        if (!relay.listen(port, static_cast<quint16>(std::stoul(ports.at(1))))) {
+            std::cerr << "relay: cannot listen on port " << port << "\n";
+            return jujube::wire::ExitFailure;
+        }
+    }
+    QSocketNotifier signals(fd, QSocketNotifier::Read);
+    QObject::connect(&signals, &QSocketNotifier::activated, &signals, [&relay, fd]() {
+        signalfd_siginfo info {};
+        while (read(fd, &info, sizeof(info)) == sizeof(info)) {
+            if (info.ssi_signo == SIGUSR1)
+                relay.silenceOpen();
+            else
+                relay.togglePartition();
+        }
+    });
+    return QCoreApplication::exec();
+}
--- /dev/null
+++ b/tools/jujubecheck/checks.cpp
@@ -0,0 +1,415 @@
+#include "jujubecheck/checks.h"
+
+#include "core/text.h"
+#include "wire/json.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+namespace jujube::check {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Instant Within = 5s;
+// An order may be under way while the plan changes; the agent's order lock ends it by then.
+constexpr Instant OrderInFlight = 6s;
+// A process may still finish what it was told to do before it was stopped or killed.
+constexpr Instant RestartAllowance = 8s;
+constexpr const char *PlanPrefix = "fleet/plan/";
+constexpr const char *ConfigPrefix = "fleet/config/";
+
+std::string when(Instant at)
+{
+    return core::concat("at ", at.count(), " us");
+}
+
+// Times during which an unplanned fault explains that a process does not answer.
+struct Downtime
+{
+    std::string process;
+    Instant from {};
+    Instant to {};
+};
+
+std::vector<Downtime> downtimes(const History &history)
+{
+    const std::set<std::string> begins {"kill", "stop", "term", "kv-outage", "kv-delay",
+                                        "kv-lose-answers", "silence", "partition"};
+    const std::set<std::string> ends {"start", "continue", "kv-up", "partition-end"};
+    std::vector<Downtime> result;
+    std::map<std::string, Instant> open;
+    for (const Operation &it : history.operations) {
+        if (begins.contains(it.name))
+            open.try_emplace(it.target, it.at);
+        if (!ends.contains(it.name) || !open.contains(it.target))
+            continue;
+        result.push_back({it.target, open[it.target], it.at + RestartAllowance});
+        open.erase(it.target);
+    }
+    for (const auto &[process, from] : open)
+        result.push_back({process, from, Instant::max()});
+    return result;
+}
+
+bool overlaps(const std::vector<Downtime> &downtimes, const std::string &process, Instant from,
+              Instant to)
+{
+    return std::any_of(downtimes.begin(), downtimes.end(), [&](const Downtime &it) {
+        return it.process == process && it.from <= to && from <= it.to;
+    });
+}
+
+// "127.0.0.1:17081" is the address of entry1.
+std::string entryName(const std::string &address)
+{
+    return address.empty() ? std::string() : core::concat("entry", address.substr(address.size() - 1));
+}
+
+} // namespace
+
+CheckResult checkEngineOrders(const History &history)
+{
+    CheckResult result {"an engine never receives conflicting orders", 0, {}};
+    std::map<std::string, std::pair<uint64_t, uint64_t>> last;
+    for (const EngineOrder &it : history.engineOrders) {
+        if (it.refused)
+            continue;
+        ++result.examined;
+        const std::pair number {it.term, it.sequence};
+        const auto [known, isNew] = last.try_emplace(it.vm, number);
+        if (!isNew && number < known->second) {
+            result.breaches.push_back(core::concat(it.vm, " got order ", it.term, ".", it.sequence,
+                                                   " after ", known->second.first, ".",
+                                                   known->second.second, " ", when(it.at)));
+        }
+        if (it.duringChange) {
+            result.breaches.push_back(core::concat(it.vm, " got order ", it.term, ".", it.sequence,
+                                                   " during a change ", when(it.at)));
+        }
+        known->second = std::max(known->second, number);
+    }
+    return result;
+}
+
+CheckResult checkOrderAuthority(const History &history)
+{
+    CheckResult result {"orders from lost authority have no effect", 0, {}};
+    struct Planned
+    {
+        Instant at {};
+        uint64_t term = 0;
+        uint64_t sequence = 0;
+    };
+    std::map<std::string, std::vector<Planned>> plans;
+    uint64_t lastTerm = 0;
+    for (const KvChange &it : history.kvChanges) {
+        if (!it.key.starts_with(PlanPrefix) || it.deleted)
+            continue;
+        const auto plan = wire::parseObject(it.value);
+        if (!plan.ok())
+            continue;
+        ++result.examined;
+        const uint64_t term = wire::numberAt(*plan, "term");
+        if (term < lastTerm)
+            result.breaches.push_back(core::concat("the plan went back to term ", term));
+        lastTerm = std::max(lastTerm, term);
+        const QJsonObject endpoints = plan->value("endpoints").toObject();
+        for (auto vm = endpoints.begin(); vm != endpoints.end(); ++vm) {
+            const QJsonObject wanted = vm.value().toObject();
+            plans[vm.key().toStdString()].push_back(
+                    {it.at, wire::numberAt(wanted, "term"), wire::numberAt(wanted, "sequence")});
+        }
+    }
+    for (const EngineOrder &order : history.engineOrders) {
+        if (order.refused)
+            continue;
+        ++result.examined;
+        const std::vector<Planned> &plan = plans[order.vm];
+        bool wanted = false;
+        for (size_t i = 0; i < plan.size(); ++i) {
+            const Instant until = i + 1 < plan.size() ? plan[i + 1].at : Instant::max();
+            const bool inForce = plan[i].at <= order.at
+                    && (until == Instant::max() || order.at <= until + OrderInFlight);
+            wanted = wanted
+                    || (inForce && plan[i].term == order.term && plan[i].sequence == order.sequence);
+        }
+        if (!wanted) {
+            result.breaches.push_back(core::concat(order.vm, " carried out ", order.term, ".",
+                                                   order.sequence, ", which no plan in force asked ",
+                                                   when(order.at)));
+        }
+    }
+    return result;
+}
+
+CheckResult checkPlannedChanges(const History &history)
+{
+    CheckResult result {"no request is cut by a planned change", 0, {}};
+    for (const EngineOrder &it : history.engineOrders) {
+        if (it.refused)
+            continue;
+        ++result.examined;
+        if (it.cutRequests > 0)
+            result.breaches.push_back(core::concat(it.vm, ": a role change cut ", it.cutRequests,
+                                                   " requests ", when(it.at)));
+    }
+    std::vector<Downtime> unplanned;
+    const History onlyFaults = [&history] {
+        History copy;
+        copy.operations = history.operations;
+        std::erase_if(copy.operations, [](const Operation &it) { return it.name == "term"; });
+        return copy;
+    }();
+    unplanned = downtimes(onlyFaults);
+    for (const CallResult &it : history.calls) {
+        if (it.outcome != "none")
+            continue;
+        ++result.examined;
+        if (!overlaps(unplanned, entryName(it.entry), it.start, it.end))
+            result.breaches.push_back(core::concat("call ", it.number, " at ", it.entry,
+                                                   " was cut and nothing unplanned explains it (",
+                                                   it.code, ") ", when(it.start)));
+    }
+    return result;
+}
+
+CheckResult checkFleetOrders(const History &history)
+{
+    CheckResult result {"endpoint orders come from one process at a time", 0, {}};
+    std::set<std::string> seen;
+    uint64_t lastTerm = 0;
+    for (const FleetOrderRecord &it : history.fleetOrders) {
+        ++result.examined;
+        if (!seen.insert(it.orderId).second)
+            result.breaches.push_back(core::concat("order ", it.orderId, " came twice"));
+        if (it.term < lastTerm)
+            result.breaches.push_back(core::concat("order ", it.orderId, " of term ", it.term,
+                                                   " came after term ", lastTerm));
+        lastTerm = std::max(lastTerm, it.term);
+    }
+    return result;
+}
+
+CheckResult checkReports(const History &history)
+{
+    CheckResult result {"no usage window is reported twice with different figures", 0, {}};
+    std::map<std::pair<std::string, uint64_t>, ReportRecord> first;
+    uint64_t lastTerm = 0;
+    for (const ReportRecord &it : history.reports) {
+        ++result.examined;
+        const auto [known, isNew] = first.try_emplace({it.team, it.window}, it);
+        const ReportRecord &before = known->second;
+        const bool same = std::tie(before.requests, before.promptTokens, before.outputTokens)
+                == std::tie(it.requests, it.promptTokens, it.outputTokens);
+        if (!same)
+            result.breaches.push_back(core::concat("team ", it.team, " window ", it.window,
+                                                   " was reported with different figures"));
+        if (it.term < lastTerm)
+            result.breaches.push_back(core::concat("a report of term ", it.term,
+                                                   " came after term ", lastTerm, " ", when(it.at)));
+        lastTerm = std::max(lastTerm, it.term);
+    }
+    return result;
+}
+
+CheckResult checkUsageSum(const History &history)
+{
+    CheckResult result {"usage bills are right", 0, {}};
+    uint64_t reportedPrompt = 0;
+    uint64_t reportedOutput = 0;
+    std::set<std::pair<std::string, uint64_t>> counted;
+    for (const ReportRecord &it : history.reports) {
+        if (!counted.insert({it.team, it.window}).second)
+            continue;
+        reportedPrompt += it.promptTokens;
+        reportedOutput += it.outputTokens;
+    }
+    uint64_t wholePrompt = 0;
+    uint64_t wholeOutput = 0;
+    for (const CallResult &it : history.calls) {
+        if (it.outcome != "whole")
+            continue;
+        ++result.examined;
+        wholePrompt += it.promptTokens;
+        wholeOutput += it.outputTokens;
+    }
+    uint64_t enginePrompt = 0;
+    uint64_t engineOutput = 0;
+    for (const EngineRun &it : history.engineRuns) {
+        enginePrompt += it.promptTokens;
+        engineOutput += it.produced;
+    }
+    const auto within = [&result](const std::string &what, uint64_t low, uint64_t value,
+                                  uint64_t high) {
+        if (value < low || value > high)
+            result.breaches.push_back(core::concat(what, ": reported ", value,
+                                                   ", answered whole ", low, ", produced ", high));
+    };
+    within("prompt tokens", wholePrompt, reportedPrompt, enginePrompt);
+    within("output tokens", wholeOutput, reportedOutput, engineOutput);
+    return result;
+}
+
+CheckResult checkWholeAnswers(const History &history)
+{
+    CheckResult result {"a caller gets the whole answer to its own request", 0, {}};
+    for (const CallResult &it : history.calls) {
+        if (it.outcome != "whole")
+            continue;
+        ++result.examined;
+        if (!it.right)
+            result.breaches.push_back(core::concat("call ", it.number, " to ", it.target,
+                                                   " ended as whole with a wrong answer"));
+    }
+    return result;
+}
+
+CheckResult checkNotRun(const History &history)
+{
+    CheckResult result {"a refusal that says \"not run\" is true", 0, {}};
+    std::map<std::string, int> runs;
+    for (const ServiceRun &it : history.serviceRuns)
+        ++runs[it.body];
+    for (const CallResult &it : history.calls) {
+        if (!it.changesState || it.outcome != "not-run")
+            continue;
+        ++result.examined;
+        if (runs[it.idempotencyKey] > 0)
+            result.breaches.push_back(core::concat("call ", it.number, " (", it.idempotencyKey,
+                                                   ") was told \"not run\" and had run"));
+    }
+    return result;
+}
+
+CheckResult checkAtMostOnce(const History &history)
+{
+    CheckResult result {"a non-idempotent request runs at most once", 0, {}};
+    std::map<std::string, int> runs;
+    for (const ServiceRun &it : history.serviceRuns) {
+        if (it.method != "GET")
+            ++runs[it.body];
+    }
+    for (const auto &[body, count] : runs) {
+        ++result.examined;
+        if (count > 1)
+            result.breaches.push_back(core::concat("request ", body, " ran ", count, " times"));
+    }
+    for (const CallResult &it : history.calls) {
+        if (it.changesState && it.outcome == "whole" && runs[it.idempotencyKey] != 1)
+            result.breaches.push_back(core::concat("call ", it.number, " ended as whole and ran ",
+                                                   runs[it.idempotencyKey], " times"));
+    }
+    return result;
+}
+
+CheckResult checkKeys(const History &history)
+{
+    CheckResult result {"keys stay inside and stop working when withdrawn", 0, {}};
+    std::map<std::string, Instant> withdrawn;
+    for (const Operation &it : history.operations) {
+        if (it.name == "withdraw-key")
+            withdrawn[it.target] = it.at;
+    }
+    std::map<std::string, std::string> teamOf;
+    for (const ProcessEvent &it : history.events) {
+        if (it.name == "request.routed")
+            teamOf[it.field("request")] = it.field("team");
+    }
+    for (const EngineRun &it : history.engineRuns) {
+        ++result.examined;
+        if (!it.authorization.empty())
+            result.breaches.push_back(core::concat(it.vm, " was shown a key"));
+        const auto key = withdrawn.find(teamOf[it.requestId]);
+        if (key != withdrawn.end() && it.start > key->second + Within)
+            result.breaches.push_back(core::concat("request ", it.requestId, " of team ", key->first,
+                                                   " started ",
+                                                   (it.start - key->second).count() / 1'000,
+                                                   " ms after its key was withdrawn"));
+    }
+    for (const ServiceRun &it : history.serviceRuns) {
+        ++result.examined;
+        if (!it.authorization.empty())
+            result.breaches.push_back(core::concat(it.vm, " was shown a key"));
+    }
+    for (const CallResult &it : history.calls) {
+        const auto key = withdrawn.find(it.team);
+        if (key != withdrawn.end() && it.start > key->second + Within && it.outcome == "whole")
+            result.breaches.push_back(core::concat("call ", it.number, " of team ", it.team,
+                                                   " was answered after its key was withdrawn"));
+    }
+    return result;
+}
+
+CheckResult checkLeaving(const History &history)
+{
+    CheckResult result {"a leaving endpoint gets no new work after five seconds", 0, {}};
+    std::map<std::string, std::vector<std::pair<Instant, Instant>>> leaving;
+    for (const Operation &it : history.operations) {
+        if (it.name == "drain" || it.name == "withdraw")
+            leaving[it.target].emplace_back(it.at + Within, Instant::max());
+        if (it.name == "activate" && !leaving[it.target].empty())
+            leaving[it.target].back().second = it.at;
+    }
+    const auto examine = [&](const std::string &vm, Instant at, const std::string &what) {
+        for (const auto &[from, to] : leaving[vm]) {
+            ++result.examined;
+            if (at > from && at < to)
+                result.breaches.push_back(core::concat(vm, " got ", what, " while leaving ", when(at)));
+        }
+    };
+    for (const EngineRun &it : history.engineRuns)
+        examine(it.vm, it.start, it.requestId);
+    for (const ServiceRun &it : history.serviceRuns)
+        examine(it.vm, it.at, it.body);
+    return result;
+}
+
+CheckResult checkConfiguration(const History &history)
+{
+    CheckResult result {"an accepted configuration is in force within seconds and stays", 0, {}};
+    std::map<std::string, std::vector<std::pair<Instant, uint64_t>>> applied;
+    for (const ProcessEvent &it : history.events) {
+        if (it.name != "configuration.applied")
+            continue;
+        ++result.examined;
+        auto &versions = applied[it.process];
+        const uint64_t version = it.number("version");
+        if (!versions.empty() && version < versions.back().second)
+            result.breaches.push_back(core::concat(it.process, " went back from version ",
+                                                   versions.back().second, " to ", version));
+        versions.emplace_back(it.at, version);
+    }
+    const std::vector<Downtime> down = downtimes(history);
+    Instant lastEvent {};
+    for (const ProcessEvent &it : history.events)
+        lastEvent = std::max(lastEvent, it.at);
+    for (const KvChange &change : history.kvChanges) {
+        if (!change.key.starts_with(ConfigPrefix) || change.at + Within > lastEvent)
+            continue;
+        for (const auto &[process, versions] : applied) {
+            if (overlaps(down, process, change.at - Within, change.at + Within))
+                continue;
+            const bool inTime = std::any_of(versions.begin(), versions.end(), [&](const auto &it) {
+                return it.second >= change.revision && it.first <= change.at + Within;
+            });
+            ++result.examined;
+            if (!inTime && versions.front().first < change.at)
+                result.breaches.push_back(core::concat(process, " did not apply revision ",
+                                                       change.revision, " within five seconds"));
+        }
+    }
+    return result;
+}
+
+std::vector<CheckResult> checkAll(const History &history)
+{
+    return {checkEngineOrders(history), checkOrderAuthority(history), checkPlannedChanges(history),
+            checkFleetOrders(history),  checkReports(history),        checkUsageSum(history),
+            checkWholeAnswers(history), checkNotRun(history),         checkAtMostOnce(history),
+            checkKeys(history),         checkLeaving(history),        checkConfiguration(history)};
+}
+
+} // namespace jujube::check
--- a/tools/jujubectl/main.cpp
+++ b/tools/jujubectl/main.cpp
@@ -46,6 +46,7 @@
   drain VM                let an endpoint finish its work and take no more
   withdraw VM             drain an endpoint and give its VM back to the platform
   activate VM             take a drained endpoint into service again
+  pin-role VM ROLE        fix an engine's role: mixed, prefill, decode; auto ends it
   engines                 list the endpoints
   status                  state of the entry, its peers and the endpoints
   timeline [--html FILE]  events of all processes in causal order
@@ -186,20 +187,43 @@
         "withdrew key " + keyId);
 }
 
-int setIntent(tools::AdminClient &admin, const std::string &vm, core::EngineIntent intent)
+// Edits the wish for one endpoint, with a note when no such endpoint is known yet.
+int changeWish(tools::AdminClient &admin, const std::string &vm,
+               const std::function<std::string(const std::string &)> &edit,
+               const std::string &what)
 {
     const auto status = admin.status();
     if (!status.ok())
         return report(status.status());
     bool known = false;
-    for (const QJsonValue &it : status->value("engines").toArray())
+    for (const auto &it : status->value("engines").toArray())
         known = known || wire::textAt(it.toObject(), "vm") == vm;
     if (!known)
         std::cerr << "jujubectl: note: no endpoint '" << vm << "' is registered at present\n";
-    return done(
-        changeShard(admin, std::string(core::shards::Engines),
-                    [&](const std::string &shard) { return tools::setIntent(shard, vm, intent); }),
-        core::concat(vm, " is to be ", core::intentName(intent)));
+    return done(changeShard(admin, std::string(core::shards::Engines), edit), what);
+}
+
+int setIntent(tools::AdminClient &admin, const std::string &vm, core::EngineIntent intent)
+{
+    return changeWish(
+            admin, vm,
+            [&](const std::string &shard) { return tools::setIntent(shard, vm, intent); },
+            core::concat(vm, " is to be ", core::intentName(intent)));
+}
+
+int pinRole(tools::AdminClient &admin, const std::string &vm, const std::string &role)
+{
+    const bool isRole = role == "mixed" || role == "prefill" || role == "decode";
+    if (!isRole && role != "auto") {
+        return report(absl::InvalidArgumentError(core::concat(
+                "role is '", role, "'; allowed: mixed, prefill, decode, auto")));
+    }
+    return changeWish(
+            admin, vm,
+            [&](const std::string &shard) {
+                return tools::pinRole(shard, vm, isRole ? role : std::string());
+            },
+            core::concat("role of ", vm, " is ", role));
 }
 
 int engines(tools::AdminClient &admin)
@@ -214,7 +238,7 @@
     }
     std::printf("%-12s %-10s %-10s %-10s %-8s %-6s %-8s %8s %7s\n", "VM", "DOMAIN", "SERVES",
                 "ROLE", "UP", "READY", "LEAVING", "RUNNING", "QUEUED");
-    for (const QJsonValue &value : list) {
+    for (const auto &value : list) {
         const QJsonObject it = value.toObject();
         std::printf("%-12s %-10s %-10s %-10s %-8s %-6s %-8s %8d %7d\n",
                     wire::textAt(it, "vm").c_str(), wire::textAt(it, "failure_domain").c_str(),
@@ -241,7 +265,7 @@
               << wire::numberAt(*object, "term") << "." << wire::numberAt(*object, "sequence")
               << (object->value("controller").toBool() ? " (controller here)" : "") << ", "
               << wire::numberAt(*object, "sessions") << " requests in progress\n";
-    for (const QJsonValue &value : object->value("peers").toArray()) {
+    for (const auto &value : object->value("peers").toArray()) {
         const QJsonObject it = value.toObject();
         std::cout << "peer " << wire::textAt(it, "name") << " heard "
                   << wire::numberAt(it, "heard_ms_ago") << " ms ago"
@@ -260,7 +284,7 @@
         return wire::ExitOk;
     }
     std::vector<tools::TimelineEvent> events;
-    for (const QJsonValue &it : object->value("events").toArray())
+    for (const auto &it : object->value("events").toArray())
         events.push_back(tools::TimelineEvent::parse(it.toString().toStdString()));
     if (FLAGS_html.empty()) {
         for (const tools::TimelineEvent &it : events)
@@ -281,7 +305,8 @@
     return flag.empty() && value ? value : flag;
 }
 
-int runCommand(tools::AdminClient &admin, const std::string &command, const std::string &argument)
+int runCommand(tools::AdminClient &admin, const std::string &command, const std::string &argument,
+               const std::string &second)
 {
     if (command == "publish")
         return publish(admin);
@@ -296,7 +321,7 @@
     if (command == "timeline")
         return timeline(admin);
     const bool takesArgument = command == "grant" || command == "withdraw-key" || command == "drain"
-        || command == "withdraw" || command == "activate";
+        || command == "withdraw" || command == "activate" || command == "pin-role";
     if (!takesArgument || argument.empty()) {
         return report(absl::InvalidArgumentError(
             takesArgument ? core::concat("'", command, "' needs an argument; see --help")
@@ -304,6 +329,8 @@
     }
     if (command == "grant")
         return grant(admin, argument);
+    if (command == "pin-role")
+        return pinRole(admin, argument, second);
     if (command == "withdraw-key")
         return withdrawKey(admin, argument);
     if (command == "drain")
@@ -334,5 +361,5 @@
     const wire::CoroutineScope scope;
     wire::IoContext context{*io.provider, *io.lowLevelProvider, io.provider->getTimer()};
     tools::AdminClient admin(context, io.waitScope, entry, token);
-    return runCommand(admin, argv[1], argc > 2 ? argv[2] : "");
+    return runCommand(admin, argv[1], argc > 2 ? argv[2] : "", argc > 3 ? argv[3] : "");
 }
--- a/tools/jujubectl/shardeditor.cpp
+++ b/tools/jujubectl/shardeditor.cpp
@@ -30,6 +30,18 @@
     return table ? (*table)[key].value_or(std::string()) : std::string();
 }
 
+// The table that holds the wish for one endpoint; a new one asks for nothing special.
+toml::table &wishOf(toml::table &root, const std::string &vm)
+{
+    toml::array &engines = arrayOf(root, "engine");
+    for (toml::node &it : engines) {
+        if (memberText(it, "vm") == vm)
+            return *it.as_table();
+    }
+    engines.push_back(toml::table {{"vm", vm}, {"intent", "active"}});
+    return *engines.back().as_table();
+}
+
 } // namespace
 
 std::string addKey(const std::string &shard, const core::KeyRecord &record)
@@ -56,20 +68,21 @@
     return absl::NotFoundError(core::concat("no key with id '", keyId, "'"));
 }
 
-absl::StatusOr<std::string> setIntent(const std::string &shard, const std::string &vm,
-                                      core::EngineIntent intent)
+std::string setIntent(const std::string &shard, const std::string &vm, core::EngineIntent intent)
 {
     toml::table root = toml::parse(shard);
-    toml::array &engines = arrayOf(root, "engine");
-    for (auto it = engines.begin(); it != engines.end(); ++it) {
-        if (memberText(*it, "vm") == vm) {
-            engines.erase(it);
-            break;
-        }
-    }
-    if (intent != core::EngineIntent::Active)
-        engines.push_back(
-            toml::table{{"vm", vm}, {"intent", std::string(core::intentName(intent))}});
+    wishOf(root, vm).insert_or_assign("intent", std::string(core::intentName(intent)));
+    return toText(root);
+}
+
+std::string pinRole(const std::string &shard, const std::string &vm, const std::string &role)
+{
+    toml::table root = toml::parse(shard);
+    toml::table &wish = wishOf(root, vm);
+    if (role.empty())
+        wish.erase("role");
+    else
+        wish.insert_or_assign("role", role);
     return toText(root);
 }
 
--- a/tools/jujubectl/shardeditor.h
+++ b/tools/jujubectl/shardeditor.h
@@ -18,9 +18,11 @@
 /** Removes a key's record. NotFound if there is none with this id. */
 absl::StatusOr<std::string> removeKey(const std::string &shard, const std::string &keyId);
 
-/** Sets the intent of an endpoint in the text of the engines shard. */
-absl::StatusOr<std::string> setIntent(const std::string &shard, const std::string &vm,
-                                      core::EngineIntent intent);
+/** Sets the intent of an endpoint in the text of the engines shard; a pinned role stays. */
+std::string setIntent(const std::string &shard, const std::string &vm, core::EngineIntent intent);
+
+/** Fixes an endpoint's role, or leaves it to the planner again when \a role is empty. */
+std::string pinRole(const std::string &shard, const std::string &vm, const std::string &role);
 
 /** Line-by-line difference: lines of \a before marked "- ", of \a after "+ ", common ones "  ". */
 std::string lineDiff(const std::string &before, const std::string &after);
