--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -1,6 +1,6 @@
 # Functions that start and stop the demo fleet; sourced by scripts/demo and scripts/faults.
 # Expects the working directory to be the root of the repository. Everything the fleet writes goes
-# to $RUN, and the PID of each process is in PIDS by name.
+# to $RUN; the PID of each process is in $RUN/pids by name.
 
 RUN=${RUN:-build/demo}
 BIN=${BIN:-build}
@@ -11,13 +11,12 @@
 ENTRY1=127.0.0.1:${PORTS}081
 ENTRY2=127.0.0.1:${PORTS}082
 OPERATOR_TOKEN=demo-operator-token
-declare -A PIDS
 
 start_process() { # NAME COMMAND...
     local name=$1
     shift
     "$@" >>"$RUN/$name.log" 2>&1 &
-    PIDS[$name]=$!
+    echo $! >"$RUN/pids/$name"
 }
 
 start_platform() { start_process platform "$BIN/fake-platform" --listen "$PLATFORM" --vm_lag_ms 1000; }
@@ -36,7 +35,8 @@
 start_entry() { start_process "entry$1" "$BIN/jujube-entry" --settings "$SETTINGS/entry$1.toml"; }
 
 prepare_settings() {
-    mkdir -p "$SETTINGS"
+    mkdir -p "$SETTINGS" "$RUN/pids"
+    rm -f "$RUN/pids"/*
     rm -f "$RUN"/*.log "$RUN"/*.jsonl
     for file in apps/demo/settings/*.toml; do
         sed "s/127.0.0.1:17/127.0.0.1:$PORTS/" "$file" >"$SETTINGS/$(basename "$file")"
@@ -99,7 +99,7 @@
         echo "KEY_TEAM_A=$KEY_TEAM_A"
         echo "KEY_TEAM_B=$KEY_TEAM_B"
         echo "OPERATOR_TOKEN=$OPERATOR_TOKEN"
-        for name in "${!PIDS[@]}"; do echo "PID_${name^^}=${PIDS[$name]}"; done | sort
+        for name in $(process_names); do echo "PID_${name^^}=$(process_pid "$name")"; done
     } >"$RUN/env"
 }
 
@@ -110,25 +110,30 @@
     for i in 1 2; do curl -s "http://127.0.0.1:${PORTS}40$i/history" >"$RUN/service$i.jsonl"; done
 }
 
+process_names() { ls "$RUN/pids" 2>/dev/null || true; }
+process_pid() { cat "$RUN/pids/$1"; }
+process_alive() { kill -0 "$(process_pid "$1")" 2>/dev/null; }
 signal_process() { # SIGNAL NAME
-    kill "-$1" "${PIDS[$2]}" 2>/dev/null || true
+    kill "-$1" "$(process_pid "$2")" 2>/dev/null || true
 }
 
+# Stops what is left: the system's processes gracefully while the platform still answers.
 stop_fleet() {
-    local pids=("${PIDS[@]}")
-    [ ${#pids[@]} -gt 0 ] || return 0
-    # The system's processes stop gracefully while the platform still answers.
-    for name in "${!PIDS[@]}"; do
-        case $name in entry* | agent*) signal_process CONT "$name" && signal_process TERM "$name" ;; esac
+    local name until=$((SECONDS + 20))
+    for name in $(process_names); do
+        case $name in entry* | agent*)
+            signal_process CONT "$name"
+            signal_process TERM "$name"
+            ;;
+        esac
     done
-    local until=$((SECONDS + 20))
-    for name in "${!PIDS[@]}"; do
-        case $name in
-        entry* | agent*)
-            while kill -0 "${PIDS[$name]}" 2>/dev/null && [ $SECONDS -lt $until ]; do sleep 0.1; done
+    for name in $(process_names); do
+        case $name in entry* | agent*)
+            while process_alive "$name" && [ $SECONDS -lt $until ]; do sleep 0.1; done
             ;;
         esac
     done
-    kill -KILL "${pids[@]}" 2>/dev/null || true
+    for name in $(process_names); do signal_process KILL "$name"; done
     wait 2>/dev/null || true
+    rm -f "$RUN/pids"/*
 }
--- a/src/entry/requestsession.cpp
+++ b/src/entry/requestsession.cpp
@@ -149,7 +149,7 @@
         return nullptr;
     const auto &link = links[decision->index];
     if (views[decision->index].probing)
-        link->health().startProbe();
+        link->health().startProbe(now);
     const uint32_t uncached =
         route.promptTokens - std::min(decision->cachedTokens, route.promptTokens);
     link->noteSent(uncached, route.outputTokens);
--- a/src/policy/fairqueue.cpp
+++ b/src/policy/fairqueue.cpp
@@ -138,7 +138,8 @@
     for (const auto &[name, team] : m_teams) {
         if (name == work.team) {
             for (const QueuedWork &it : team.work) {
-                if (Order()(it, work))
+                // Equals that came earlier go first as well.
+                if (!Order()(work, it))
                     ahead += it.cost;
             }
             continue;
--- a/src/policy/outlierdetector.cpp
+++ b/src/policy/outlierdetector.cpp
@@ -18,14 +18,15 @@
 {
     if (!m_ejected)
         return State::Healthy;
-    if (m_probing)
+    if (m_probing && now - m_probeSent < m_settings.probeLimit)
         return State::Probing;
     return now < m_until ? State::Ejected : State::ProbeDue;
 }
 
-void OutlierDetector::startProbe()
+void OutlierDetector::startProbe(core::TimePoint now)
 {
     m_probing = true;
+    m_probeSent = now;
 }
 
 void OutlierDetector::noteSuccess()
--- a/src/policy/outlierdetector.h
+++ b/src/policy/outlierdetector.h
@@ -14,6 +14,7 @@
 {
     uint32_t failuresToEject = 3; ///< Consecutive failures.
     core::Milliseconds firstEjection{1'000};
+    core::Milliseconds probeLimit{20'000}; ///< A probe without a result counts as lost after it.
     core::Milliseconds longestEjection{30'000};
 };
 
@@ -31,7 +32,7 @@
 
     State state(core::TimePoint now) const;
     /** Marks the probe as sent, so that no second one goes out beside it. */
-    void startProbe();
+    void startProbe(core::TimePoint now);
     void noteSuccess();
     void noteFailure(core::TimePoint now);
 
@@ -42,6 +43,7 @@
     bool m_ejected = false;
     bool m_probing = false;
     core::TimePoint m_until{};
+    core::TimePoint m_probeSent{};
 };
 
 } // namespace jujube::policy
--- a/src/wire/httpserver.cpp
+++ b/src/wire/httpserver.cpp
@@ -326,7 +326,7 @@
         m_responder.writeHeader(bytes(header.name), bytes(header.value));
     m_responder.writeHeader("Content-Length", QByteArray::number(qulonglong(response.body.size())));
     m_responder.writeBody(bytes(response.body));
-    m_state = State::Ended;
+    conclude();
 }
 
 void Exchange::begin(int status, const std::string &contentType)
@@ -357,12 +357,20 @@
     if (m_state != State::Streaming || !m_socket)
         return;
     m_responder.writeBody(QByteArray("0\r\n\r\n"));
+    conclude();
+}
+
+// The callback refers to the request's session, which refers to this object: without dropping it
+// here the three would keep each other alive for good.
+void Exchange::conclude()
+{
     m_state = State::Ended;
+    m_onDisconnect = nullptr;
 }
 
 void Exchange::abort()
 {
-    m_state = State::Ended;
+    conclude();
     if (m_socket)
         m_socket->abort();
 }
@@ -379,6 +387,8 @@
 
 void Exchange::onDisconnect(std::function<void()> callback)
 {
+    if (m_state == State::Ended)
+        return;
     if (!connected()) {
         callback();
         return;
--- a/src/wire/httpserver.h
+++ b/src/wire/httpserver.h
@@ -87,6 +87,7 @@
 
     Exchange(QHttpServerResponder responder, QTcpSocket *socket);
     ~Exchange();
+    void conclude();
 
     QHttpServerResponder m_responder;
     QPointer<QTcpSocket> m_socket;
--- /dev/null
+++ b/test/correctness/endpointgate.cpp
@@ -0,0 +1,166 @@
+/** \file
+ * Tests that the gate runs a request id at most once and bars ids that were declared not run.
+ */
+
+#include "agent/endpointgate.h"
+#include "support/loop.h"
+#include "support/scriptedserver.h"
+
+#include <criterion/criterion.h>
+
+using namespace jujube;
+using namespace std::chrono_literals;
+using wire::Progress;
+
+namespace {
+
+constexpr uint64_t Incarnation = 77;
+
+// A gate in front of a service whose answers the test scripts.
+struct Fixture
+{
+    explicit Fixture(wire::HttpServer::Handler handler)
+        : server(std::move(handler)),
+          http(loop.io()),
+          kv(http, "127.0.0.1:9", 100ms),
+          ledger(kv, "main", platform::UsageSide::Agent, Incarnation),
+          engine(http, server.address()),
+          gate(loop.io(), engine, ledger, settings(), Incarnation)
+    {
+        agent::EngineState state;
+        state.ready = true;
+        gate.setEngineState(state);
+        gate.start();
+    }
+
+    static agent::GateSettings settings()
+    {
+        agent::GateSettings it;
+        it.kind = core::WorkKind::Service;
+        it.serviceSlots = 1;
+        return it;
+    }
+
+    wire::WorkMessage work(const std::string &id) const
+    {
+        wire::WorkMessage it;
+        it.requestId = id;
+        it.incarnation = Incarnation;
+        it.team = "team";
+        it.kind = core::WorkKind::Service;
+        it.timeLeft = 5s;
+        it.method = "POST";
+        it.path = "/" + id;
+        return it;
+    }
+
+    wire::ChunkMessage fetchEnd(const std::string &id)
+    {
+        wire::ChunkMessage chunk;
+        do {
+            chunk = loop.wait(gate.fetch(id, 0, 200ms));
+        } while (chunk.progress == Progress::QUEUED || chunk.progress == Progress::STARTED);
+        return chunk;
+    }
+
+    test::Loop loop;
+    test::ScriptedServer server;
+    wire::HttpClient http;
+    platform::KvClient kv;
+    platform::UsageLedger ledger;
+    agent::EngineClient engine;
+    agent::EndpointGate gate;
+};
+
+void answerOk(const wire::IncomingRequest & /*request*/,
+              const std::shared_ptr<wire::Exchange> &exchange)
+{
+    exchange->send({200, "text/plain", {}, "done"});
+}
+
+} // namespace
+
+Test(endpointgate, a_doubled_submission_runs_once)
+{
+    Fixture fixture(answerOk);
+    cr_assert(fixture.gate.submit(fixture.work("r1")).accepted);
+    cr_assert(fixture.gate.submit(fixture.work("r1")).accepted);
+    const auto end = fixture.fetchEnd("r1");
+    cr_assert(end.outcome == core::Outcome::Whole);
+    cr_assert_eq(end.data, "done");
+    cr_assert(fixture.gate.submit(fixture.work("r1")).accepted);
+    fixture.loop.runFor(50ms);
+    cr_assert_eq(fixture.server.received().size(), 1U);
+}
+
+Test(endpointgate, an_id_declared_not_run_never_runs)
+{
+    Fixture fixture(answerOk);
+    cr_assert(fixture.gate.resolve("late") == Progress::TOMBSTONE);
+    // The submission that was on its way arrives after all.
+    cr_assert_not(fixture.gate.submit(fixture.work("late")).accepted);
+    fixture.loop.runFor(50ms);
+    cr_assert(fixture.server.received().empty());
+}
+
+Test(endpointgate, a_started_request_is_not_declared_not_run)
+{
+    std::vector<std::shared_ptr<wire::Exchange>> kept;
+    Fixture fixture([&kept](const auto &, const auto &exchange) { kept.push_back(exchange); });
+    fixture.gate.submit(fixture.work("r1"));
+    cr_assert(fixture.gate.resolve("r1") == Progress::STARTED);
+    cr_assert_not(fixture.gate.cancel("r1", true), "running work is not queued work");
+}
+
+Test(endpointgate, a_request_for_another_incarnation_is_refused)
+{
+    Fixture fixture(answerOk);
+    auto work = fixture.work("r1");
+    work.incarnation = Incarnation + 1;
+    const auto reply = fixture.gate.submit(work);
+    cr_assert_not(reply.accepted);
+    cr_assert_not(reply.incarnationMatches);
+}
+
+Test(endpointgate, a_lost_answer_of_an_unrepeatable_call_is_unknown)
+{
+    Fixture fixture([](const auto &, const auto &exchange) { exchange->abort(); });
+    fixture.gate.submit(fixture.work("r1"));
+    cr_assert(fixture.fetchEnd("r1").outcome == core::Outcome::Unknown);
+    auto repeatable = fixture.work("r2");
+    repeatable.idempotent = true;
+    fixture.gate.submit(repeatable);
+    cr_assert(fixture.fetchEnd("r2").outcome == core::Outcome::Failed);
+}
+
+Test(endpointgate, closing_refuses_new_work_and_runs_what_was_accepted)
+{
+    Fixture fixture(answerOk);
+    fixture.gate.submit(fixture.work("first"));
+    fixture.gate.submit(fixture.work("second"));
+    fixture.gate.setClosure(agent::EndpointGate::Closure::Draining);
+    cr_assert_not(fixture.gate.submit(fixture.work("third")).accepted);
+    cr_assert(fixture.fetchEnd("first").outcome == core::Outcome::Whole);
+    cr_assert(fixture.fetchEnd("second").outcome == core::Outcome::Whole);
+    fixture.loop.runFor(50ms);
+    cr_assert(fixture.gate.idle());
+    cr_assert(fixture.gate.load().leaving);
+}
+
+Test(endpointgate, a_process_that_is_stopping_never_opens_again)
+{
+    Fixture fixture(answerOk);
+    fixture.gate.setClosure(agent::EndpointGate::Closure::Stopping);
+    fixture.gate.setClosure(agent::EndpointGate::Closure::Open);
+    cr_assert_not(fixture.gate.submit(fixture.work("r1")).accepted);
+}
+
+Test(endpointgate, a_withdrawn_key_stops_queued_work)
+{
+    std::vector<std::shared_ptr<wire::Exchange>> kept;
+    Fixture fixture([&kept](const auto &, const auto &exchange) { kept.push_back(exchange); });
+    fixture.gate.submit(fixture.work("running"));
+    fixture.gate.submit(fixture.work("queued"));
+    cr_assert(fixture.gate.cancel("queued", true));
+    cr_assert(fixture.fetchEnd("queued").outcome == core::Outcome::NotRun);
+}
--- /dev/null
+++ b/test/correctness/plan.cpp
@@ -0,0 +1,50 @@
+/** \file
+ * Tests that order numbers grow with every change and every term, and survive storage.
+ */
+
+#include "platform/plan.h"
+
+#include <criterion/criterion.h>
+
+using namespace jujube;
+using platform::OrderNumber;
+using platform::Plan;
+
+Test(plan, an_endpoint_gets_a_new_number_only_when_it_changes)
+{
+    Plan plan;
+    plan.term = 3;
+    cr_assert(plan.setEndpoint("vm", core::Role::Mixed, core::EngineIntent::Active));
+    const OrderNumber first = plan.endpoints["vm"].number;
+    cr_assert_not(plan.setEndpoint("vm", core::Role::Mixed, core::EngineIntent::Active));
+    cr_assert(plan.endpoints["vm"].number == first);
+    cr_assert(plan.setEndpoint("vm", core::Role::Decode, core::EngineIntent::Active));
+    cr_assert(first < plan.endpoints["vm"].number);
+}
+
+Test(plan, a_new_term_outranks_every_sequence_of_the_old_one)
+{
+    cr_assert((OrderNumber{2, 999} < OrderNumber{3, 0}));
+}
+
+Test(plan, storage_keeps_everything)
+{
+    Plan plan;
+    plan.term = 5;
+    plan.holder = "entry1";
+    plan.writeNumber = 8;
+    plan.setEndpoint("vm", core::Role::Prefill, core::EngineIntent::Withdrawn);
+    plan.fleetOrders.push_back({"remove-vm-1", platform::FleetAction::Remove, "domain-1", "vm",
+                                platform::FleetOrderState::Intended, 42});
+    const auto read = Plan::parse(plan.serialize());
+    cr_assert(read.ok());
+    cr_assert_eq(read->serialize(), plan.serialize());
+    cr_assert(read->endpoints.at("vm").role == core::Role::Prefill);
+    cr_assert(read->fleetOrders.at(0).state == platform::FleetOrderState::Intended);
+}
+
+Test(plan, an_unreadable_value_is_an_error_and_not_an_empty_plan)
+{
+    cr_assert_not(Plan::parse("{broken").ok());
+    cr_assert(Plan::parse("").ok());
+}
--- /dev/null
+++ b/test/support/scriptedserver.h
@@ -0,0 +1,32 @@
+#pragma once
+
+/** \file
+ * Defines an HTTP server for tests whose answers the test scripts.
+ */
+
+#include "wire/httpserver.h"
+
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace jujube::test {
+
+/** Serves a handler on a free port of the loopback address and remembers what arrived. */
+class ScriptedServer
+{
+public:
+    explicit ScriptedServer(wire::HttpServer::Handler handler, wire::HttpServerLimits limits = {});
+
+    std::string address() const;
+    /** Paths of the requests received so far, in order. */
+    std::vector<std::string> received() const;
+
+private:
+    mutable std::mutex m_mutex;
+    std::vector<std::string> m_received;
+    std::unique_ptr<wire::HttpServer> m_server;
+};
+
+} // namespace jujube::test
--- a/tools/jujubecheck/checks.cpp
+++ b/tools/jujubecheck/checks.cpp
@@ -30,15 +30,15 @@
 struct Downtime
 {
     std::string process;
-    Instant from {};
-    Instant to {};
+    Instant from{};
+    Instant to{};
 };
 
 std::vector<Downtime> downtimes(const History &history)
 {
-    const std::set<std::string> begins {"kill", "stop", "term", "kv-outage", "kv-delay",
-                                        "kv-lose-answers", "silence", "partition"};
-    const std::set<std::string> ends {"start", "continue", "kv-up", "partition-end"};
+    const std::set<std::string> begins{
+        "kill", "stop", "term", "kv-outage", "kv-delay", "kv-lose-answers", "silence", "partition"};
+    const std::set<std::string> ends{"start", "continue", "kv-up", "partition-end"};
     std::vector<Downtime> result;
     std::map<std::string, Instant> open;
     for (const Operation &it : history.operations) {
@@ -62,23 +62,70 @@
     });
 }
 
+// Time in which a fault excuses requests that are not answered whole.
+struct FaultSpan
+{
+    Instant from{};
+    Instant to{};
+};
+
+bool closeTo(const FaultSpan &a, const FaultSpan &b)
+{
+    return b.to == Instant::max() || a.from <= b.to + Instant(10s);
+}
+
+// Planned changes excuse nothing. A fault lasts until it is lifted and then for the recovery time
+// of a single fault, or of a pair when another fault is near.
+std::vector<FaultSpan> faultSpans(const History &history)
+{
+    constexpr Instant single = 5s;
+    constexpr Instant pair = 10s;
+    const std::set<std::string> lasting{"kill", "stop", "kv-outage", "kv-delay", "kv-lose-answers"};
+    const std::set<std::string> momentary{"silence", "crash"};
+    const std::set<std::string> lifting{"start", "continue", "kv-up"};
+    std::vector<FaultSpan> spans;
+    std::map<std::string, size_t> open;
+    for (const Operation &it : history.operations) {
+        if (lasting.contains(it.name)) {
+            open[it.target] = spans.size();
+            spans.push_back({it.at, Instant::max()});
+        } else if (momentary.contains(it.name)) {
+            spans.push_back({it.at, it.at});
+        } else if (lifting.contains(it.name) && open.contains(it.target)) {
+            spans[open[it.target]].to = it.at;
+            open.erase(it.target);
+        }
+    }
+    std::vector<FaultSpan> result;
+    for (const FaultSpan &it : spans) {
+        const bool near = std::any_of(spans.begin(), spans.end(), [&](const FaultSpan &other) {
+            return &other != &it && closeTo(other, it) && closeTo(it, other);
+        });
+        const Instant allowance = near ? pair : single;
+        const bool endless = it.to == Instant::max();
+        result.push_back({it.from, endless ? it.to : it.to + allowance});
+    }
+    return result;
+}
+
 // "127.0.0.1:17081" is the address of entry1.
 std::string entryName(const std::string &address)
 {
-    return address.empty() ? std::string() : core::concat("entry", address.substr(address.size() - 1));
+    return address.empty() ? std::string()
+                           : core::concat("entry", address.substr(address.size() - 1));
 }
 
 } // namespace
 
 CheckResult checkEngineOrders(const History &history)
 {
-    CheckResult result {"an engine never receives conflicting orders", 0, {}};
+    CheckResult result{"an engine never receives conflicting orders", 0, {}};
     std::map<std::string, std::pair<uint64_t, uint64_t>> last;
     for (const EngineOrder &it : history.engineOrders) {
         if (it.refused)
             continue;
         ++result.examined;
-        const std::pair number {it.term, it.sequence};
+        const std::pair number{it.term, it.sequence};
         const auto [known, isNew] = last.try_emplace(it.vm, number);
         if (!isNew && number < known->second) {
             result.breaches.push_back(core::concat(it.vm, " got order ", it.term, ".", it.sequence,
@@ -96,10 +143,10 @@
 
 CheckResult checkOrderAuthority(const History &history)
 {
-    CheckResult result {"orders from lost authority have no effect", 0, {}};
+    CheckResult result{"orders from lost authority have no effect", 0, {}};
     struct Planned
     {
-        Instant at {};
+        Instant at{};
         uint64_t term = 0;
         uint64_t sequence = 0;
     };
@@ -120,7 +167,7 @@
         for (auto vm = endpoints.begin(); vm != endpoints.end(); ++vm) {
             const QJsonObject wanted = vm.value().toObject();
             plans[vm.key().toStdString()].push_back(
-                    {it.at, wire::numberAt(wanted, "term"), wire::numberAt(wanted, "sequence")});
+                {it.at, wire::numberAt(wanted, "term"), wire::numberAt(wanted, "sequence")});
         }
     }
     for (const EngineOrder &order : history.engineOrders) {
@@ -132,14 +179,14 @@
         for (size_t i = 0; i < plan.size(); ++i) {
             const Instant until = i + 1 < plan.size() ? plan[i + 1].at : Instant::max();
             const bool inForce = plan[i].at <= order.at
-                    && (until == Instant::max() || order.at <= until + OrderInFlight);
+                && (until == Instant::max() || order.at <= until + OrderInFlight);
             wanted = wanted
-                    || (inForce && plan[i].term == order.term && plan[i].sequence == order.sequence);
+                || (inForce && plan[i].term == order.term && plan[i].sequence == order.sequence);
         }
         if (!wanted) {
-            result.breaches.push_back(core::concat(order.vm, " carried out ", order.term, ".",
-                                                   order.sequence, ", which no plan in force asked ",
-                                                   when(order.at)));
+            result.breaches.push_back(
+                core::concat(order.vm, " carried out ", order.term, ".", order.sequence,
+                             ", which no plan in force asked ", when(order.at)));
         }
     }
     return result;
@@ -147,7 +194,7 @@
 
 CheckResult checkPlannedChanges(const History &history)
 {
-    CheckResult result {"no request is cut by a planned change", 0, {}};
+    CheckResult result{"no request is cut by a planned change", 0, {}};
     for (const EngineOrder &it : history.engineOrders) {
         if (it.refused)
             continue;
@@ -178,7 +225,7 @@
 
 CheckResult checkFleetOrders(const History &history)
 {
-    CheckResult result {"endpoint orders come from one process at a time", 0, {}};
+    CheckResult result{"endpoint orders come from one process at a time", 0, {}};
     std::set<std::string> seen;
     uint64_t lastTerm = 0;
     for (const FleetOrderRecord &it : history.fleetOrders) {
@@ -195,7 +242,7 @@
 
 CheckResult checkReports(const History &history)
 {
-    CheckResult result {"no usage window is reported twice with different figures", 0, {}};
+    CheckResult result{"no usage window is reported twice with different figures", 0, {}};
     std::map<std::pair<std::string, uint64_t>, ReportRecord> first;
     uint64_t lastTerm = 0;
     for (const ReportRecord &it : history.reports) {
@@ -203,13 +250,13 @@
         const auto [known, isNew] = first.try_emplace({it.team, it.window}, it);
         const ReportRecord &before = known->second;
         const bool same = std::tie(before.requests, before.promptTokens, before.outputTokens)
-                == std::tie(it.requests, it.promptTokens, it.outputTokens);
+            == std::tie(it.requests, it.promptTokens, it.outputTokens);
         if (!same)
             result.breaches.push_back(core::concat("team ", it.team, " window ", it.window,
                                                    " was reported with different figures"));
         if (it.term < lastTerm)
-            result.breaches.push_back(core::concat("a report of term ", it.term,
-                                                   " came after term ", lastTerm, " ", when(it.at)));
+            result.breaches.push_back(core::concat(
+                "a report of term ", it.term, " came after term ", lastTerm, " ", when(it.at)));
         lastTerm = std::max(lastTerm, it.term);
     }
     return result;
@@ -217,7 +264,7 @@
 
 CheckResult checkUsageSum(const History &history)
 {
-    CheckResult result {"usage bills are right", 0, {}};
+    CheckResult result{"usage bills are right", 0, {}};
     uint64_t reportedPrompt = 0;
     uint64_t reportedOutput = 0;
     std::set<std::pair<std::string, uint64_t>> counted;
@@ -245,8 +292,8 @@
     const auto within = [&result](const std::string &what, uint64_t low, uint64_t value,
                                   uint64_t high) {
         if (value < low || value > high)
-            result.breaches.push_back(core::concat(what, ": reported ", value,
-                                                   ", answered whole ", low, ", produced ", high));
+            result.breaches.push_back(core::concat(what, ": reported ", value, ", answered whole ",
+                                                   low, ", produced ", high));
     };
     within("prompt tokens", wholePrompt, reportedPrompt, enginePrompt);
     within("output tokens", wholeOutput, reportedOutput, engineOutput);
@@ -255,7 +302,7 @@
 
 CheckResult checkWholeAnswers(const History &history)
 {
-    CheckResult result {"a caller gets the whole answer to its own request", 0, {}};
+    CheckResult result{"a caller gets the whole answer to its own request", 0, {}};
     for (const CallResult &it : history.calls) {
         if (it.outcome != "whole")
             continue;
@@ -269,7 +316,7 @@
 
 CheckResult checkNotRun(const History &history)
 {
-    CheckResult result {"a refusal that says \"not run\" is true", 0, {}};
+    CheckResult result{"a refusal that says \"not run\" is true", 0, {}};
     std::map<std::string, int> runs;
     for (const ServiceRun &it : history.serviceRuns)
         ++runs[it.body];
@@ -286,7 +333,7 @@
 
 CheckResult checkAtMostOnce(const History &history)
 {
-    CheckResult result {"a non-idempotent request runs at most once", 0, {}};
+    CheckResult result{"a non-idempotent request runs at most once", 0, {}};
     std::map<std::string, int> runs;
     for (const ServiceRun &it : history.serviceRuns) {
         if (it.method != "GET")
@@ -307,7 +354,7 @@
 
 CheckResult checkKeys(const History &history)
 {
-    CheckResult result {"keys stay inside and stop working when withdrawn", 0, {}};
+    CheckResult result{"keys stay inside and stop working when withdrawn", 0, {}};
     std::map<std::string, Instant> withdrawn;
     for (const Operation &it : history.operations) {
         if (it.name == "withdraw-key")
@@ -324,10 +371,9 @@
             result.breaches.push_back(core::concat(it.vm, " was shown a key"));
         const auto key = withdrawn.find(teamOf[it.requestId]);
         if (key != withdrawn.end() && it.start > key->second + Within)
-            result.breaches.push_back(core::concat("request ", it.requestId, " of team ", key->first,
-                                                   " started ",
-                                                   (it.start - key->second).count() / 1'000,
-                                                   " ms after its key was withdrawn"));
+            result.breaches.push_back(core::concat(
+                "request ", it.requestId, " of team ", key->first, " started ",
+                (it.start - key->second).count() / 1'000, " ms after its key was withdrawn"));
     }
     for (const ServiceRun &it : history.serviceRuns) {
         ++result.examined;
@@ -345,7 +391,7 @@
 
 CheckResult checkLeaving(const History &history)
 {
-    CheckResult result {"a leaving endpoint gets no new work after five seconds", 0, {}};
+    CheckResult result{"a leaving endpoint gets no new work after five seconds", 0, {}};
     std::map<std::string, std::vector<std::pair<Instant, Instant>>> leaving;
     for (const Operation &it : history.operations) {
         if (it.name == "drain" || it.name == "withdraw")
@@ -357,7 +403,8 @@
         for (const auto &[from, to] : leaving[vm]) {
             ++result.examined;
             if (at > from && at < to)
-                result.breaches.push_back(core::concat(vm, " got ", what, " while leaving ", when(at)));
+                result.breaches.push_back(
+                    core::concat(vm, " got ", what, " while leaving ", when(at)));
         }
     };
     for (const EngineRun &it : history.engineRuns)
@@ -369,7 +416,7 @@
 
 CheckResult checkConfiguration(const History &history)
 {
-    CheckResult result {"an accepted configuration is in force within seconds and stays", 0, {}};
+    CheckResult result{"an accepted configuration is in force within seconds and stays", 0, {}};
     std::map<std::string, std::vector<std::pair<Instant, uint64_t>>> applied;
     for (const ProcessEvent &it : history.events) {
         if (it.name != "configuration.applied")
@@ -383,7 +430,7 @@
         versions.emplace_back(it.at, version);
     }
     const std::vector<Downtime> down = downtimes(history);
-    Instant lastEvent {};
+    Instant lastEvent{};
     for (const ProcessEvent &it : history.events)
         lastEvent = std::max(lastEvent, it.at);
     for (const KvChange &change : history.kvChanges) {
@@ -404,12 +451,39 @@
     return result;
 }
 
+CheckResult checkRecovery(const History &history)
+{
+    CheckResult result{"service is whole again within seconds of a fault", 0, {}};
+    const std::vector<FaultSpan> spans = faultSpans(history);
+    std::map<std::string, Instant> withdrawn;
+    for (const Operation &it : history.operations) {
+        if (it.name == "withdraw-key")
+            withdrawn[it.target] = it.at;
+    }
+    for (const CallResult &call : history.calls) {
+        const auto key = withdrawn.find(call.team);
+        const bool keyGone = key != withdrawn.end() && call.end >= key->second;
+        ++result.examined;
+        if (call.outcome == "whole" || keyGone)
+            continue;
+        const bool explained = std::any_of(spans.begin(), spans.end(), [&](const FaultSpan &it) {
+            return it.from <= call.end && call.start <= it.to;
+        });
+        if (!explained)
+            result.breaches.push_back(core::concat("call ", call.number, " to ", call.target,
+                                                   " ended ", call.outcome, " (", call.code,
+                                                   ") with no fault near ", when(call.start)));
+    }
+    return result;
+}
+
 std::vector<CheckResult> checkAll(const History &history)
 {
     return {checkEngineOrders(history), checkOrderAuthority(history), checkPlannedChanges(history),
             checkFleetOrders(history),  checkReports(history),        checkUsageSum(history),
             checkWholeAnswers(history), checkNotRun(history),         checkAtMostOnce(history),
-            checkKeys(history),         checkLeaving(history),        checkConfiguration(history)};
+            checkKeys(history),         checkLeaving(history),        checkConfiguration(history),
+            checkRecovery(history)};
 }
 
 } // namespace jujube::check
--- a/tools/jujubecheck/checks.h
+++ b/tools/jujubecheck/checks.h
@@ -47,6 +47,9 @@
 /** An accepted configuration is in force within five seconds and never reverts. */
 CheckResult checkConfiguration(const History &history);
 
+/** Service is whole again within 5 s of a single fault, and within 10 s of a pair. */
+CheckResult checkRecovery(const History &history);
+
 /** All of them. */
 std::vector<CheckResult> checkAll(const History &history);
 
