Dispatcher shared by agent and replay; the replay with baselines and bound

Cause: the decisions need a measure. The agent's queueing, starting order and learned rates are now one object without I/O that the replay drives too.

--- a/src/agent/endpointgate.cpp
+++ b/src/agent/endpointgate.cpp
@@ -15,17 +15,27 @@
 // Bound on a piece of a service's answer. Pieces of language answers are not cut: the token count
 // sent along has to match their bytes.
 constexpr size_t MaxServiceChunkBytes = 1UL << 20U;
-// A decode token occupies a batch slot for a whole step, a prefill token only a share of one.
-constexpr double OutputTokenCost = 4.0;
-constexpr double ServiceCallCost = 1.0;
-// Until rates are learned nothing is refused for its predicted wait.
-constexpr double UnknownCostRate = 1e9;
-
 std::string teamLabel(const std::string &team)
 {
     return core::concat("team=\"", team, "\"");
 }
 
+policy::WorkShape shapeOf(const wire::WorkMessage &message)
+{
+    policy::WorkShape shape;
+    shape.id = message.requestId;
+    shape.team = message.team;
+    shape.kind = message.kind;
+    shape.weight = message.weight;
+    shape.priority = message.priority;
+    shape.promptTokens = core::tokenCount(message.prompt);
+    shape.outputTokens = message.maxTokens - message.resumeTokens;
+    shape.prefixBlocks = policy::prefixBlocks(message.prompt);
+    shape.timeLeft = message.timeLeft;
+    shape.firstTokenObjective = message.firstTokenObjective;
+    return shape;
+}
+
 core::Milliseconds between(core::TimePoint from, core::TimePoint to)
 {
     return std::chrono::duration_cast<core::Milliseconds>(to - from);
@@ -44,9 +54,7 @@
     core::TimePoint acceptedAt{};
     core::TimePoint deadline{};
     core::TimePoint startedAt{};
-    core::TimePoint firstTokenAt{};
     core::TimePoint finishedAt{};
-    double cost = 0;
     uint32_t produced = 0; ///< Output tokens of this attempt.
     core::Usage usage;
     uint32_t status = 0;
@@ -64,7 +72,7 @@
       m_ledger(ledger),
       m_settings(settings),
       m_incarnation(incarnation),
-      m_queue(policy::FairQueueSettings{})
+      m_dispatcher(policy::DispatcherSettings {})
 {
 }
 
@@ -98,40 +106,22 @@
     }
 
     const core::TimePoint now = core::BootClock::now();
-    auto work = std::make_shared<Work>();
-    work->message = message;
-    work->acceptedAt = now;
-    work->deadline = now + message.timeLeft;
-    work->cost = costOf(message);
-    const double decodeRate = m_rates.decodeRate();
-    const double decodeSeconds =
-        decodeRate > 0 ? (message.maxTokens - message.resumeTokens) / decodeRate : 0;
-    policy::QueuedWork queued;
-    queued.id = message.requestId;
-    queued.team = message.team;
-    queued.weight = message.weight;
-    queued.cost = work->cost;
-    queued.priority = message.priority;
-    queued.queuedAt = now;
-    queued.startBy = work->deadline
-        - std::min(core::Milliseconds(static_cast<int64_t>(decodeSeconds * 1'000)),
-                   message.timeLeft * 9 / 10);
-    const double costRate = m_rates.costRate() > 0 ? m_rates.costRate() : UnknownCostRate;
-    const policy::Admission admission = m_queue.offer(queued, now, costRate);
+    const policy::Admission admission = m_dispatcher.offer(shapeOf(message), now);
     if (!admission.accepted) {
-        ++m_unmetDeadlines;
         core::countMetric("jujube_refused_total", teamLabel(message.team));
         core::Event("request.refused")
-            .with("request", message.requestId)
-            .with("team", message.team)
-            .with("expected_wait_ms", admission.expectedWait.count());
+                .with("request", message.requestId)
+                .with("team", message.team)
+                .with("expected_wait_ms", admission.expectedWait.count());
         reply.message = "it would not start within its deadline";
         reply.retryAfter = admission.retryAfter;
         return reply;
     }
+    auto work = std::make_shared<Work>();
+    work->message = message;
+    work->acceptedAt = now;
+    work->deadline = now + message.timeLeft;
     m_works[message.requestId] = work;
-    m_queuedTokens += core::tokenCount(message.prompt);
-    m_outstandingOutput += message.maxTokens - message.resumeTokens;
     reply.accepted = true;
     pump();
     reply.load = load();
@@ -175,7 +165,7 @@
     if (!work || work->progress == wire::Progress::FINISHED)
         return false;
     if (work->progress == wire::Progress::QUEUED) {
-        m_queue.remove(requestId);
+        m_dispatcher.cancelQueued(requestId);
         finish(*work, core::Outcome::NotRun, "cancelled before it started");
         return true;
     }
@@ -191,22 +181,14 @@
 {
     core::LoadReport load;
     load.incarnation = m_incarnation;
-    load.queuedRequests = static_cast<uint32_t>(m_queue.size());
-    load.queuedTokens = m_queuedTokens;
-    load.running = m_running;
     load.slots = slots();
-    load.outstandingOutput = m_outstandingOutput;
-    load.prefillRate = m_rates.prefillRate();
-    load.decodeRate = m_rates.decodeRate();
+    m_dispatcher.fillReport(load, core::BootClock::now());
     load.freeKvPieces = m_engineState.freeKvPieces;
     load.role = m_engineState.role;
     load.ready = m_engineUp && m_closure == Closure::Open;
     load.leaving = m_closure == Closure::Draining || m_closure == Closure::Stopping;
     load.appliedTerm = m_applied.term;
     load.appliedSequence = m_applied.sequence;
-    if (const auto oldest = m_queue.oldest())
-        load.oldestQueued = between(*oldest, core::BootClock::now());
-    load.unmetDeadlines = m_unmetDeadlines;
     load.evidence = m_evidence;
     return load;
 }
@@ -222,7 +204,7 @@
 
 bool EndpointGate::idle() const
 {
-    return m_running == 0 && m_queue.empty();
+    return m_dispatcher.running() == 0 && m_dispatcher.queueEmpty();
 }
 
 size_t EndpointGate::unfetched() const
@@ -235,6 +217,8 @@
 
 void EndpointGate::setEngineState(const EngineState &state)
 {
+    if (state.role != m_engineState.role || (state.ready && !m_engineUp))
+        m_dispatcher.engineChanged();
     m_engineState = state;
     m_engineUp = state.ready;
     pump();
@@ -263,43 +247,30 @@
                                                       : std::max(m_engineState.slots, 1U);
 }
 
-double EndpointGate::costOf(const wire::WorkMessage &message) const
-{
-    if (message.kind == core::WorkKind::Service)
-        return ServiceCallCost;
-    return core::tokenCount(message.prompt)
-        + OutputTokenCost * (message.maxTokens - message.resumeTokens);
-}
-
 void EndpointGate::pump()
 {
     // Queued work was accepted before the gate closed, so a planned change still runs it.
-    while (m_engineUp && m_running < slots()) {
-        const auto next = m_queue.take();
+    while (m_engineUp) {
+        const auto next = m_dispatcher.startNext(core::BootClock::now(), slots());
         if (!next)
             return;
-        const auto it = m_works.find(next->id);
-        if (it == m_works.end())
-            continue;
-        ++m_running;
-        it->second->progress = wire::Progress::STARTED;
-        it->second->startedAt = core::BootClock::now();
-        m_queuedTokens -= core::tokenCount(it->second->message.prompt);
-        wire::coroutineTasks().add(run(it->second));
+        const std::shared_ptr<Work> work = m_works.at(*next);
+        work->progress = wire::Progress::STARTED;
+        work->startedAt = core::BootClock::now();
+        wire::coroutineTasks().add(run(work));
     }
 }
 
 wire::Task<void> EndpointGate::run(std::shared_ptr<Work> work)
 {
-    work->message.timeLeft =
-        std::max(core::Milliseconds(1), between(core::BootClock::now(), work->deadline));
+    work->message.timeLeft = std::max(core::Milliseconds(1),
+                                      between(core::BootClock::now(), work->deadline));
     if (m_settings.kind == core::WorkKind::Service)
         co_await runService(work);
     else
         co_await runLanguage(work);
-    --m_running;
-    m_rates.noteCost(work->cost * std::max(1U, slots()),
-                     between(work->startedAt, work->finishedAt));
+    m_dispatcher.noteEnd(work->message.requestId, work->outcome == core::Outcome::Whole,
+                         work->finishedAt);
     pump();
 }
 
@@ -309,10 +280,6 @@
         work->message, [this, work](const GeneratedPiece &piece) { notePiece(*work, piece); });
     if (end.ok() && end->whole) {
         work->usage.cachedTokens = end->usage.cachedTokens;
-        const uint64_t uncached = end->usage.promptTokens - end->usage.cachedTokens;
-        m_rates.notePrefill(uncached, between(work->startedAt, work->firstTokenAt));
-        m_rates.noteDecode(work->produced - std::min(work->produced, 1U),
-                           between(work->firstTokenAt, core::BootClock::now()));
         finish(*work, core::Outcome::Whole, {});
         co_return;
     }
@@ -353,22 +320,19 @@
 
 void EndpointGate::notePiece(Work &work, const GeneratedPiece &piece)
 {
-    if (work.produced == 0)
-        work.firstTokenAt = core::BootClock::now();
+    const bool first = work.produced == 0;
     work.produced += piece.tokens;
-    m_outstandingOutput -= std::min<uint64_t>(m_outstandingOutput, piece.tokens);
+    m_dispatcher.noteTokens(work.message.requestId, piece.tokens, core::BootClock::now());
     work.answer.append(piece.text);
     wake(work);
+    // A finished prefill makes room for the next one.
+    if (first)
+        pump();
 }
 
 void EndpointGate::finish(Work &work, core::Outcome outcome, std::string message)
 {
     const bool wasQueued = work.progress == wire::Progress::QUEUED;
-    if (wasQueued)
-        m_queuedTokens -= core::tokenCount(work.message.prompt);
-    const uint64_t left = work.message.maxTokens - work.message.resumeTokens
-        - std::min(work.produced, work.message.maxTokens - work.message.resumeTokens);
-    m_outstandingOutput -= std::min<uint64_t>(m_outstandingOutput, left);
     work.progress = wire::Progress::FINISHED;
     work.outcome = outcome;
     work.text = std::move(message);
@@ -441,9 +405,8 @@
     while (true) {
         co_await m_io.sleep(SweepInterval);
         const core::TimePoint now = core::BootClock::now();
-        for (const policy::QueuedWork &expired : m_queue.takeExpired(now)) {
-            ++m_unmetDeadlines;
-            if (Work *work = find(expired.id))
+        for (const std::string &id : m_dispatcher.takeExpired(now)) {
+            if (Work *work = find(id))
                 finish(*work, core::Outcome::NotRun, "it did not start within its deadline");
         }
         dropOld(now);
--- a/src/agent/endpointgate.h
+++ b/src/agent/endpointgate.h
@@ -7,8 +7,7 @@
 #include "agent/answerbuffer.h"
 #include "agent/engineclient.h"
 #include "platform/usageledger.h"
-#include "policy/fairqueue.h"
-#include "policy/rateestimator.h"
+#include "policy/dispatcher.h"
 #include "wire/messages.h"
 
 #include <map>
@@ -79,7 +78,6 @@
 
     Work *find(const std::string &requestId);
     uint32_t slots() const;
-    double costOf(const wire::WorkMessage &message) const;
     void pump();
     wire::Task<void> run(std::shared_ptr<Work> work);
     wire::Task<void> runLanguage(std::shared_ptr<Work> work);
@@ -97,8 +95,7 @@
     platform::UsageLedger &m_ledger;
     GateSettings m_settings;
     uint64_t m_incarnation;
-    policy::FairQueue m_queue;
-    policy::RateEstimator m_rates;
+    policy::Dispatcher m_dispatcher;
     std::map<std::string, std::shared_ptr<Work>> m_works;
     std::map<std::string, BarredId> m_barred;
     EngineState m_engineState;
@@ -106,10 +103,6 @@
     Closure m_closure = Closure::Open;
     platform::OrderNumber m_applied;
     core::Evidence m_evidence;
-    uint32_t m_running = 0;
-    uint64_t m_queuedTokens = 0;
-    uint64_t m_outstandingOutput = 0;
-    uint64_t m_unmetDeadlines = 0;
 };
 
 } // namespace jujube::agent
--- /dev/null
+++ b/src/policy/dispatcher.cpp
@@ -0,0 +1,229 @@
+#include "policy/dispatcher.h"
+
+#include <algorithm>
+
+namespace jujube::policy {
+
+namespace {
+
+// A decode token occupies a batch slot for a whole step, a prefill token only a share of one.
+constexpr double OutputTokenCost = 4.0;
+constexpr double ServiceCallCost = 1.0;
+// Until a rate was measured under backlog nothing is refused for its predicted wait.
+constexpr double UnknownCostRate = 1e9;
+// Backlog is measured over at least this time before it says something about the rate.
+constexpr core::Milliseconds RateWindow {1'000};
+// The dispatcher's own cache view has a single endpoint.
+const std::string OwnEndpoint;
+
+core::Milliseconds between(core::TimePoint from, core::TimePoint to)
+{
+    return std::chrono::duration_cast<core::Milliseconds>(to - from);
+}
+
+} // namespace
+
+Dispatcher::Dispatcher(DispatcherSettings settings)
+    : m_settings(settings),
+      m_queue(settings.queue),
+      m_cache(settings.cacheBlocks)
+{
+}
+
+Admission Dispatcher::offer(const WorkShape &work, core::TimePoint now)
+{
+    const uint32_t uncached = uncachedTokens(work);
+    QueuedWork queued;
+    queued.id = work.id;
+    queued.team = m_settings.fairTeams ? work.team : std::string("all");
+    queued.weight = m_settings.fairTeams ? work.weight : 1.0;
+    queued.cost = costOf(work, uncached);
+    queued.queuedAt = now;
+    queued.startBy = now + work.timeLeft - decodeTime(work);
+    if (m_settings.deadlineOrder) {
+        queued.priority = work.priority;
+        queued.dueAt = now + work.firstTokenObjective;
+    } else {
+        queued.priority = 0;
+        queued.dueAt = now;
+    }
+    const double rate = m_settings.admission && m_rates.costRate() > 0 ? m_rates.costRate()
+                                                                       : UnknownCostRate;
+    const Admission admission = m_queue.offer(queued, now, rate);
+    if (!admission.accepted) {
+        ++m_unmetDeadlines;
+        return admission;
+    }
+    if (!m_backlogged) {
+        m_backlogged = true;
+        m_backlogSince = now;
+        m_backlogCost = 0;
+    }
+    m_waiting[work.id] = {work, queued.cost};
+    m_queuedTokens += uncached;
+    m_outstandingOutput += work.outputTokens;
+    return admission;
+}
+
+std::optional<std::string> Dispatcher::startNext(core::TimePoint now, uint32_t slots)
+{
+    if (m_started.size() >= slots)
+        return std::nullopt;
+    const auto candidate = m_queue.peek();
+    if (!candidate || !prefillFits(m_waiting.at(*candidate).shape))
+        return std::nullopt;
+    const auto next = m_queue.take();
+    const auto it = m_waiting.find(next->id);
+    Started started;
+    started.shape = std::move(it->second.shape);
+    started.cost = it->second.cost;
+    started.uncached = uncachedTokens(started.shape);
+    started.at = now;
+    m_waiting.erase(it);
+    m_queuedTokens -= std::min<uint64_t>(m_queuedTokens, started.uncached);
+    m_prefillInFlight += started.uncached;
+    m_cache.record(OwnEndpoint, started.shape.prefixBlocks);
+    m_started[next->id] = std::move(started);
+    if (m_queue.empty())
+        m_backlogged = false;
+    return next->id;
+}
+
+void Dispatcher::noteTokens(const std::string &id, uint32_t tokens, core::TimePoint now)
+{
+    const auto it = m_started.find(id);
+    if (it == m_started.end() || tokens == 0)
+        return;
+    Started &work = it->second;
+    if (work.produced == 0) {
+        work.firstTokenAt = now;
+        m_prefillInFlight -= std::min<uint64_t>(m_prefillInFlight, work.uncached);
+        m_rates.notePrefill(work.uncached, between(work.at, now));
+    }
+    work.produced += tokens;
+    m_outstandingOutput -= std::min<uint64_t>(m_outstandingOutput, tokens);
+}
+
+void Dispatcher::noteEnd(const std::string &id, bool whole, core::TimePoint now)
+{
+    const auto it = m_started.find(id);
+    if (it == m_started.end())
+        return;
+    const Started &work = it->second;
+    if (work.produced == 0)
+        m_prefillInFlight -= std::min<uint64_t>(m_prefillInFlight, work.uncached);
+    else if (whole)
+        m_rates.noteDecode(work.produced - 1, between(work.firstTokenAt, now));
+    const uint32_t unproduced =
+            work.shape.outputTokens - std::min(work.shape.outputTokens, work.produced);
+    m_outstandingOutput -= std::min<uint64_t>(m_outstandingOutput, unproduced);
+    // The team pays for what was used, not for the most that it might have used.
+    const double actual = work.shape.kind == core::WorkKind::Service
+            ? work.cost
+            : work.uncached + OutputTokenCost * work.produced;
+    m_queue.settle(m_settings.fairTeams ? work.shape.team : std::string("all"), work.shape.weight,
+                   work.cost, actual);
+    noteCompleted(actual, now);
+    m_started.erase(it);
+}
+
+bool Dispatcher::cancelQueued(const std::string &id)
+{
+    if (!m_queue.remove(id))
+        return false;
+    dropWaiting(id);
+    return true;
+}
+
+std::vector<std::string> Dispatcher::takeExpired(core::TimePoint now)
+{
+    std::vector<std::string> ids;
+    for (const QueuedWork &it : m_queue.takeExpired(now)) {
+        ids.push_back(it.id);
+        dropWaiting(it.id);
+        ++m_unmetDeadlines;
+    }
+    return ids;
+}
+
+void Dispatcher::engineChanged()
+{
+    m_rates = RateEstimator();
+    m_cache.forget(OwnEndpoint);
+}
+
+void Dispatcher::fillReport(core::LoadReport &report, core::TimePoint now) const
+{
+    report.queuedRequests = static_cast<uint32_t>(m_queue.size());
+    report.queuedTokens = m_queuedTokens + m_prefillInFlight;
+    report.running = running();
+    report.outstandingOutput = m_outstandingOutput;
+    report.prefillRate = m_rates.prefillRate();
+    report.decodeRate = m_rates.decodeRate();
+    report.unmetDeadlines = m_unmetDeadlines;
+    if (const auto oldest = m_queue.oldest())
+        report.oldestQueued = between(*oldest, now);
+}
+
+uint32_t Dispatcher::uncachedTokens(const WorkShape &work) const
+{
+    const uint32_t cached = m_cache.cachedTokens(OwnEndpoint, work.prefixBlocks);
+    return work.promptTokens - std::min(cached, work.promptTokens);
+}
+
+double Dispatcher::costOf(const WorkShape &work, uint32_t uncached) const
+{
+    if (work.kind == core::WorkKind::Service)
+        return ServiceCallCost;
+    return uncached + OutputTokenCost * work.outputTokens;
+}
+
+core::Milliseconds Dispatcher::decodeTime(const WorkShape &work) const
+{
+    if (m_rates.decodeRate() <= 0)
+        return core::Milliseconds(0);
+    const core::Milliseconds whole(
+            static_cast<int64_t>(work.outputTokens * 1'000.0 / m_rates.decodeRate()));
+    // The output asked for is an upper bound, so part of the time is always left for waiting.
+    return std::min(whole, work.timeLeft * 9 / 10);
+}
+
+bool Dispatcher::prefillFits(const WorkShape &next) const
+{
+    if (m_settings.prefillWindow.count() == 0 || next.kind == core::WorkKind::Service)
+        return true;
+    if (m_prefillInFlight == 0 || m_rates.prefillRate() <= 0)
+        return true;
+    const double window = m_rates.prefillRate()
+            * static_cast<double>(m_settings.prefillWindow.count()) / 1'000.0;
+    return static_cast<double>(m_prefillInFlight + uncachedTokens(next)) <= window;
+}
+
+// The rate is learned only while work waits: an idle endpoint completes what there is, which says
+// nothing about what it could do.
+void Dispatcher::noteCompleted(double cost, core::TimePoint now)
+{
+    if (!m_backlogged)
+        return;
+    m_backlogCost += cost;
+    const auto elapsed = between(m_backlogSince, now);
+    if (elapsed < RateWindow)
+        return;
+    m_rates.noteCost(m_backlogCost, elapsed);
+    m_backlogSince = now;
+    m_backlogCost = 0;
+}
+
+void Dispatcher::dropWaiting(const std::string &id)
+{
+    const auto it = m_waiting.find(id);
+    if (it == m_waiting.end())
+        return;
+    m_queuedTokens -= std::min<uint64_t>(m_queuedTokens, uncachedTokens(it->second.shape));
+    m_outstandingOutput -= std::min<uint64_t>(m_outstandingOutput, it->second.shape.outputTokens);
+    m_waiting.erase(it);
+    if (m_queue.empty())
+        m_backlogged = false;
+}
+
+} // namespace jujube::policy
--- /dev/null
+++ b/src/policy/dispatcher.h
@@ -0,0 +1,112 @@
+#pragma once
+
+/** \file
+ * Defines the dispatcher: what one endpoint takes, in which order it starts, and what it reports.
+ */
+
+#include "core/work.h"
+#include "policy/fairqueue.h"
+#include "policy/prefixindex.h"
+#include "policy/rateestimator.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace jujube::policy {
+
+/** What the dispatcher needs to know of a request. */
+struct WorkShape
+{
+    std::string id;
+    std::string team;
+    core::WorkKind kind = core::WorkKind::Language;
+    double weight = 1.0;
+    uint32_t priority = 5;
+    uint32_t promptTokens = 0;
+    uint32_t outputTokens = 0; ///< Upper bound.
+    std::vector<uint64_t> prefixBlocks;
+    core::Milliseconds timeLeft {};
+    core::Milliseconds firstTokenObjective {};
+};
+
+/** Settings of a dispatcher. Each mechanism can be switched off, to measure what it is worth. */
+struct DispatcherSettings
+{
+    bool fairTeams = true;    ///< Off: one queue for all teams.
+    bool admission = true;    ///< Off: nothing is refused for its predicted wait.
+    bool deadlineOrder = true; ///< Off: first come, first served.
+    /** Prefill work given to the engine at once. More of it would wait inside the engine, where
+     * nothing can overtake it; 0 sets no bound. */
+    core::Milliseconds prefillWindow {120};
+    size_t cacheBlocks = 8'000; ///< Prefix blocks the engine is expected to keep.
+    FairQueueSettings queue;
+};
+
+/** Decides for one endpoint. Shared by the agent and the replay; no I/O, no clock of its own. */
+class Dispatcher
+{
+public:
+    explicit Dispatcher(DispatcherSettings settings);
+
+    /** Queues the work or refuses it. */
+    Admission offer(const WorkShape &work, core::TimePoint now);
+    /** Id of the request to start now, if the engine should get another one. */
+    std::optional<std::string> startNext(core::TimePoint now, uint32_t slots);
+    /** Notes output tokens; the first ones tell how long the prefill took. */
+    void noteTokens(const std::string &id, uint32_t tokens, core::TimePoint now);
+    /** Notes the end of a started request. */
+    void noteEnd(const std::string &id, bool whole, core::TimePoint now);
+    /** Removes a request that has not started. */
+    bool cancelQueued(const std::string &id);
+    /** Removes what can no longer start in time and returns the ids. */
+    std::vector<std::string> takeExpired(core::TimePoint now);
+    /** Forgets learned rates and cached prefixes, after a role change or a restart. */
+    void engineChanged();
+
+    /** Fills in the parts of a load report that the dispatcher knows. */
+    void fillReport(core::LoadReport &report, core::TimePoint now) const;
+    uint32_t running() const { return static_cast<uint32_t>(m_started.size()); }
+    bool queueEmpty() const { return m_queue.empty(); }
+    size_t queued() const { return m_queue.size(); }
+
+private:
+    struct Waiting
+    {
+        WorkShape shape;
+        double cost = 0;
+    };
+    struct Started
+    {
+        WorkShape shape;
+        double cost = 0;
+        uint32_t uncached = 0;
+        uint32_t produced = 0;
+        core::TimePoint at {};
+        core::TimePoint firstTokenAt {};
+    };
+
+    uint32_t uncachedTokens(const WorkShape &work) const;
+    double costOf(const WorkShape &work, uint32_t uncached) const;
+    core::Milliseconds decodeTime(const WorkShape &work) const;
+    bool prefillFits(const WorkShape &next) const;
+    void noteCompleted(double cost, core::TimePoint now);
+    void dropWaiting(const std::string &id);
+
+    DispatcherSettings m_settings;
+    FairQueue m_queue;
+    RateEstimator m_rates;
+    PrefixIndex m_cache;
+    std::map<std::string, Waiting> m_waiting;
+    std::map<std::string, Started> m_started;
+    uint64_t m_prefillInFlight = 0; ///< Uncached tokens of started requests without a token yet.
+    uint64_t m_queuedTokens = 0;
+    uint64_t m_outstandingOutput = 0;
+    uint64_t m_unmetDeadlines = 0;
+    double m_backlogCost = 0; ///< Cost completed while work was waiting, since m_backlogSince.
+    core::TimePoint m_backlogSince {};
+    bool m_backlogged = false;
+};
+
+} // namespace jujube::policy
--- a/src/policy/fairqueue.cpp
+++ b/src/policy/fairqueue.cpp
@@ -20,8 +20,8 @@
 bool FairQueue::Order::operator()(const QueuedWork &a, const QueuedWork &b) const
 {
     // Higher priority first, hence the swapped operands.
-    return std::tie(b.priority, a.startBy, a.queuedAt)
-        < std::tie(a.priority, b.startBy, b.queuedAt);
+    return std::tie(b.priority, a.dueAt, a.startBy, a.queuedAt)
+        < std::tie(a.priority, b.dueAt, b.startBy, b.queuedAt);
 }
 
 FairQueue::FairQueue(FairQueueSettings settings) : m_settings(settings)
@@ -51,20 +51,33 @@
     return admission;
 }
 
-std::optional<QueuedWork> FairQueue::take()
+const FairQueue::TeamQueue *FairQueue::nextTeam() const
 {
-    TeamQueue *next = nullptr;
-    for (auto &[name, team] : m_teams) {
+    const TeamQueue *next = nullptr;
+    for (const auto &[name, team] : m_teams) {
         if (!team.work.empty() && (!next || team.counter < next->counter))
             next = &team;
     }
+    return next;
+}
+
+std::optional<std::string> FairQueue::peek() const
+{
+    const TeamQueue *next = nextTeam();
+    return next ? std::optional(next->work.begin()->id) : std::nullopt;
+}
+
+std::optional<QueuedWork> FairQueue::take()
+{
+    const TeamQueue *next = nextTeam();
     if (!next)
         return std::nullopt;
-    QueuedWork work = *next->work.begin();
-    next->work.erase(next->work.begin());
-    m_floor = next->counter;
-    next->counter += work.cost / std::max(work.weight, SmallestRate);
-    erased(*next, work.cost);
+    const QueuedWork work = *next->work.begin();
+    TeamQueue &team = m_teams[work.team];
+    team.work.erase(team.work.begin());
+    m_floor = team.counter;
+    team.counter += work.cost / std::max(work.weight, SmallestRate);
+    erased(team, work.cost);
     return work;
 }
 
--- a/src/policy/fairqueue.h
+++ b/src/policy/fairqueue.h
@@ -24,6 +24,7 @@
     double weight = 1.0;
     double cost = 1.0;         ///< Token cost charged to the team when the work starts.
     uint32_t priority = 5;     ///< Higher starts first within a team.
+    core::TimePoint dueAt{}; ///< Wanted start; decides the order within a priority.
     core::TimePoint startBy{}; ///< Latest start that still meets the deadline.
     core::TimePoint queuedAt{};
 };
@@ -49,7 +50,7 @@
  * Each team has a counter of the weighted cost it was served; the waiting team with the smallest
  * counter goes next. A team that returns after a pause is lifted to the smallest counter of the
  * teams at work, so that idle time earns no credit. Within a team the order is priority, then the
- * latest allowed start.
+ * wanted start.
  *
  * Admission compares the predicted wait at the team's own fair share with the latest start. A
  * team's backlog therefore counts against that team alone: a flood of one team is refused to that
@@ -65,6 +66,8 @@
      * \param costRate cost units a second that the endpoint works off at present.
      */
     Admission offer(const QueuedWork &work, core::TimePoint now, double costRate);
+    /** Id of the work that take() would return. */
+    std::optional<std::string> peek() const;
     /** Takes the next work and charges its team. */
     std::optional<QueuedWork> take();
     /** Removes one unit, for a cancelled request. */
@@ -92,6 +95,7 @@
         std::multiset<QueuedWork, Order> work;
     };
 
+    const TeamQueue *nextTeam() const;
     double smallestActiveCounter() const;
     core::Milliseconds expectedWait(const QueuedWork &work, double costRate) const;
     void erased(TeamQueue &team, double cost);
--- /dev/null
+++ b/tools/jujubereplay/enginemodel.cpp
@@ -0,0 +1,100 @@
+#include "jujubereplay/enginemodel.h"
+
+#include <algorithm>
+
+namespace jujube::replay {
+
+RoleSpeed roleSpeed(core::Role role)
+{
+    switch (role) {
+    case core::Role::Prefill:
+        return {1.6, 1.6};
+    case core::Role::Decode:
+        return {0.5, 0.7};
+    case core::Role::Mixed:
+        break;
+    }
+    return {};
+}
+
+EngineModel::EngineModel(EngineSpeed speed)
+    : m_speed(speed),
+      m_cache(speed.cacheBlocks)
+{
+}
+
+void EngineModel::start(EngineJob job)
+{
+    const uint32_t cached = std::min(m_cache.cachedTokens("", job.blocks), job.promptTokens);
+    job.toPrefill = job.promptTokens - cached;
+    m_jobs.push_back(std::move(job));
+}
+
+double EngineModel::stepMs(const OnToken &onToken, const OnEnd &onEnd)
+{
+    if (m_jobs.empty())
+        return 0;
+    const RoleSpeed factor = roleSpeed(m_role);
+    const bool anyDecoding = std::any_of(m_jobs.begin(), m_jobs.end(),
+                                         [](const EngineJob &it) { return it.toPrefill <= 0; });
+    // Alone, prefill uses whole chunks; beside decoding it is cut so that tokens keep flowing.
+    double chunk = m_speed.mixedChunk * factor.prefill * (anyDecoding ? 1 : 4);
+    double prefilled = 0;
+    int decoding = 0;
+    std::vector<size_t> tokens;
+    std::vector<size_t> ended;
+    for (auto it = m_jobs.begin(); it != m_jobs.end();) {
+        EngineJob &job = *it;
+        if (job.toPrefill > 0) {
+            const double part = std::min(chunk, job.toPrefill);
+            job.toPrefill -= part;
+            chunk -= part;
+            prefilled += part;
+            if (job.toPrefill <= 0)
+                m_cache.record("", job.blocks);
+            ++it;
+            continue;
+        }
+        ++decoding;
+        ++job.produced;
+        tokens.push_back(job.request);
+        if (job.produced >= job.outputTokens) {
+            ended.push_back(job.request);
+            it = m_jobs.erase(it);
+        } else {
+            ++it;
+        }
+    }
+    for (const size_t request : tokens)
+        onToken(request);
+    for (const size_t request : ended)
+        onEnd(request);
+    const double decodeMs = decoding == 0
+            ? 0
+            : (m_speed.stepMs + m_speed.stepPerRequestMs * decoding) * factor.step;
+    return decodeMs + prefilled * 1'000 / (m_speed.prefillRate * factor.prefill) + 0.05;
+}
+
+std::vector<size_t> EngineModel::cutAll()
+{
+    std::vector<size_t> requests;
+    for (const EngineJob &it : m_jobs)
+        requests.push_back(it.request);
+    m_jobs.clear();
+    return requests;
+}
+
+void EngineModel::setRole(core::Role role)
+{
+    m_role = role;
+}
+
+uint32_t EngineModel::freePieces() const
+{
+    uint32_t used = 0;
+    for (const EngineJob &it : m_jobs)
+        used += (it.promptTokens + it.outputTokens) / core::KvPieceTokens + 1;
+    return m_speed.kvPieces - std::min(used, m_speed.kvPieces);
+}
+
+} // namespace jujube::replay
--- /dev/null
+++ b/tools/jujubereplay/enginemodel.h
@@ -0,0 +1,78 @@
+#pragma once
+
+/** \file
+ * Defines the replay's model of an engine: continuous batching in virtual time.
+ */
+
+#include "core/work.h"
+#include "policy/prefixindex.h"
+
+#include <functional>
+#include <list>
+#include <string>
+#include <vector>
+
+namespace jujube::replay {
+
+/** Speed and size of an engine. Engines in stock differ. */
+struct EngineSpeed
+{
+    double prefillRate = 20'000;        ///< Prompt tokens a second.
+    double stepMs = 12;                 ///< Fixed time of a decode step.
+    double stepPerRequestMs = 0.35;     ///< Added for each running request.
+    uint32_t slots = 32;
+    uint32_t kvPieces = 320;            ///< KV memory in pieces of 1,024 tokens.
+    double mixedChunk = 640;            ///< Prompt tokens prefilled beside a decode step.
+    core::Milliseconds roleChange {5'000};
+    size_t cacheBlocks = 1'500;
+};
+
+/** Speed of each role relative to the mixed one. */
+struct RoleSpeed
+{
+    double prefill = 1;
+    double step = 1;
+};
+
+RoleSpeed roleSpeed(core::Role role);
+
+/** A request inside an engine. */
+struct EngineJob
+{
+    size_t request = 0; ///< Index into the workload.
+    uint32_t promptTokens = 0;
+    uint32_t outputTokens = 0;
+    std::vector<uint64_t> blocks;
+    double toPrefill = 0;
+    uint32_t produced = 0;
+};
+
+/** One engine. The simulation calls step() at the times it returns. */
+class EngineModel
+{
+public:
+    using OnToken = std::function<void(size_t request)>;
+    using OnEnd = std::function<void(size_t request)>;
+
+    explicit EngineModel(EngineSpeed speed);
+
+    void start(EngineJob job);
+    /** Runs one step that ends after the returned time; 0 if there is nothing to do. */
+    double stepMs(const OnToken &onToken, const OnEnd &onEnd);
+    /** Drops all jobs and returns their requests. */
+    std::vector<size_t> cutAll();
+
+    void setRole(core::Role role);
+    core::Role role() const { return m_role; }
+    const EngineSpeed &speed() const { return m_speed; }
+    size_t running() const { return m_jobs.size(); }
+    uint32_t freePieces() const;
+
+private:
+    EngineSpeed m_speed;
+    core::Role m_role = core::Role::Mixed;
+    std::list<EngineJob> m_jobs;
+    policy::PrefixIndex m_cache;
+};
+
+} // namespace jujube::replay
--- /dev/null
+++ b/tools/jujubereplay/report.cpp
@@ -0,0 +1,151 @@
+#include "jujubereplay/report.h"
+
+#include "core/text.h"
+#include "wire/json.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace jujube::replay {
+
+namespace {
+
+constexpr int PlotWidth = 900;
+constexpr int PlotHeight = 260;
+constexpr int Margin = 40;
+
+double median(std::vector<double> values)
+{
+    std::sort(values.begin(), values.end());
+    return values.empty() ? 0 : values[values.size() / 2];
+}
+
+double least(const std::vector<double> &values)
+{
+    return values.empty() ? 0 : *std::min_element(values.begin(), values.end());
+}
+
+double most(const std::vector<double> &values)
+{
+    return values.empty() ? 0 : *std::max_element(values.begin(), values.end());
+}
+
+std::string polyline(const std::vector<double> &values, const char *colour, const char *name, int row)
+{
+    std::string points;
+    for (size_t i = 0; i < values.size(); ++i) {
+        const double x = Margin + static_cast<double>(i) * PlotWidth
+                        / static_cast<double>(std::max<size_t>(values.size() - 1, 1));
+        const double y = Margin + (1 - values[i]) * PlotHeight;
+        core::append(points, x, ",", y, " ");
+    }
+    return core::concat("<polyline fill=\"none\" stroke=\"", colour, "\" stroke-width=\"1.5\" points=\"",
+                        points, "\"/><text x=\"", Margin + row * 220, "\" y=\"20\" fill=\"", colour,
+                        "\">", name, "</text>\n");
+}
+
+} // namespace
+
+void Report::addBound(uint64_t seed, double bound)
+{
+    m_bounds[seed] = bound;
+}
+
+void Report::add(uint64_t seed, const RunResult &result)
+{
+    if (!m_rows.contains(result.policy))
+        m_order.push_back(result.policy);
+    Row row;
+    row.seed = seed;
+    row.goodput = result.goodput;
+    row.ofBound = result.goodput / m_bounds[seed];
+    row.worstTeam = result.worstTeam;
+    row.roleChanges = result.roleChanges;
+    row.chatFirstTokenMs = result.chatFirstToken95.count();
+    row.chatBetweenTokensMs = result.chatBetweenTokens95.count();
+    row.byProfile = result.byProfile;
+    row.byTeam = result.byTeam;
+    m_rows[result.policy].push_back(std::move(row));
+}
+
+std::string Report::table() const
+{
+    char buf[256];
+    std::snprintf(buf, sizeof(buf), "%-38s %8s %8s %9s %9s %7s %8s %8s\n", "policy (median; worst seed)",
+                  "goodput", "worst", "of bound", "team", "changes", "ttft95", "tbt95");
+    std::string out = buf;
+    for (const std::string &policy : m_order) {
+        const auto column = [&](auto member) {
+            std::vector<double> values;
+            for (const Row &it : m_rows.at(policy))
+                values.push_back(static_cast<double>(it.*member));
+            return values;
+        };
+        const auto goodput = column(&Row::goodput);
+        std::snprintf(buf, sizeof(buf), "%-38s %8.4f %8.4f %9.4f %9.4f %7.0f %8.0f %8.0f\n",
+                      policy.c_str(), median(goodput), least(goodput),
+                      median(column(&Row::ofBound)), median(column(&Row::worstTeam)),
+                      most(column(&Row::roleChanges)), median(column(&Row::chatFirstTokenMs)),
+                      median(column(&Row::chatBetweenTokensMs)));
+        out += buf;
+    }
+    std::vector<double> bounds;
+    for (const auto &[seed, bound] : m_bounds)
+        bounds.push_back(bound);
+    std::snprintf(buf, sizeof(buf), "%-38s %8.4f %8.4f\n", "clairvoyant bound", median(bounds),
+                  least(bounds));
+    return out + buf + "team: goodput of the worst-served team; changes: the most of any seed; "
+                       "ttft95 and tbt95: chat, in ms\n";
+}
+
+std::string Report::json() const
+{
+    QJsonArray runs;
+    for (const std::string &policy : m_order) {
+        for (const Row &it : m_rows.at(policy)) {
+            QJsonObject profiles;
+            for (const auto &[name, share] : it.byProfile)
+                profiles[wire::qstring(name)] = share;
+            QJsonObject teams;
+            for (const auto &[name, share] : it.byTeam)
+                teams[wire::qstring(name)] = share;
+            runs.append(QJsonObject {{"policy", wire::qstring(policy)},
+                                     {"seed", wire::jsonNumber(it.seed)},
+                                     {"goodput", it.goodput},
+                                     {"of_bound", it.ofBound},
+                                     {"worst_team", it.worstTeam},
+                                     {"role_changes", it.roleChanges},
+                                     {"chat_first_token_95_ms", qint64(it.chatFirstTokenMs)},
+                                     {"chat_between_tokens_95_ms", qint64(it.chatBetweenTokensMs)},
+                                     {"by_profile", profiles},
+                                     {"by_team", teams}});
+        }
+    }
+    return wire::toText(QJsonObject {{"runs", runs}}) + "\n";
+}
+
+std::string plot(const Workload &workload, const RunResult &result)
+{
+    std::vector<double> mix;
+    std::vector<double> good;
+    std::vector<double> roles;
+    std::vector<double> worst;
+    for (const IntervalState &it : result.intervals) {
+        mix.push_back(it.promptShare);
+        good.push_back(it.arrived == 0 ? 1 : double(it.good) / it.arrived);
+        roles.push_back(0.5 + (it.prefillEngines - it.decodeEngines) / (2.0 * workload.engines));
+        worst.push_back(it.worstTeam);
+    }
+    return core::concat("<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"", PlotWidth + 2 * Margin,
+                        "\" height=\"", PlotHeight + 2 * Margin,
+                        "\" font-family=\"sans-serif\" font-size=\"12\">\n",
+                        polyline(mix, "#888888", "prompt tokens / all tokens", 0),
+                        polyline(good, "#2266cc", "goodput", 1),
+                        polyline(roles, "#cc6622", "prefill (1) to decode (0) roles", 2),
+                        polyline(worst, "#22aa55", "worst team", 3), "<text x=\"", Margin,
+                        "\" y=\"", PlotHeight + 2 * Margin - 10, "\">", result.policy, ", ",
+                        workload.name, ", ", workload.length.count() / 60'000,
+                        " minutes</text></svg>\n");
+}
+
+} // namespace jujube::replay
