--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -155,12 +155,12 @@
             continue;
         registered.insert(record->vm);
         core::EngineWish wish =
-                config.ok() ? (*config)->engineWish(record->vm) : core::EngineWish {};
+            config.ok() ? (*config)->engineWish(record->vm) : core::EngineWish{};
         if (wish.intent == core::EngineIntent::Active && m_leavingVms.contains(record->vm))
             wish.intent = core::EngineIntent::Drained;
         const auto known = plan.endpoints.find(record->vm);
         const core::Role role =
-                known == plan.endpoints.end() ? core::Role::Mixed : known->second.role;
+            known == plan.endpoints.end() ? core::Role::Mixed : known->second.role;
         if (wish.role)
             m_pinned.insert(record->vm);
         else
@@ -190,6 +190,7 @@
         view.queuedTokens = load.queuedTokens;
         view.outstandingOutput = load.outstandingOutput;
         view.running = load.running;
+        view.queuedRequests = load.queuedRequests;
         view.slots = load.slots;
         view.prefillRate = load.prefillRate;
         view.decodeRate = load.decodeRate;
--- a/src/policy/dispatcher.cpp
+++ b/src/policy/dispatcher.cpp
@@ -6,13 +6,13 @@
 
 namespace {
 
-// A decode token occupies a batch slot for a whole step, a prefill token only a share of one.
-constexpr double OutputTokenCost = 4.0;
-constexpr double ServiceCallCost = 1.0;
+// Costs are in engine-milliseconds. These rates price tokens until the engine's own are learned.
+constexpr double AssumedPrefillRate = 5'000; // tokens a second
+constexpr double AssumedOutputRate = 600;    // tokens a second for the whole batch
+constexpr double ServiceCallCost = 20;
 // Until a rate was measured under backlog nothing is refused for its predicted wait.
 constexpr double UnknownCostRate = 1e9;
-// Backlog is measured over at least this time before it says something about the rate.
-constexpr core::Milliseconds RateWindow {1'000};
+constexpr core::Milliseconds RateWindow{1'000};
 // The dispatcher's own cache view has a single endpoint.
 const std::string OwnEndpoint;
 
@@ -24,9 +24,7 @@
 } // namespace
 
 Dispatcher::Dispatcher(DispatcherSettings settings)
-    : m_settings(settings),
-      m_queue(settings.queue),
-      m_cache(settings.cacheBlocks)
+    : m_settings(settings), m_queue(settings.queue), m_cache(settings.cacheBlocks)
 {
 }
 
@@ -40,6 +38,8 @@
     queued.cost = costOf(work, uncached);
     queued.queuedAt = now;
     queued.startBy = now + work.timeLeft - decodeTime(work);
+    queued.urgent =
+        work.kind == core::WorkKind::Service || work.firstTokenObjective <= m_settings.urgentBelow;
     if (m_settings.deadlineOrder) {
         queued.priority = work.priority;
         queued.dueAt = now + work.firstTokenObjective;
@@ -47,18 +47,13 @@
         queued.priority = 0;
         queued.dueAt = now;
     }
-    const double rate = m_settings.admission && m_rates.costRate() > 0 ? m_rates.costRate()
-                                                                       : UnknownCostRate;
+    const double rate =
+        m_settings.admission && m_rates.costRate() > 0 ? m_rates.costRate() : UnknownCostRate;
     const Admission admission = m_queue.offer(queued, now, rate);
     if (!admission.accepted) {
         ++m_unmetDeadlines;
         return admission;
     }
-    if (!m_backlogged) {
-        m_backlogged = true;
-        m_backlogSince = now;
-        m_backlogCost = 0;
-    }
     m_waiting[work.id] = {work, queued.cost};
     m_queuedTokens += uncached;
     m_outstandingOutput += work.outputTokens;
@@ -69,10 +64,14 @@
 {
     if (m_started.size() >= slots)
         return std::nullopt;
-    const auto candidate = m_queue.peek();
+    FairQueue::Eligible eligible;
+    if (m_started.size() >= openSlots(slots)) {
+        eligible = [](const QueuedWork &work) { return work.urgent; };
+    }
+    const auto candidate = m_queue.peek(eligible);
     if (!candidate || !prefillFits(m_waiting.at(*candidate).shape))
         return std::nullopt;
-    const auto next = m_queue.take();
+    const auto next = m_queue.take(eligible);
     const auto it = m_waiting.find(next->id);
     Started started;
     started.shape = std::move(it->second.shape);
@@ -85,7 +84,7 @@
     m_cache.record(OwnEndpoint, started.shape.prefixBlocks);
     m_started[next->id] = std::move(started);
     if (m_queue.empty())
-        m_backlogged = false;
+        m_windowBusy = false;
     return next->id;
 }
 
@@ -101,6 +100,7 @@
         m_rates.notePrefill(work.uncached, between(work.at, now));
     }
     work.produced += tokens;
+    m_windowOutput += tokens;
     m_outstandingOutput -= std::min<uint64_t>(m_outstandingOutput, tokens);
 }
 
@@ -115,16 +115,17 @@
     else if (whole)
         m_rates.noteDecode(work.produced - 1, between(work.firstTokenAt, now));
     const uint32_t unproduced =
-            work.shape.outputTokens - std::min(work.shape.outputTokens, work.produced);
+        work.shape.outputTokens - std::min(work.shape.outputTokens, work.produced);
     m_outstandingOutput -= std::min<uint64_t>(m_outstandingOutput, unproduced);
     // The team pays for what was used, not for the most that it might have used.
     const double actual = work.shape.kind == core::WorkKind::Service
-            ? work.cost
-            : work.uncached + OutputTokenCost * work.produced;
+        ? work.cost
+        : priceOf(work.uncached, work.produced);
     m_queue.settle(m_settings.fairTeams ? work.shape.team : std::string("all"), work.shape.weight,
                    work.cost, actual);
-    noteCompleted(actual, now);
+    m_windowCost += actual;
     m_started.erase(it);
+    closeWindow(now);
 }
 
 bool Dispatcher::cancelQueued(const std::string &id)
@@ -137,6 +138,9 @@
 
 std::vector<std::string> Dispatcher::takeExpired(core::TimePoint now)
 {
+    if (m_settings.demoteLate && m_settings.deadlineOrder)
+        adaptReserve(m_queue.demoteLate(now), now);
+    closeWindow(now);
     std::vector<std::string> ids;
     for (const QueuedWork &it : m_queue.takeExpired(now)) {
         ids.push_back(it.id);
@@ -175,7 +179,15 @@
 {
     if (work.kind == core::WorkKind::Service)
         return ServiceCallCost;
-    return uncached + OutputTokenCost * work.outputTokens;
+    return priceOf(uncached, work.outputTokens);
+}
+
+double Dispatcher::priceOf(uint32_t uncached, uint32_t output) const
+{
+    const double prefillRate =
+        m_rates.prefillRate() > 0 ? m_rates.prefillRate() : AssumedPrefillRate;
+    const double outputRate = m_rates.outputRate() > 0 ? m_rates.outputRate() : AssumedOutputRate;
+    return (uncached / prefillRate + output / outputRate) * 1'000;
 }
 
 core::Milliseconds Dispatcher::decodeTime(const WorkShape &work) const
@@ -183,35 +195,57 @@
     if (m_rates.decodeRate() <= 0)
         return core::Milliseconds(0);
     const core::Milliseconds whole(
-            static_cast<int64_t>(work.outputTokens * 1'000.0 / m_rates.decodeRate()));
+        static_cast<int64_t>(work.outputTokens * 1'000.0 / m_rates.decodeRate()));
     // The output asked for is an upper bound, so part of the time is always left for waiting.
     return std::min(whole, work.timeLeft * 9 / 10);
 }
 
+size_t Dispatcher::openSlots(uint32_t slots) const
+{
+    if (!m_settings.deadlineOrder)
+        return slots;
+    return slots - static_cast<uint32_t>(slots * m_reserve);
+}
+
+void Dispatcher::adaptReserve(const std::vector<QueuedWork> &late, core::TimePoint now)
+{
+    const bool grows =
+        std::any_of(late.begin(), late.end(), [](const QueuedWork &it) { return it.urgent; });
+    if (grows) {
+        m_reserve = std::min(m_settings.urgentReserve, m_reserve + m_settings.reserveStep);
+        m_reserveChanged = now;
+    } else if (now - m_reserveChanged > m_settings.reserveDecay) {
+        m_reserve = std::max(0.0, m_reserve - m_settings.reserveStep);
+        m_reserveChanged = now;
+    }
+}
+
 bool Dispatcher::prefillFits(const WorkShape &next) const
 {
     if (m_settings.prefillWindow.count() == 0 || next.kind == core::WorkKind::Service)
         return true;
     if (m_prefillInFlight == 0 || m_rates.prefillRate() <= 0)
         return true;
-    const double window = m_rates.prefillRate()
-            * static_cast<double>(m_settings.prefillWindow.count()) / 1'000.0;
+    const double window =
+        m_rates.prefillRate() * static_cast<double>(m_settings.prefillWindow.count()) / 1'000.0;
     return static_cast<double>(m_prefillInFlight + uncachedTokens(next)) <= window;
 }
 
-// The rate is learned only while work waits: an idle endpoint completes what there is, which says
-// nothing about what it could do.
-void Dispatcher::noteCompleted(double cost, core::TimePoint now)
+// Rates of the whole engine are learned only in windows in which work was waiting throughout: an
+// idle endpoint completes what there is, which says nothing about what it could do.
+void Dispatcher::closeWindow(core::TimePoint now)
 {
-    if (!m_backlogged)
-        return;
-    m_backlogCost += cost;
-    const auto elapsed = between(m_backlogSince, now);
+    const auto elapsed = between(m_windowSince, now);
     if (elapsed < RateWindow)
         return;
-    m_rates.noteCost(m_backlogCost, elapsed);
-    m_backlogSince = now;
-    m_backlogCost = 0;
+    if (m_windowBusy && m_windowCost > 0) {
+        m_rates.noteOutput(m_windowOutput, elapsed);
+        m_rates.noteCost(m_windowCost, elapsed);
+    }
+    m_windowSince = now;
+    m_windowOutput = 0;
+    m_windowCost = 0;
+    m_windowBusy = !m_queue.empty();
 }
 
 void Dispatcher::dropWaiting(const std::string &id)
@@ -223,7 +257,7 @@
     m_outstandingOutput -= std::min<uint64_t>(m_outstandingOutput, it->second.shape.outputTokens);
     m_waiting.erase(it);
     if (m_queue.empty())
-        m_backlogged = false;
+        m_windowBusy = false;
 }
 
 } // namespace jujube::policy
--- a/src/policy/dispatcher.h
+++ b/src/policy/dispatcher.h
@@ -27,20 +27,28 @@
     uint32_t promptTokens = 0;
     uint32_t outputTokens = 0; ///< Upper bound.
     std::vector<uint64_t> prefixBlocks;
-    core::Milliseconds timeLeft {};
-    core::Milliseconds firstTokenObjective {};
+    core::Milliseconds timeLeft{};
+    core::Milliseconds firstTokenObjective{};
 };
 
 /** Settings of a dispatcher. Each mechanism can be switched off, to measure what it is worth. */
 struct DispatcherSettings
 {
-    bool fairTeams = true;    ///< Off: one queue for all teams.
-    bool admission = true;    ///< Off: nothing is refused for its predicted wait.
+    bool fairTeams = true;     ///< Off: one queue for all teams.
+    bool admission = true;     ///< Off: nothing is refused for its predicted wait.
     bool deadlineOrder = true; ///< Off: first come, first served.
+    bool demoteLate = true;    ///< Off: overdue work keeps its place.
     /** Prefill work given to the engine at once. More of it would wait inside the engine, where
      * nothing can overtake it; 0 sets no bound. */
-    core::Milliseconds prefillWindow {120};
-    size_t cacheBlocks = 8'000; ///< Prefix blocks the engine is expected to keep.
+    core::Milliseconds prefillWindow{1'000};
+    /** Largest share of the batch slots kept for urgent work; long answers would otherwise hold
+     * every slot for many seconds. The share in force grows while urgent work starts late and
+     * shrinks again when none does, for a slot that is kept free is lost to the others. */
+    double urgentReserve = 0.25;
+    double reserveStep = 0.03;
+    core::Milliseconds reserveDecay{10'000}; ///< Time without late urgent work for one step down.
+    core::Milliseconds urgentBelow{1'000};   ///< First-token objectives that count as urgent.
+    size_t cacheBlocks = 8'000;              ///< Prefix blocks the engine is expected to keep.
     FairQueueSettings queue;
 };
 
@@ -83,15 +91,18 @@
         double cost = 0;
         uint32_t uncached = 0;
         uint32_t produced = 0;
-        core::TimePoint at {};
-        core::TimePoint firstTokenAt {};
+        core::TimePoint at{};
+        core::TimePoint firstTokenAt{};
     };
 
     uint32_t uncachedTokens(const WorkShape &work) const;
     double costOf(const WorkShape &work, uint32_t uncached) const;
     core::Milliseconds decodeTime(const WorkShape &work) const;
     bool prefillFits(const WorkShape &next) const;
-    void noteCompleted(double cost, core::TimePoint now);
+    size_t openSlots(uint32_t slots) const;
+    double priceOf(uint32_t uncached, uint32_t output) const;
+    void closeWindow(core::TimePoint now);
+    void adaptReserve(const std::vector<QueuedWork> &late, core::TimePoint now);
     void dropWaiting(const std::string &id);
 
     DispatcherSettings m_settings;
@@ -104,9 +115,13 @@
     uint64_t m_queuedTokens = 0;
     uint64_t m_outstandingOutput = 0;
     uint64_t m_unmetDeadlines = 0;
-    double m_backlogCost = 0; ///< Cost completed while work was waiting, since m_backlogSince.
-    core::TimePoint m_backlogSince {};
-    bool m_backlogged = false;
+    // Output and cost of the current measuring window.
+    core::TimePoint m_windowSince{};
+    uint64_t m_windowOutput = 0;
+    double m_windowCost = 0;
+    bool m_windowBusy = false; ///< Work has been waiting during the whole window.
+    double m_reserve = 0;      ///< Share of slots kept for urgent work at present.
+    core::TimePoint m_reserveChanged{};
 };
 
 } // namespace jujube::policy
--- a/src/policy/fairqueue.cpp
+++ b/src/policy/fairqueue.cpp
@@ -20,8 +20,8 @@
 bool FairQueue::Order::operator()(const QueuedWork &a, const QueuedWork &b) const
 {
     // Higher priority first, hence the swapped operands.
-    return std::tie(b.priority, a.dueAt, a.startBy, a.queuedAt)
-        < std::tie(a.priority, b.dueAt, b.startBy, b.queuedAt);
+    return std::tie(a.late, b.priority, a.dueAt, a.startBy, a.queuedAt)
+        < std::tie(b.late, a.priority, b.dueAt, b.startBy, b.queuedAt);
 }
 
 FairQueue::FairQueue(FairQueueSettings settings) : m_settings(settings)
@@ -51,30 +51,46 @@
     return admission;
 }
 
-const FairQueue::TeamQueue *FairQueue::nextTeam() const
+// The work to start next and the team it belongs to.
+struct FairQueue::Pick
 {
-    const TeamQueue *next = nullptr;
+    const TeamQueue *team = nullptr;
+    std::multiset<QueuedWork, Order>::const_iterator work;
+};
+
+// Work that can still make its wanted start goes first, whichever team it is of: serving a team's
+// overdue work instead would only make another team's work overdue as well.
+FairQueue::Pick FairQueue::next(const Eligible &eligible) const
+{
+    Pick best;
     for (const auto &[name, team] : m_teams) {
-        if (!team.work.empty() && (!next || team.counter < next->counter))
-            next = &team;
+        const auto first =
+            std::find_if(team.work.begin(), team.work.end(),
+                         [&eligible](const QueuedWork &it) { return !eligible || eligible(it); });
+        if (first == team.work.end())
+            continue;
+        const bool better = !best.team || (best.work->late && !first->late)
+            || (first->late == best.work->late && team.counter < best.team->counter);
+        if (better)
+            best = {&team, first};
     }
-    return next;
+    return best;
 }
 
-std::optional<std::string> FairQueue::peek() const
+std::optional<std::string> FairQueue::peek(const Eligible &eligible) const
 {
-    const TeamQueue *next = nextTeam();
-    return next ? std::optional(next->work.begin()->id) : std::nullopt;
+    const Pick pick = next(eligible);
+    return pick.team ? std::optional(pick.work->id) : std::nullopt;
 }
 
-std::optional<QueuedWork> FairQueue::take()
+std::optional<QueuedWork> FairQueue::take(const Eligible &eligible)
 {
-    const TeamQueue *next = nextTeam();
-    if (!next)
+    const Pick pick = next(eligible);
+    if (!pick.team)
         return std::nullopt;
-    const QueuedWork work = *next->work.begin();
+    const QueuedWork work = *pick.work;
     TeamQueue &team = m_teams[work.team];
-    team.work.erase(team.work.begin());
+    team.work.erase(pick.work);
     m_floor = team.counter;
     team.counter += work.cost / std::max(work.weight, SmallestRate);
     erased(team, work.cost);
@@ -114,6 +130,28 @@
     return expired;
 }
 
+std::vector<QueuedWork> FairQueue::demoteLate(core::TimePoint now)
+{
+    std::vector<QueuedWork> demoted;
+    for (auto &[name, team] : m_teams) {
+        std::vector<QueuedWork> late;
+        for (auto it = team.work.begin(); it != team.work.end();) {
+            if (it->late || it->dueAt >= now) {
+                ++it;
+                continue;
+            }
+            late.push_back(*it);
+            it = team.work.erase(it);
+        }
+        for (QueuedWork &work : late) {
+            work.late = true;
+            team.work.insert(work);
+            demoted.push_back(std::move(work));
+        }
+    }
+    return demoted;
+}
+
 void FairQueue::settle(const std::string &team, double weight, double estimated, double actual)
 {
     const auto it = m_teams.find(team);
--- a/src/policy/fairqueue.h
+++ b/src/policy/fairqueue.h
@@ -7,6 +7,7 @@
 #include "core/clock.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -24,9 +25,12 @@
     double weight = 1.0;
     double cost = 1.0;         ///< Token cost charged to the team when the work starts.
     uint32_t priority = 5;     ///< Higher starts first within a team.
-    core::TimePoint dueAt{}; ///< Wanted start; decides the order within a priority.
+    core::TimePoint dueAt{};   ///< Wanted start; decides the order within a priority.
     core::TimePoint startBy{}; ///< Latest start that still meets the deadline.
     core::TimePoint queuedAt{};
+    bool late =
+        false; ///< The wanted start has passed; work that can still make its own goes first.
+    bool urgent = false; ///< May use what is reserved for urgent work.
 };
 
 /** Answer to an offer. */
@@ -66,12 +70,22 @@
      * \param costRate cost units a second that the endpoint works off at present.
      */
     Admission offer(const QueuedWork &work, core::TimePoint now, double costRate);
+    /** Restricts what may be taken; empty: everything. */
+    using Eligible = std::function<bool(const QueuedWork &)>;
+
     /** Id of the work that take() would return. */
-    std::optional<std::string> peek() const;
+    std::optional<std::string> peek(const Eligible &eligible = {}) const;
     /** Takes the next work and charges its team. */
-    std::optional<QueuedWork> take();
+    std::optional<QueuedWork> take(const Eligible &eligible = {});
     /** Removes one unit, for a cancelled request. */
     bool remove(const std::string &id);
+    /** Puts work whose wanted start has passed behind work that can still make its own.
+     *
+     * Without this a backlog makes everything late: the most overdue work would always go first.
+     *
+     * \return the work that became late.
+     */
+    std::vector<QueuedWork> demoteLate(core::TimePoint now);
     /** Removes and returns what can no longer start in time. */
     std::vector<QueuedWork> takeExpired(core::TimePoint now);
     /** Corrects a team's charge once the real cost of a unit is known. */
@@ -95,7 +109,8 @@
         std::multiset<QueuedWork, Order> work;
     };
 
-    const TeamQueue *nextTeam() const;
+    struct Pick;
+    Pick next(const Eligible &eligible) const;
     double smallestActiveCounter() const;
     core::Milliseconds expectedWait(const QueuedWork &work, double costRate) const;
     void erased(TeamQueue &team, double cost);
--- a/src/policy/rateestimator.cpp
+++ b/src/policy/rateestimator.cpp
@@ -36,6 +36,12 @@
         blend(m_decode, perSecond(static_cast<double>(tokens), took));
 }
 
+void RateEstimator::noteOutput(uint64_t tokens, core::Milliseconds took)
+{
+    if (tokens >= MinDecodeTokens)
+        blend(m_output, perSecond(static_cast<double>(tokens), took));
+}
+
 void RateEstimator::noteCost(double cost, core::Milliseconds busy)
 {
     if (cost > 0 && busy.count() > 0)
--- a/src/policy/rateestimator.h
+++ b/src/policy/rateestimator.h
@@ -25,16 +25,20 @@
     void notePrefill(uint64_t uncachedTokens, core::Milliseconds took);
     /** Notes the time in which tokens after the first one were produced for one stream. */
     void noteDecode(uint64_t tokens, core::Milliseconds took);
+    /** Notes that an engine produced tokens for all its streams together in this time. */
+    void noteOutput(uint64_t tokens, core::Milliseconds took);
     /** Notes that cost units of finished work took this long while the endpoint was busy. */
     void noteCost(double cost, core::Milliseconds busy);
 
     double prefillRate() const { return m_prefill; } ///< Tokens a second.
     double decodeRate() const { return m_decode; }   ///< Tokens a second for one stream.
+    double outputRate() const { return m_output; }   ///< Tokens a second for all streams.
     double costRate() const { return m_cost; }       ///< Cost units a second.
 
 private:
     double m_prefill = 0;
     double m_decode = 0;
+    double m_output = 0;
     double m_cost = 0;
 };
 
--- a/src/policy/roleplanner.cpp
+++ b/src/policy/roleplanner.cpp
@@ -8,6 +8,11 @@
 
 namespace {
 
+// The faster average of slot use follows this many times as fast.
+constexpr double FastFactor = 3;
+// Smoothing times that must have passed before the trend counts.
+constexpr int WarmUpFactor = 4;
+
 double asSeconds(std::chrono::nanoseconds duration)
 {
     return std::chrono::duration<double>(duration).count();
@@ -37,13 +42,18 @@
 {
     double prefill = 0;
     double decode = 0;
+    double use = 0;
     double count = 0;
     for (const RoleView &it : engines) {
         if (!it.available || it.prefillRate <= 0 || it.decodeRate <= 0)
             continue;
+        const double slots = std::max(it.slots, 1U);
+        const double requests = it.running + it.queuedRequests;
+        const double meanOutput =
+            requests > 0 ? static_cast<double>(it.outstandingOutput) / requests : 0;
         prefill += static_cast<double>(it.queuedTokens) / it.prefillRate;
-        decode +=
-            static_cast<double>(it.outstandingOutput) / (it.decodeRate * std::max(it.slots, 1U));
+        decode += std::max(0.0, requests - slots) * meanOutput / (it.decodeRate * slots);
+        use += it.running / slots;
         ++count;
     }
     if (count == 0)
@@ -52,9 +62,44 @@
     const double weight = 1 - std::exp(-elapsed / asSeconds(m_settings.smoothing));
     forecast.prefillWait += weight * (prefill / count - forecast.prefillWait);
     forecast.decodeWait += weight * (decode / count - forecast.decodeWait);
+    forecast.slotUse += weight * (use / count - forecast.slotUse);
+    const double fastWeight = 1 - std::exp(-elapsed * FastFactor / asSeconds(m_settings.smoothing));
+    forecast.slotUseFast += fastWeight * (use / count - forecast.slotUseFast);
+    if (forecast.since == core::TimePoint{})
+        forecast.since = now;
     forecast.at = now;
 }
 
+// Two averages of different age lag a steady rise by their time constants, so their difference over
+// the difference of these is the slope.
+double RolePlanner::projectedSlotUse(const Forecast &forecast) const
+{
+    // A fleet that has just started fills up: that rise is no swing of the mix.
+    if (forecast.at - forecast.since < m_settings.smoothing * WarmUpFactor)
+        return forecast.slotUse;
+    const double slowLag = asSeconds(m_settings.smoothing);
+    const double fastLag = slowLag / FastFactor;
+    const double slope = (forecast.slotUseFast - forecast.slotUse) / (slowLag - fastLag);
+    return forecast.slotUseFast + slope * (fastLag + asSeconds(m_settings.lookAhead));
+}
+
+std::optional<core::Role> RolePlanner::shortPhase(const Forecast &forecast) const
+{
+    const double least = asSeconds(m_settings.minBacklog);
+    const bool decodeHasRoom = forecast.slotUse < m_settings.slack;
+    if (forecast.prefillWait > least && decodeHasRoom
+        && forecast.prefillWait > forecast.decodeWait * m_settings.dominance)
+        return core::Role::Prefill;
+    const bool decodeWaits = forecast.decodeWait > least
+        && forecast.decodeWait > forecast.prefillWait * m_settings.dominance;
+    // Slots fill up before anything waits; a change made then is done when the swing arrives.
+    const bool slotsFill =
+        projectedSlotUse(forecast) > m_settings.fullUse && forecast.prefillWait < least / 2;
+    if (decodeWaits || slotsFill)
+        return core::Role::Decode;
+    return std::nullopt;
+}
+
 std::optional<RoleChange> RolePlanner::planModel(const std::string &model,
                                                  const std::vector<RoleView> &engines,
                                                  core::TimePoint now)
@@ -69,11 +114,12 @@
     if (!allAvailable)
         return std::nullopt;
 
-    const double imbalance = forecast.prefillWait - forecast.decodeWait;
-    const core::Role wanted = imbalance > 0 ? core::Role::Prefill : core::Role::Decode;
-    const core::Role opposite = imbalance > 0 ? core::Role::Decode : core::Role::Prefill;
-    const double gain =
-        std::abs(imbalance) * m_settings.specialistGain * static_cast<double>(engines.size());
+    const auto wanted = shortPhase(forecast);
+    if (!wanted)
+        return std::nullopt;
+    const core::Role opposite =
+        *wanted == core::Role::Prefill ? core::Role::Decode : core::Role::Prefill;
+    const double gain = m_settings.specialistGain * asSeconds(m_settings.horizon);
     if (gain < asSeconds(m_settings.changeCost) * m_settings.margin)
         return std::nullopt;
 
@@ -83,8 +129,8 @@
         const auto changed = m_changedAt.find(it.vm);
         const bool recent =
             changed != m_changedAt.end() && now - changed->second < m_settings.reversal;
-        const core::Role target = it.role == opposite ? core::Role::Mixed : wanted;
-        if (it.role == wanted || recent || !keepsCoverage(it, target, engines))
+        const core::Role target = it.role == opposite ? core::Role::Mixed : *wanted;
+        if (it.role == *wanted || recent || !keepsCoverage(it, target, engines))
             continue;
         const bool better = !best || (it.role == opposite && best->role != opposite)
             || (it.role == best->role && it.running < best->running);
@@ -95,7 +141,7 @@
         return std::nullopt;
     forecast.lastChange = now;
     m_changedAt[best->vm] = now;
-    return RoleChange{best->vm, best->role == opposite ? core::Role::Mixed : wanted, gain};
+    return RoleChange{best->vm, best->role == opposite ? core::Role::Mixed : *wanted, gain};
 }
 
 bool RolePlanner::keepsCoverage(const RoleView &candidate, core::Role role,
--- a/src/policy/roleplanner.h
+++ b/src/policy/roleplanner.h
@@ -24,6 +24,7 @@
     uint64_t queuedTokens = 0; ///< Prefill backlog.
     uint64_t outstandingOutput = 0;
     uint32_t running = 0;
+    uint32_t queuedRequests = 0;
     uint32_t slots = 1;
     double prefillRate = 0;
     double decodeRate = 0;
@@ -38,22 +39,28 @@
 
 struct RolePlannerSettings
 {
-    core::Milliseconds horizon{60'000};   ///< Time over which a gain is counted.
-    core::Milliseconds changeCost{5'000}; ///< Time an engine is away for a change.
-    core::Milliseconds settle{10'000};    ///< Least time between two changes of one model.
-    core::Milliseconds reversal{90'000};  ///< Least time before an engine changes again.
-    core::Milliseconds smoothing{5'000};  ///< Time constant of the forecast.
-    double margin = 1.5;                  ///< Gain must exceed the cost by this factor.
-    double specialistGain = 0.4;          ///< Extra speed of a specialist in its phase.
-    uint32_t minMixed = 1;                ///< Mixed engines kept for each model.
+    core::Milliseconds horizon{60'000};    ///< Time over which a gain is counted.
+    core::Milliseconds changeCost{10'000}; ///< Time an engine is away, its last work included.
+    core::Milliseconds settle{30'000};     ///< Least time between two changes of one model.
+    core::Milliseconds reversal{180'000};  ///< Least time before an engine changes again.
+    core::Milliseconds smoothing{30'000};  ///< Time constant of the forecast.
+    core::Milliseconds lookAhead{40'000};  ///< How far the trend of slot use is followed.
+    core::Milliseconds minBacklog{1'000};  ///< Backlog below which no phase counts as short.
+    double margin = 1.5;                   ///< Gain must exceed the cost by this factor.
+    double specialistGain = 0.5;           ///< Extra speed of a specialist in its phase.
+    double slack = 0.6;    ///< Largest use of batch slots at which decode has room to give.
+    double fullUse = 0.87; ///< Use of batch slots from which decode counts as short.
+    double dominance = 3;  ///< Backlog of the short phase relative to the other one.
+    uint32_t minMixed = 1; ///< Mixed engines kept for each model.
 };
 
 /** Decides which engine changes its role, one at a time.
  *
- * The planner smooths the wait that prefill and decode work causes in the fleet. A change is made
- * only when the time it saves over the horizon exceeds the engine-seconds it costs by a margin,
- * so noise causes none. Work of both phases always keeps engines in more than one failure domain
- * where there are as many.
+ * The planner smooths the backlog of prefill and of decode work in the fleet. A phase is short when
+ * its backlog lasts, dominates that of the other phase, and the other phase has room to give. Only
+ * then does a specialist gain anything; the gain over the horizon has to exceed the engine-seconds
+ * of the change by a margin, so noise causes none. Work of both phases always keeps engines in more
+ * than one failure domain where there are as many.
  */
 class RolePlanner
 {
@@ -67,8 +74,11 @@
     struct Forecast
     {
         double prefillWait = 0; ///< Smoothed seconds of prefill backlog for each engine.
-        double decodeWait = 0;  ///< Smoothed seconds of decode work for each engine.
+        double decodeWait = 0;  ///< Smoothed seconds that requests wait for a batch slot.
+        double slotUse = 0;     ///< Smoothed share of batch slots in use.
+        double slotUseFast = 0; ///< The same over a shorter time; the difference is the trend.
         core::TimePoint at{};
+        core::TimePoint since{}; ///< First observation; a trend needs some history.
         core::TimePoint lastChange{};
     };
 
@@ -76,6 +86,8 @@
                                         const std::vector<RoleView> &engines, core::TimePoint now);
     void observe(Forecast &forecast, const std::vector<RoleView> &engines,
                  core::TimePoint now) const;
+    double projectedSlotUse(const Forecast &forecast) const;
+    std::optional<core::Role> shortPhase(const Forecast &forecast) const;
     bool keepsCoverage(const RoleView &candidate, core::Role role,
                        const std::vector<RoleView> &engines) const;
 
--- a/tools/jujubereplay/enginemodel.cpp
+++ b/tools/jujubereplay/enginemodel.cpp
@@ -17,9 +17,7 @@
     return {};
 }
 
-EngineModel::EngineModel(EngineSpeed speed)
-    : m_speed(speed),
-      m_cache(speed.cacheBlocks)
+EngineModel::EngineModel(EngineSpeed speed) : m_speed(speed), m_cache(speed.cacheBlocks)
 {
 }
 
@@ -27,7 +25,10 @@
 {
     const uint32_t cached = std::min(m_cache.cachedTokens("", job.blocks), job.promptTokens);
     job.toPrefill = job.promptTokens - cached;
-    m_jobs.push_back(std::move(job));
+    const auto before = std::find_if(m_jobs.begin(), m_jobs.end(), [&job](const EngineJob &it) {
+        return it.priority < job.priority;
+    });
+    m_jobs.insert(before, std::move(job));
 }
 
 double EngineModel::stepMs(const OnToken &onToken, const OnEnd &onEnd)
@@ -69,9 +70,8 @@
         onToken(request);
     for (const size_t request : ended)
         onEnd(request);
-    const double decodeMs = decoding == 0
-            ? 0
-            : (m_speed.stepMs + m_speed.stepPerRequestMs * decoding) * factor.step;
+    const double decodeMs =
+        decoding == 0 ? 0 : (m_speed.stepMs + m_speed.stepPerRequestMs * decoding) * factor.step;
     return decodeMs + prefilled * 1'000 / (m_speed.prefillRate * factor.prefill) + 0.05;
 }
 
--- a/tools/jujubereplay/enginemodel.h
+++ b/tools/jujubereplay/enginemodel.h
@@ -17,13 +17,13 @@
 /** Speed and size of an engine. Engines in stock differ. */
 struct EngineSpeed
 {
-    double prefillRate = 20'000;        ///< Prompt tokens a second.
-    double stepMs = 12;                 ///< Fixed time of a decode step.
-    double stepPerRequestMs = 0.35;     ///< Added for each running request.
+    double prefillRate = 20'000;    ///< Prompt tokens a second.
+    double stepMs = 12;             ///< Fixed time of a decode step.
+    double stepPerRequestMs = 0.35; ///< Added for each running request.
     uint32_t slots = 32;
-    uint32_t kvPieces = 320;            ///< KV memory in pieces of 1,024 tokens.
-    double mixedChunk = 640;            ///< Prompt tokens prefilled beside a decode step.
-    core::Milliseconds roleChange {5'000};
+    uint32_t kvPieces = 320; ///< KV memory in pieces of 1,024 tokens.
+    double mixedChunk = 640; ///< Prompt tokens prefilled beside a decode step.
+    core::Milliseconds roleChange{5'000};
     size_t cacheBlocks = 1'500;
 };
 
@@ -42,6 +42,7 @@
     size_t request = 0; ///< Index into the workload.
     uint32_t promptTokens = 0;
     uint32_t outputTokens = 0;
+    uint32_t priority = 0; ///< Engines prefill higher ones first.
     std::vector<uint64_t> blocks;
     double toPrefill = 0;
     uint32_t produced = 0;
--- a/tools/jujubereplay/main.cpp
+++ b/tools/jujubereplay/main.cpp
@@ -20,6 +20,7 @@
 DEFINE_string(scenario, "accra", "accra, amman, steady, flood or moderate");
 DEFINE_string(trace, "", "replay this CSV file instead of a generated workload");
 DEFINE_string(write_trace, "", "write the generated workload to this CSV file and exit");
+DEFINE_double(load, 1.0, "multiplies the rate of arrivals");
 DEFINE_int32(first_seed, 1, "first seed");
 DEFINE_int32(seeds, 1, "number of seeds");
 DEFINE_string(policies, "a,b,c,ours", "a, b, c, ours, or ours without one mechanism: see --list");
@@ -31,10 +32,11 @@
 
 using namespace jujube;
 
-const std::map<std::string, replay::Scenario> Scenarios {
-        {"accra", replay::Scenario::Accra},   {"amman", replay::Scenario::Amman},
-        {"steady", replay::Scenario::Steady}, {"flood", replay::Scenario::Flood},
-        {"moderate", replay::Scenario::Moderate}};
+const std::map<std::string, replay::Scenario> Scenarios{{"accra", replay::Scenario::Accra},
+                                                        {"amman", replay::Scenario::Amman},
+                                                        {"steady", replay::Scenario::Steady},
+                                                        {"flood", replay::Scenario::Flood},
+                                                        {"moderate", replay::Scenario::Moderate}};
 
 policy::DispatcherSettings plainQueue()
 {
@@ -48,30 +50,34 @@
 
 replay::Policy ours(const std::string &name)
 {
-    return {name, replay::Predicted {}, replay::PlannedRoles {}, {}};
+    return {name, replay::Predicted{}, replay::PlannedRoles{}, {}};
 }
 
 // Every policy by name. Those named "no-..." are ours with one mechanism switched off.
 std::map<std::string, replay::Policy> allPolicies()
 {
     std::map<std::string, replay::Policy> all;
-    all["a"] = {"a: static roles, round robin", replay::RoundRobin {}, replay::StaticRoles {},
+    all["a"] = {"a: static roles, round robin", replay::RoundRobin{}, replay::StaticRoles{},
                 plainQueue()};
-    all["b"] = {"b: static roles, least outstanding", replay::LeastOutstanding {},
-                replay::StaticRoles {}, plainQueue()};
-    all["c"] = {"c: threshold roles, least outstanding", replay::LeastOutstanding {},
-                replay::ThresholdRoles {}, plainQueue()};
-    all["mixed"] = {"all mixed, least outstanding", replay::LeastOutstanding {}, replay::AllMixed {},
+    all["b"] = {"b: static roles, least outstanding", replay::LeastOutstanding{},
+                replay::StaticRoles{}, plainQueue()};
+    all["c"] = {"c: threshold roles, least outstanding", replay::LeastOutstanding{},
+                replay::ThresholdRoles{}, plainQueue()};
+    all["mixed"] = {"all mixed, least outstanding", replay::LeastOutstanding{}, replay::AllMixed{},
                     plainQueue()};
     all["ours"] = ours("ours");
     all["no-prediction"] = ours("no predicted routing");
-    all["no-prediction"].routing = replay::LeastOutstanding {};
+    all["no-prediction"].routing = replay::LeastOutstanding{};
     all["no-prefix"] = ours("no prefix affinity");
-    all["no-prefix"].routing = replay::Predicted {false};
+    all["no-prefix"].routing = replay::Predicted{false};
     all["no-roles"] = ours("no role changes");
-    all["no-roles"].roles = replay::AllMixed {};
+    all["no-roles"].roles = replay::AllMixed{};
     all["no-fairness"] = ours("no team fairness");
     all["no-fairness"].dispatcher.fairTeams = false;
+    all["no-demotion"] = ours("no demotion of late work");
+    all["no-demotion"].dispatcher.demoteLate = false;
+    all["no-reserve"] = ours("no reserve for urgent work");
+    all["no-reserve"].dispatcher.urgentReserve = 0;
     all["no-admission"] = ours("no admission");
     all["no-admission"].dispatcher.admission = false;
     all["no-deadline-order"] = ours("no deadline order");
@@ -84,7 +90,7 @@
 absl::StatusOr<replay::Workload> workloadFor(uint64_t seed)
 {
     if (FLAGS_trace.empty())
-        return replay::generate(Scenarios.at(FLAGS_scenario), seed);
+        return replay::generate(Scenarios.at(FLAGS_scenario), seed, FLAGS_load);
     std::ifstream file(FLAGS_trace);
     std::ostringstream text;
     text << file.rdbuf();
--- a/tools/jujubereplay/simulation.cpp
+++ b/tools/jujubereplay/simulation.cpp
@@ -29,20 +29,17 @@
     return core::TimePoint(std::chrono::nanoseconds(static_cast<int64_t>(ms * 1e6)));
 }
 
-template<typename... Visitors>
-struct Overloaded : Visitors...
+template <typename... Visitors> struct Overloaded : Visitors...
 {
     using Visitors::operator()...;
 };
-template<typename... Visitors>
-Overloaded(Visitors...) -> Overloaded<Visitors...>;
+template <typename... Visitors> Overloaded(Visitors...) -> Overloaded<Visitors...>;
 
 // One engine with its agent's decisions.
 struct Endpoint
 {
     Endpoint(EngineSpeed speed, const policy::DispatcherSettings &settings)
-        : engine(speed),
-          dispatcher(settings)
+        : engine(speed), dispatcher(settings)
     {
     }
 
@@ -56,7 +53,7 @@
     bool stepping = false;
     bool gone = false;
     std::optional<core::Role> wanted; ///< Role to change to once idle.
-    uint64_t epoch = 0; ///< Steps of an earlier life are ignored.
+    uint64_t epoch = 0;               ///< Steps of an earlier life are ignored.
 
     bool open() const { return up && !draining && !changing && !wanted && !gone; }
 };
@@ -64,10 +61,7 @@
 // What one entry knows and decides with.
 struct Entry
 {
-    Entry()
-        : prefixes(EntryCacheBlocks)
-    {
-    }
+    Entry() : prefixes(EntryCacheBlocks) { }
 
     std::vector<policy::EndpointView> views;
     policy::PrefixIndex prefixes;
@@ -96,7 +90,7 @@
         : m_workload(workload),
           m_policy(policy),
           m_random(seed),
-          m_router(policy::RouterSettings {}),
+          m_router(policy::RouterSettings{}),
           m_states(workload.requests.size()),
           m_entries(Entries)
     {
@@ -241,14 +235,13 @@
         Entry &entry = m_entries[m_states[request].entry];
         for (size_t i = 0; i < m_endpoints.size(); ++i) {
             entry.views[i].usable =
-                    entry.views[i].load.ready && !m_states[request].refusedBy.contains(i);
+                entry.views[i].load.ready && !m_states[request].refusedBy.contains(i);
         }
-        return std::visit(Overloaded {[&](RoundRobin) { return inTurn(entry); },
-                                      [&](LeastOutstanding) { return leastOutstanding(entry); },
-                                      [&](const Predicted &it) {
-                                          return predicted(entry, request, it.prefixes);
-                                      }},
-                          m_policy.routing);
+        return std::visit(
+            Overloaded{[&](RoundRobin) { return inTurn(entry); },
+                       [&](LeastOutstanding) { return leastOutstanding(entry); },
+                       [&](const Predicted &it) { return predicted(entry, request, it.prefixes); }},
+            m_policy.routing);
     }
 
     static std::optional<size_t> inTurn(Entry &entry)
@@ -292,7 +285,7 @@
             return std::nullopt;
         policy::EndpointView &view = entry.views[decision->index];
         view.sentPrefillTokens +=
-                it.promptTokens - std::min(decision->cachedTokens, it.promptTokens);
+            it.promptTokens - std::min(decision->cachedTokens, it.promptTokens);
         view.sentOutputTokens += it.outputTokens;
         ++view.sentRequests;
         entry.prefixes.record(view.vm, route.prefixBlocks);
@@ -365,13 +358,14 @@
         if (!endpoint.up || endpoint.changing)
             return;
         while (const auto id =
-                       endpoint.dispatcher.startNext(at(m_now), endpoint.engine.speed().slots)) {
+                   endpoint.dispatcher.startNext(at(m_now), endpoint.engine.speed().slots)) {
             const size_t request = std::stoul(*id);
             const ReplayRequest &it = m_workload.requests[request];
             EngineJob job;
             job.request = request;
             job.promptTokens = it.promptTokens;
             job.outputTokens = it.outputTokens;
+            job.priority = objectivesOf(it.profile).priority;
             job.blocks = blocksOf(it, request);
             endpoint.engine.start(std::move(job));
         }
@@ -390,15 +384,15 @@
         bool prefillEnded = false;
         std::vector<size_t> ended;
         const double ms = endpoint.engine.stepMs(
-                [&](size_t request) {
-                    State &state = m_states[request];
-                    if (state.produced++ == 0) {
-                        state.firstTokenMs = m_now;
-                        prefillEnded = true;
-                    }
-                    endpoint.dispatcher.noteTokens(core::concat(request), 1, at(m_now));
-                },
-                [&](size_t request) { ended.push_back(request); });
+            [&](size_t request) {
+                State &state = m_states[request];
+                if (state.produced++ == 0) {
+                    state.firstTokenMs = m_now;
+                    prefillEnded = true;
+                }
+                endpoint.dispatcher.noteTokens(core::concat(request), 1, at(m_now));
+            },
+            [&](size_t request) { ended.push_back(request); });
         for (const size_t request : ended) {
             endpoint.dispatcher.noteEnd(core::concat(request), true, at(m_now));
             end(request, RequestResult::End::Whole);
@@ -433,10 +427,10 @@
         result.total = core::Milliseconds(static_cast<int64_t>(m_now - begun));
         if (it.outputTokens > 1)
             result.betweenTokens = core::Milliseconds(
-                    static_cast<int64_t>((m_now - state.firstTokenMs) / (it.outputTokens - 1)));
+                static_cast<int64_t>((m_now - state.firstTokenMs) / (it.outputTokens - 1)));
         const ProfileObjectives &objectives = objectivesOf(it.profile);
-        result.good = result.firstToken <= objectives.firstToken
-                && result.total <= objectives.deadline;
+        result.good =
+            result.firstToken <= objectives.firstToken && result.total <= objectives.deadline;
     }
 
     // Roles
@@ -445,7 +439,7 @@
     {
         if (m_now >= static_cast<double>(m_workload.length.count())
             || m_now < static_cast<double>(PlotInterval.count())
-                            * static_cast<double>(m_result.intervals.size()))
+                    * static_cast<double>(m_result.intervals.size()))
             return;
         IntervalState interval;
         interval.at = core::Milliseconds(static_cast<int64_t>(m_now));
@@ -458,9 +452,9 @@
 
     void planRoles()
     {
-        std::visit(Overloaded {[](StaticRoles) {}, [](AllMixed) {},
-                               [this](const ThresholdRoles &it) { thresholdRoles(it); },
-                               [this](const PlannedRoles &) { plannedRoles(); }},
+        std::visit(Overloaded{[](StaticRoles) {}, [](AllMixed) {},
+                              [this](const ThresholdRoles &it) { thresholdRoles(it); },
+                              [this](const PlannedRoles &) { plannedRoles(); }},
                    m_policy.roles);
     }
 
@@ -478,6 +472,7 @@
         view.queuedTokens = load.queuedTokens;
         view.outstandingOutput = load.outstandingOutput;
         view.running = load.running;
+        view.queuedRequests = load.queuedRequests;
         view.slots = it.engine.speed().slots;
         view.prefillRate = load.prefillRate;
         view.decodeRate = load.decodeRate;
--- a/tools/jujubereplay/workload.cpp
+++ b/tools/jujubereplay/workload.cpp
@@ -20,11 +20,11 @@
 constexpr core::Milliseconds Length = 30min;
 constexpr core::Milliseconds SwingLength = 3min;
 
-constexpr std::array<ProfileObjectives, 4> Profiles {{
-        {"document", 4, 4'000ms, 30'000ms},
-        {"summary", 4, 2'000ms, 60'000ms},
-        {"chat", 6, 460ms, 15'000ms},
-        {"classify", 7, 460ms, 5'000ms},
+constexpr std::array<ProfileObjectives, 4> Profiles{{
+    {"document", 4, 4'000ms, 30'000ms},
+    {"summary", 4, 2'000ms, 60'000ms},
+    {"chat", 6, 460ms, 15'000ms},
+    {"classify", 7, 460ms, 5'000ms},
 }};
 
 // Uniform draw that, unlike std::uniform_int_distribution, is the same in every library.
@@ -44,13 +44,14 @@
     if (scenario != Scenario::Accra && scenario != Scenario::Amman)
         return 0.5;
     // Two swings there and back: at 6 and 12 minutes, and at 18 and 24.
-    const double high = 0.9;
-    const double low = 0.1;
+    // With the sizes below, the prompt-to-output ratio goes from about 10:1 to 1:4 and back.
+    const double high = 0.95;
+    const double low = 0.02;
     double share = high;
     for (int i = 0; i < 4; ++i) {
         const core::Milliseconds begin = 6min * (i + 1);
         const double progress =
-                std::clamp((at - begin).count() / double(SwingLength.count()), 0.0, 1.0);
+            std::clamp((at - begin).count() / double(SwingLength.count()), 0.0, 1.0);
         const double from = i % 2 == 0 ? high : low;
         const double to = i % 2 == 0 ? low : high;
         if (at >= begin)
@@ -64,17 +65,17 @@
 {
     switch (scenario) {
     case Scenario::Accra:
-        return 27;
+        return 29;
     case Scenario::Amman: {
         const double phase = at.count() / double(Length.count()) * 2 * 3.14159265358979;
-        return 15 + 6 * std::sin(phase);
+        return 17 + 6 * std::sin(phase);
     }
     case Scenario::Steady:
-        return 27;
+        return 29;
     case Scenario::Flood:
-        return 44;
+        return 58;
     case Scenario::Moderate:
-        return 19;
+        return 22;
     }
     return 20;
 }
@@ -82,7 +83,7 @@
 std::string drawTeam(Scenario scenario, std::mt19937_64 &random)
 {
     // Eight teams, a few of them large.
-    constexpr std::array<double, 8> shares {0.28, 0.22, 0.18, 0.10, 0.08, 0.06, 0.05, 0.03};
+    constexpr std::array<double, 8> shares{0.28, 0.22, 0.18, 0.10, 0.08, 0.06, 0.05, 0.03};
     if (scenario == Scenario::Flood && drawUnit(random) < 0.5)
         return "team-5"; // Asks about ten times its usual share.
     double left = drawUnit(random);
@@ -103,22 +104,24 @@
     const bool promptHeavy = drawUnit(random) < promptShare(scenario, at);
     if (kind < 0.5 && promptHeavy) {
         request.profile = "document";
-        request.promptTokens = drawBetween(random, 2'000, 10'000);
-        request.outputTokens = drawBetween(random, 20, 120);
-        request.document = drawBetween(random, 1, 40);
+        request.promptTokens = drawBetween(random, 1'500, 6'000);
+        request.outputTokens = drawBetween(random, 100, 400);
+        // Half of them read a catalogue that others read too, half a dossier of their own.
+        request.document = drawUnit(random) < 0.5 ? drawBetween(random, 1, 40)
+                                                  : drawBetween(random, 1'000'000, 2'000'000);
     } else if (kind < 0.5) {
         request.profile = "summary";
-        request.promptTokens = drawBetween(random, 100, 600);
-        request.outputTokens = drawBetween(random, 300, 900);
+        request.promptTokens = drawBetween(random, 60, 200);
+        request.outputTokens = drawBetween(random, 500, 1'500);
         request.document = drawBetween(random, 100, 400);
     } else if (kind < 0.8) {
         request.profile = "chat";
-        request.promptTokens = drawBetween(random, 80, 500);
+        request.promptTokens = drawBetween(random, 40, 160);
         request.outputTokens = drawBetween(random, 40, 160);
         request.document = drawBetween(random, 1'000, 1'200);
     } else {
         request.profile = "classify";
-        request.promptTokens = drawBetween(random, 100, 400);
+        request.promptTokens = drawBetween(random, 40, 120);
         request.outputTokens = drawBetween(random, 1, 4);
         request.document = drawBetween(random, 2'000, 2'040);
     }
@@ -131,8 +134,8 @@
         return {};
     const uint32_t crashed = drawBetween(random, 0, engines - 1);
     const uint32_t drained = (crashed + 1 + drawBetween(random, 0, engines - 2)) % engines;
-    const uint32_t withdrawn = (crashed + 1) % engines == drained ? (drained + 1) % engines
-                                                                  : (crashed + 1) % engines;
+    const uint32_t withdrawn =
+        (crashed + 1) % engines == drained ? (drained + 1) % engines : (crashed + 1) % engines;
     return {{4min, FleetEvent::Kind::Crash, crashed, 8s},
             {14min, FleetEvent::Kind::Drain, drained, 60s},
             {27min, FleetEvent::Kind::Withdraw, withdrawn, 0s}};
@@ -162,7 +165,7 @@
     return Profiles[2];
 }
 
-Workload generate(Scenario scenario, uint64_t seed)
+Workload generate(Scenario scenario, uint64_t seed, double load)
 {
     std::mt19937_64 random(seed);
     Workload workload;
@@ -172,12 +175,12 @@
     workload.domains = scenario == Scenario::Amman ? 4 : 3;
     double atMs = 0;
     while (true) {
-        const double rate = arrivalRate(scenario, core::Milliseconds(int64_t(atMs)));
+        const double rate = load * arrivalRate(scenario, core::Milliseconds(int64_t(atMs)));
         atMs += -std::log(1 - drawUnit(random)) * 1'000 / rate;
         if (atMs >= Length.count())
             break;
         workload.requests.push_back(
-                drawRequest(scenario, core::Milliseconds(int64_t(atMs)), random));
+            drawRequest(scenario, core::Milliseconds(int64_t(atMs)), random));
     }
     workload.events = drawEvents(scenario, workload.engines, random);
     return workload;
@@ -185,8 +188,8 @@
 
 std::string Workload::toCsv() const
 {
-    std::string csv = core::concat("workload,", name, ",", length.count(), ",", engines, ",",
-                                   domains, "\n");
+    std::string csv =
+        core::concat("workload,", name, ",", length.count(), ",", engines, ",", domains, "\n");
     for (const FleetEvent &it : events)
         core::append(csv, "event,", it.at.count(), ",", kindName(it.kind), ",", it.engine, ",",
                      it.length.count(), "\n");
@@ -215,7 +218,7 @@
             workload.domains = static_cast<uint32_t>(numbers[4]);
         } else if (columns[0] == "event" && columns.size() == 5) {
             const auto kind = columns[2] == "crash" ? FleetEvent::Kind::Crash
-                    : columns[2] == "drain"         ? FleetEvent::Kind::Drain
+                : columns[2] == "drain"             ? FleetEvent::Kind::Drain
                                                     : FleetEvent::Kind::Withdraw;
             workload.events.push_back({core::Milliseconds(numbers[1]), kind,
                                        static_cast<uint32_t>(numbers[3]),
@@ -226,8 +229,8 @@
                                          static_cast<uint32_t>(numbers[5]),
                                          static_cast<uint32_t>(numbers[6])});
         } else {
-            return absl::InvalidArgumentError(core::concat(
-                    "line ", number, " is neither a workload, an event nor a request"));
+            return absl::InvalidArgumentError(
+                core::concat("line ", number, " is neither a workload, an event nor a request"));
         }
     }
     if (workload.engines == 0)
--- a/tools/jujubereplay/workload.h
+++ b/tools/jujubereplay/workload.h
@@ -26,7 +26,7 @@
 /** One language request. */
 struct ReplayRequest
 {
-    core::Milliseconds at {};
+    core::Milliseconds at{};
     std::string team;
     std::string profile;
     uint32_t promptTokens = 0;
@@ -38,17 +38,17 @@
 struct FleetEvent
 {
     enum class Kind { Crash, Drain, Withdraw };
-    core::Milliseconds at {};
+    core::Milliseconds at{};
     Kind kind = Kind::Crash;
     uint32_t engine = 0;
-    core::Milliseconds length {}; ///< Until it is back; 0: for good.
+    core::Milliseconds length{}; ///< Until it is back; 0: for good.
 };
 
 /** A workload of one user. */
 struct Workload
 {
     std::string name;
-    core::Milliseconds length {};
+    core::Milliseconds length{};
     uint32_t engines = 0;
     uint32_t domains = 0;
     std::vector<ReplayRequest> requests;
@@ -67,8 +67,11 @@
     Moderate, ///< Steady at under 80% of what the fleet can do, for the latency targets.
 };
 
-/** Makes a workload. The same scenario and seed give the same requests, byte for byte. */
-Workload generate(Scenario scenario, uint64_t seed);
+/** Makes a workload. The same scenario, seed and load give the same requests, byte for byte.
+ *
+ * \param load multiplies the rate of arrivals.
+ */
+Workload generate(Scenario scenario, uint64_t seed, double load = 1.0);
 
 const ProfileObjectives &objectivesOf(const std::string &profile);
 
