The prefill window goes out

Cause: each mechanism has to be worth something. With engines that honour priorities the bound on prefill work inside an engine only held work back. Passing over work that does not fit did not save it. Conclusion: removed.

--- a/src/policy/dispatcher.cpp
+++ b/src/policy/dispatcher.cpp
@@ -64,14 +64,11 @@
 {
     if (m_started.size() >= slots)
         return std::nullopt;
-    FairQueue::Eligible eligible;
-    if (m_started.size() >= openSlots(slots)) {
-        eligible = [](const QueuedWork &work) { return work.urgent; };
-    }
-    const auto candidate = m_queue.peek(eligible);
-    if (!candidate || !prefillFits(m_waiting.at(*candidate).shape))
+    const bool onlyUrgent = m_started.size() >= openSlots(slots);
+    const auto next = m_queue.take(
+            [onlyUrgent](const QueuedWork &work) { return work.urgent || !onlyUrgent; });
+    if (!next)
         return std::nullopt;
-    const auto next = m_queue.take(eligible);
     const auto it = m_waiting.find(next->id);
     Started started;
     started.shape = std::move(it->second.shape);
@@ -220,17 +217,6 @@
     }
 }
 
-bool Dispatcher::prefillFits(const WorkShape &next) const
-{
-    if (m_settings.prefillWindow.count() == 0 || next.kind == core::WorkKind::Service)
-        return true;
-    if (m_prefillInFlight == 0 || m_rates.prefillRate() <= 0)
-        return true;
-    const double window =
-        m_rates.prefillRate() * static_cast<double>(m_settings.prefillWindow.count()) / 1'000.0;
-    return static_cast<double>(m_prefillInFlight + uncachedTokens(next)) <= window;
-}
-
 // Rates of the whole engine are learned only in windows in which work was waiting throughout: an
 // idle endpoint completes what there is, which says nothing about what it could do.
 void Dispatcher::closeWindow(core::TimePoint now)
--- a/src/policy/dispatcher.h
+++ b/src/policy/dispatcher.h
@@ -38,9 +38,6 @@
     bool admission = true;     ///< Off: nothing is refused for its predicted wait.
     bool deadlineOrder = true; ///< Off: first come, first served.
     bool demoteLate = true;    ///< Off: overdue work keeps its place.
-    /** Prefill work given to the engine at once. More of it would wait inside the engine, where
-     * nothing can overtake it; 0 sets no bound. */
-    core::Milliseconds prefillWindow{1'000};
     /** Largest share of the batch slots kept for urgent work; long answers would otherwise hold
      * every slot for many seconds. The share in force grows while urgent work starts late and
      * shrinks again when none does, for a slot that is kept free is lost to the others. */
@@ -98,7 +95,6 @@
     uint32_t uncachedTokens(const WorkShape &work) const;
     double costOf(const WorkShape &work, uint32_t uncached) const;
     core::Milliseconds decodeTime(const WorkShape &work) const;
-    bool prefillFits(const WorkShape &next) const;
     size_t openSlots(uint32_t slots) const;
     double priceOf(uint32_t uncached, uint32_t output) const;
     void closeWindow(core::TimePoint now);
--- a/src/policy/fairqueue.cpp
+++ b/src/policy/fairqueue.cpp
@@ -77,12 +77,6 @@
     return best;
 }
 
-std::optional<std::string> FairQueue::peek(const Eligible &eligible) const
-{
-    const Pick pick = next(eligible);
-    return pick.team ? std::optional(pick.work->id) : std::nullopt;
-}
-
 std::optional<QueuedWork> FairQueue::take(const Eligible &eligible)
 {
     const Pick pick = next(eligible);
--- a/src/policy/fairqueue.h
+++ b/src/policy/fairqueue.h
@@ -73,8 +73,6 @@
     /** Restricts what may be taken; empty: everything. */
     using Eligible = std::function<bool(const QueuedWork &)>;
 
-    /** Id of the work that take() would return. */
-    std::optional<std::string> peek(const Eligible &eligible = {}) const;
     /** Takes the next work and charges its team. */
     std::optional<QueuedWork> take(const Eligible &eligible = {});
     /** Removes one unit, for a cancelled request. */
--- a/tools/jujubereplay/main.cpp
+++ b/tools/jujubereplay/main.cpp
@@ -44,7 +44,6 @@
     settings.fairTeams = false;
     settings.admission = false;
     settings.deadlineOrder = false;
-    settings.prefillWindow = core::Milliseconds(0);
     return settings;
 }
 
@@ -82,8 +81,6 @@
     all["no-admission"].dispatcher.admission = false;
     all["no-deadline-order"] = ours("no deadline order");
     all["no-deadline-order"].dispatcher.deadlineOrder = false;
-    all["no-prefill-window"] = ours("no prefill window");
-    all["no-prefill-window"].dispatcher.prefillWindow = core::Milliseconds(0);
     return all;
 }
 
