--- a/src/policy/roleplanner.cpp
+++ b/src/policy/roleplanner.cpp
@@ -70,6 +70,18 @@
     forecast.at = now;
 }
 
+// Changes are spaced out so that each shows its effect before the next, and bounded so that a
+// swing costs few of them.
+bool RolePlanner::mayChange(Forecast &forecast, core::TimePoint now) const
+{
+    std::deque<core::TimePoint> &changes = forecast.changes;
+    while (!changes.empty() && now - changes.front() > m_settings.budgetWindow)
+        changes.pop_front();
+    if (changes.size() >= m_settings.maxChanges)
+        return false;
+    return changes.empty() || now - changes.back() >= m_settings.settle;
+}
+
 // Two averages of different age lag a steady rise by their time constants, so their difference over
 // the difference of these is the slope.
 double RolePlanner::projectedSlotUse(const Forecast &forecast) const
@@ -106,7 +118,7 @@
 {
     Forecast &forecast = m_forecasts[model];
     observe(forecast, engines, now);
-    if (now - forecast.lastChange < m_settings.settle)
+    if (!mayChange(forecast, now))
         return std::nullopt;
     // An engine that is away already is one too many.
     const bool allAvailable = std::all_of(engines.begin(), engines.end(),
@@ -139,7 +151,7 @@
     }
     if (!best)
         return std::nullopt;
-    forecast.lastChange = now;
+    forecast.changes.push_back(now);
     m_changedAt[best->vm] = now;
     return RoleChange{best->vm, best->role == opposite ? core::Role::Mixed : *wanted, gain};
 }
--- a/src/policy/roleplanner.h
+++ b/src/policy/roleplanner.h
@@ -6,6 +6,7 @@
 
 #include "core/work.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -41,7 +42,9 @@
 {
     core::Milliseconds horizon{60'000};    ///< Time over which a gain is counted.
     core::Milliseconds changeCost{10'000}; ///< Time an engine is away, its last work included.
-    core::Milliseconds settle{45'000};     ///< Least time between two changes of one model.
+    core::Milliseconds settle {30'000};     ///< Least time between two changes of one model.
+    core::Milliseconds budgetWindow {180'000}; ///< Time in which at most maxChanges are made.
+    size_t maxChanges = 2;                  ///< Changes of one model in a budget window.
     core::Milliseconds reversal{180'000};  ///< Least time before an engine changes again.
     core::Milliseconds smoothing{30'000};  ///< Time constant of the forecast.
     core::Milliseconds lookAhead{40'000};  ///< How far the trend of slot use is followed.
@@ -79,13 +82,14 @@
         double slotUseFast = 0; ///< The same over a shorter time; the difference is the trend.
         core::TimePoint at{};
         core::TimePoint since{}; ///< First observation; a trend needs some history.
-        core::TimePoint lastChange{};
+        std::deque<core::TimePoint> changes; ///< Of the last budget window.
     };
 
     std::optional<RoleChange> planModel(const std::string &model,
                                         const std::vector<RoleView> &engines, core::TimePoint now);
     void observe(Forecast &forecast, const std::vector<RoleView> &engines,
                  core::TimePoint now) const;
+    bool mayChange(Forecast &forecast, core::TimePoint now) const;
     double projectedSlotUse(const Forecast &forecast) const;
     std::optional<core::Role> shortPhase(const Forecast &forecast) const;
     bool keepsCoverage(const RoleView &candidate, core::Role role,
--- a/tools/jujubereplay/report.cpp
+++ b/tools/jujubereplay/report.cpp
@@ -82,10 +82,10 @@
             return values;
         };
         const auto goodput = column(&Row::goodput);
-        std::snprintf(buf, sizeof(buf), "%-38s %8.4f %8.4f %9.4f %9.4f %7.0f %8.0f %8.0f\n",
+        std::snprintf(buf, sizeof(buf), "%-38s %8.4f %8.4f %9.4f %9.4f %4.0f %3.0f %8.0f %8.0f\n",
                       policy.c_str(), median(goodput), least(goodput),
                       median(column(&Row::ofBound)), median(column(&Row::worstTeam)),
-                      most(column(&Row::roleChanges)), median(column(&Row::chatFirstTokenMs)),
+                      median(column(&Row::roleChanges)), most(column(&Row::roleChanges)), median(column(&Row::chatFirstTokenMs)),
                       median(column(&Row::chatBetweenTokensMs)));
         out += buf;
     }
@@ -94,7 +94,7 @@
         bounds.push_back(bound);
     std::snprintf(buf, sizeof(buf), "%-38s %8.4f %8.4f\n", "clairvoyant bound", median(bounds),
                   least(bounds));
-    return out + buf + "team: goodput of the worst-served team; changes: the most of any seed; "
+    return out + buf + "team: goodput of the worst-served team; changes: median and most of all seeds; "
                        "ttft95 and tbt95: chat, in ms\n";
 }
 
