"Not run" is never said of a request that has run

Ruled out: a planned change; entry2 ran through and logged the refusal. Now: a candidate that is merely not reached is waited for; the outcome remembers that some attempt has run; the error is flushed before the close. The checker now also breaks "not run" after bytes of an answer.

--- a/apps/demo/caller.cpp
+++ b/apps/demo/caller.cpp
@@ -92,6 +92,7 @@
     object["idempotency_key"] = wire::qstring(idempotencyKey);
     object["prompt_tokens"] = wire::jsonNumber(usage.promptTokens);
     object["output_tokens"] = wire::jsonNumber(usage.outputTokens);
+    object["received_bytes"] = wire::jsonNumber(receivedBytes);
     object["start_us"] = QString::number(startUs);
     object["end_us"] = QString::number(endUs);
     object["first_token_ms"] = static_cast<qint64>(firstToken.count());
@@ -187,6 +188,7 @@
     record->code.clear();
     record->status = response.ok() ? static_cast<int>(response->status) : 0;
     record->usage = reader->usage;
+    record->receivedBytes = reader->text.size();
     record->right = false;
     if (!response.ok()) {
         const bool refused = wire::sendStateOf(response.status()) == wire::SendState::NotSent;
--- a/apps/demo/caller.h
+++ b/apps/demo/caller.h
@@ -26,6 +26,7 @@
     bool right = false;    ///< The answer is exactly what the endpoint must give.
     uint32_t attempts = 0; ///< Tries made by the caller.
     std::string idempotencyKey;
+    uint64_t receivedBytes = 0; ///< Of the answer's text, whole or not.
     core::Usage usage;
     int64_t startUs = 0;
     int64_t endUs = 0;
--- a/src/entry/callerapi.cpp
+++ b/src/entry/callerapi.cpp
@@ -85,7 +85,7 @@
         // The head of the answer is out: tell what happened, then cut the connection, so that
         // the part cannot be taken for the whole.
         exchange.write(core::concat("data: ", errorBody(failure), "\n\n"));
-        exchange.abort();
+        exchange.cut();
     }
 
 private:
--- a/src/entry/requestsession.cpp
+++ b/src/entry/requestsession.cpp
@@ -79,6 +79,7 @@
         if (end == AttemptEnd::Whole || end == AttemptEnd::Final)
             break;
         m_refusedBy.insert(link->record().vm);
+        m_mayHaveRun = m_mayHaveRun || end != AttemptEnd::NotRun;
         if (!mayTryAgain(end)) {
             finishWith(end);
             break;
@@ -173,14 +174,24 @@
         }
         if (auto link = chooseEndpoint())
             co_return link;
-        // Once all candidates have refused, waiting would only hold back the final answer.
-        const bool refused = !m_refusedBy.empty();
-        if (refused || m_withdrawn || core::BootClock::now() >= giveUp)
+        // Once all candidates have refused, waiting would only hold back the final answer. One that
+        // is merely not reached at present may be back in a moment.
+        if (allRefused() || m_withdrawn || core::BootClock::now() >= giveUp)
             co_return nullptr;
         co_await m_services.io.sleep(EndpointPoll);
     }
 }
 
+bool RequestSession::allRefused() const
+{
+    if (m_refusedBy.empty())
+        return false;
+    const auto links = m_services.fleet.candidates(m_request.work.kind, m_request.model);
+    return std::all_of(links.begin(), links.end(), [this](const auto &link) {
+        return m_refusedBy.contains(link->record().vm);
+    });
+}
+
 wire::Task<RequestSession::AttemptEnd> RequestSession::attempt(std::shared_ptr<AgentLink> link)
 {
     auto current = std::make_shared<Attempt>();
@@ -407,9 +418,7 @@
     if (m_withdrawn && end == AttemptEnd::NotRun) {
         fail(core::Outcome::NotRun, 401, "key-withdrawn", "the key has been withdrawn");
     } else if (end == AttemptEnd::NotRun) {
-        // Tokens handed over by an earlier attempt mean that the request as a whole has run.
-        const auto outcome = m_tokens > 0 ? core::Outcome::Failed : core::Outcome::NotRun;
-        fail(outcome, StatusNotRun, "overloaded", "not taken: " + m_lastReason,
+        fail(core::Outcome::NotRun, StatusNotRun, "overloaded", "not taken: " + m_lastReason,
              std::max(m_retryAfter, core::Milliseconds(100)));
     } else if (end == AttemptEnd::Broken) {
         fail(core::Outcome::Failed, StatusFailed, "endpoint-failed", m_lastReason, ComeBackLater);
@@ -426,6 +435,9 @@
 {
     if (std::exchange(m_finished, true))
         return;
+    // A later attempt that did not run says nothing about an earlier one that did.
+    if (outcome == core::Outcome::NotRun && m_mayHaveRun)
+        outcome = m_request.work.idempotent ? core::Outcome::Failed : core::Outcome::Unknown;
     if (m_claimed && outcome == core::Outcome::NotRun)
         m_services.claims.release(m_request.claimKey, m_request.work.requestId);
     core::Event("request.failed")
--- a/src/entry/requestsession.h
+++ b/src/entry/requestsession.h
@@ -92,6 +92,7 @@
     AttemptEnd concluded(Attempt &attempt, const wire::ChunkMessage &chunk);
     void cancelAttempt(const std::shared_ptr<Attempt> &attempt, bool onlyQueued);
     void countUsage(Attempt &attempt, bool whole, const core::Usage &usage);
+    bool allRefused() const;
     bool mayTryAgain(AttemptEnd end);
     void finishWith(AttemptEnd end);
     void fail(core::Outcome outcome, int status, std::string code, std::string message,
@@ -115,6 +116,7 @@
     bool m_withdrawn = false;
     bool m_finished = false;
     bool m_claimed = false;
+    bool m_mayHaveRun = false; ///< Some attempt has run, or nobody knows.
 };
 
 } // namespace jujube::entry
--- a/src/wire/httpserver.cpp
+++ b/src/wire/httpserver.cpp
@@ -375,6 +375,13 @@
         m_socket->abort();
 }
 
+void Exchange::cut()
+{
+    conclude();
+    if (m_socket)
+        m_socket->disconnectFromHost();
+}
+
 bool Exchange::connected() const
 {
     return m_socket && m_socket->state() == QAbstractSocket::ConnectedState;
--- a/src/wire/httpserver.h
+++ b/src/wire/httpserver.h
@@ -70,7 +70,9 @@
     void begin(int status, const std::string &contentType);
     void write(std::string_view bytes);
     void end();
-    /** Cuts the connection, so that the caller cannot take a part for the whole. */
+    /** Closes the connection after what was written, without the end of a whole answer. */
+    void cut();
+    /** Cuts the connection at once and drops what has not been sent. */
     void abort();
 
     bool connected() const;
--- a/test/correctness/checks.cpp
+++ b/test/correctness/checks.cpp
@@ -158,6 +158,11 @@
     expectHeld(checkNotRun(history));
     history.serviceRuns = {{"service-1", 10s, "POST", "k1", ""}};
     expectBreach(checkNotRun(history));
+    History partly;
+    partly.calls = {call("not-run")};
+    expectHeld(checkNotRun(partly));
+    partly.calls[0].receivedBytes = 8;
+    expectBreach(checkNotRun(partly));
 }
 
 Test(checks, unrepeatable_requests_run_once)
--- a/tools/jujubecheck/checks.cpp
+++ b/tools/jujubecheck/checks.cpp
@@ -321,9 +321,15 @@
     for (const ServiceRun &it : history.serviceRuns)
         ++runs[it.body];
     for (const CallResult &it : history.calls) {
-        if (!it.changesState || it.outcome != "not-run")
+        if (it.outcome != "not-run")
             continue;
         ++result.examined;
+        if (it.receivedBytes > 0)
+            result.breaches.push_back(core::concat("call ", it.number,
+                                                   " was told \"not run\" after ", it.receivedBytes,
+                                                   " bytes of its answer"));
+        if (!it.changesState)
+            continue;
         if (runs[it.idempotencyKey] > 0)
             result.breaches.push_back(core::concat("call ", it.number, " (", it.idempotencyKey,
                                                    ") was told \"not run\" and had run"));
--- a/tools/jujubecheck/history.cpp
+++ b/tools/jujubecheck/history.cpp
@@ -34,8 +34,8 @@
             continue;
         const auto object = wire::parseObject(line);
         if (!object.ok())
-            return absl::DataLossError(core::concat(path.string(), ": line ", number,
-                                                    " is not a JSON object"));
+            return absl::DataLossError(
+                core::concat(path.string(), ": line ", number, " is not a JSON object"));
         visit(*object);
     }
     return absl::OkStatus();
@@ -54,9 +54,9 @@
                                        wire::textAt(object, "action"), wire::textAt(object, "vm")});
     } else if (kind == "usage.report") {
         history.reports.push_back(
-                {at, wire::textAt(object, "team"), wire::numberAt(object, "window"),
-                 wire::numberAt(object, "term"), wire::numberAt(object, "requests"),
-                 wire::numberAt(object, "prompt_tokens"), wire::numberAt(object, "output_tokens")});
+            {at, wire::textAt(object, "team"), wire::numberAt(object, "window"),
+             wire::numberAt(object, "term"), wire::numberAt(object, "requests"),
+             wire::numberAt(object, "prompt_tokens"), wire::numberAt(object, "output_tokens")});
     }
 }
 
@@ -65,20 +65,18 @@
     const std::string kind = wire::textAt(object, "kind");
     const Instant at = instantAt(object, "at_us");
     if (kind == "engine.order" || kind == "engine.order.refused") {
-        history.engineOrders.push_back({vm, at, wire::numberAt(object, "term"),
-                                        wire::numberAt(object, "sequence"),
-                                        kind == "engine.order.refused",
-                                        object["during_change"].toBool(),
-                                        object["cut_requests"].toInt()});
+        history.engineOrders.push_back(
+            {vm, at, wire::numberAt(object, "term"), wire::numberAt(object, "sequence"),
+             kind == "engine.order.refused", object["during_change"].toBool(),
+             object["cut_requests"].toInt()});
     } else if (kind == "engine.start") {
         history.engineRuns.push_back({vm, wire::textAt(object, "request_id"), at, 0, 0,
                                       wire::textAt(object, "authorization")});
     } else if (kind == "engine.end") {
         const std::string id = wire::textAt(object, "request_id");
-        const auto it = std::find_if(history.engineRuns.rbegin(), history.engineRuns.rend(),
-                                     [&](const EngineRun &run) {
-                                         return run.vm == vm && run.requestId == id;
-                                     });
+        const auto it =
+            std::find_if(history.engineRuns.rbegin(), history.engineRuns.rend(),
+                         [&](const EngineRun &run) { return run.vm == vm && run.requestId == id; });
         if (it != history.engineRuns.rend()) {
             it->produced = wire::numberAt(object, "produced");
             it->promptTokens = wire::numberAt(object, "prompt_tokens");
@@ -109,6 +107,7 @@
     call.idempotencyKey = wire::textAt(object, "idempotency_key");
     call.promptTokens = wire::numberAt(object, "prompt_tokens");
     call.outputTokens = wire::numberAt(object, "output_tokens");
+    call.receivedBytes = wire::numberAt(object, "received_bytes");
     call.start = instantAt(object, "start_us");
     call.end = instantAt(object, "end_us");
     call.entry = wire::textAt(object, "entry");
@@ -200,9 +199,8 @@
         } else if (extension != ".jsonl") {
             continue;
         } else if (stem == "platform") {
-            status = forEachRecord(path, [&](const QJsonObject &it) {
-                takePlatformRecord(history, it);
-            });
+            status = forEachRecord(path,
+                                   [&](const QJsonObject &it) { takePlatformRecord(history, it); });
         } else if (stem.starts_with("engine")) {
             status = forEachRecord(path, [&](const QJsonObject &it) {
                 takeEngineRecord(history, vmOf(stem, "engine"), it);
@@ -215,8 +213,8 @@
             status = forEachRecord(path, [&](const QJsonObject &it) { takeCall(history, it); });
         } else if (stem == "ops") {
             status = forEachRecord(path, [&](const QJsonObject &it) {
-                history.operations.push_back({instantAt(it, "at_us"), wire::textAt(it, "op"),
-                                              wire::textAt(it, "target")});
+                history.operations.push_back(
+                    {instantAt(it, "at_us"), wire::textAt(it, "op"), wire::textAt(it, "target")});
             });
         }
         if (!status.ok())
--- a/tools/jujubecheck/history.h
+++ b/tools/jujubecheck/history.h
@@ -20,7 +20,7 @@
 struct EngineOrder
 {
     std::string vm;
-    Instant at {};
+    Instant at{};
     uint64_t term = 0;
     uint64_t sequence = 0;
     bool refused = false;
@@ -33,7 +33,7 @@
 {
     std::string vm;
     std::string requestId;
-    Instant start {};
+    Instant start{};
     uint64_t produced = 0;
     uint64_t promptTokens = 0;
     std::string authorization;
@@ -43,7 +43,7 @@
 struct ServiceRun
 {
     std::string vm;
-    Instant at {};
+    Instant at{};
     std::string method;
     std::string body;
     std::string authorization;
@@ -52,7 +52,7 @@
 /** A change in the platform's key-value service. */
 struct KvChange
 {
-    Instant at {};
+    Instant at{};
     std::string key;
     std::string value;
     uint64_t revision = 0;
@@ -62,7 +62,7 @@
 /** An order for endpoints received by the platform. */
 struct FleetOrderRecord
 {
-    Instant at {};
+    Instant at{};
     std::string orderId;
     uint64_t term = 0;
     std::string action;
@@ -72,7 +72,7 @@
 /** A usage report received by the platform. */
 struct ReportRecord
 {
-    Instant at {};
+    Instant at{};
     std::string team;
     uint64_t window = 0;
     uint64_t term = 0;
@@ -95,15 +95,16 @@
     std::string idempotencyKey;
     uint64_t promptTokens = 0;
     uint64_t outputTokens = 0;
-    Instant start {};
-    Instant end {};
+    uint64_t receivedBytes = 0;
+    Instant start{};
+    Instant end{};
     std::string entry;
 };
 
 /** Something the run's script did to the fleet. */
 struct Operation
 {
-    Instant at {};
+    Instant at{};
     std::string name;   ///< kill, stop, continue, start, term, drain, activate, withdraw-key, ...
     std::string target; ///< Process, VM or team.
 };
@@ -111,7 +112,7 @@
 /** An event of a process's log. */
 struct ProcessEvent
 {
-    Instant at {};
+    Instant at{};
     std::string process;
     std::string name;
     std::map<std::string, std::string> fields;
