Read as a newcomer: exchange, request bounds and replay summary apart

Cause: httpserver.cpp had grown to 536 lines with three concepts in it, the engine stand-in and the replay each had the roles' speeds, and refusals and look-ups stood twice. No behaviour changes.

--- a/src/entry/callerapi.cpp
+++ b/src/entry/callerapi.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::string_view ServicePrefix = "/v1/services/";
 constexpr size_t MaxIdempotencyKey = 200;
+constexpr core::Milliseconds NotConfirmedRetry{1'000};
 // A caller that reads slower than it is sent to would otherwise fill the entry's memory.
 constexpr int64_t MaxUnsentBytes = 8L << 20U;
 
@@ -26,6 +27,15 @@
     return failure;
 }
 
+// The freshness rule forbids to act on this entry's configuration.
+AnswerFailure notConfirmed()
+{
+    AnswerFailure failure = refusal(503, "configuration-not-confirmed",
+                                    "this entry cannot tell whether the key is still valid");
+    failure.retryAfter = NotConfirmedRetry;
+    return failure;
+}
+
 std::string errorBody(const AnswerFailure &failure)
 {
     QJsonObject error;
@@ -253,10 +263,7 @@
         return;
     }
     if (m_view.freshness.load() == policy::Freshness::CutOff) {
-        AnswerFailure failure = refusal(503, "configuration-not-confirmed",
-                                        "this entry cannot tell whether the key is still valid");
-        failure.retryAfter = core::Milliseconds(1'000);
-        sendError(*exchange, failure);
+        sendError(*exchange, notConfirmed());
         return;
     }
     auto completion = CompletionRequest::parse(style, request.body);
@@ -320,11 +327,7 @@
         }
         caller = *known;
         if (m_view.freshness.load() == policy::Freshness::CutOff) {
-            AnswerFailure failure =
-                refusal(503, "configuration-not-confirmed",
-                        "this entry cannot tell whether the key is still valid");
-            failure.retryAfter = core::Milliseconds(1'000);
-            sendError(*exchange, failure);
+            sendError(*exchange, notConfirmed());
             return;
         }
     } else {
--- a/src/entry/completionrequest.cpp
+++ b/src/entry/completionrequest.cpp
@@ -157,6 +157,18 @@
     return wire::toText(object);
 }
 
+QJsonObject CompletionWriter::chunk(const QJsonObject &choice) const
+{
+    QJsonObject object;
+    object["id"] = wire::qstring(m_id);
+    object["object"] =
+        m_style == CompletionStyle::Chat ? "chat.completion.chunk" : "text_completion";
+    object["created"] = static_cast<qint64>(m_created);
+    object["model"] = wire::qstring(m_profile);
+    object["choices"] = QJsonArray{choice};
+    return object;
+}
+
 std::string CompletionWriter::event(const std::string &text) const
 {
     QJsonObject choice;
@@ -166,14 +178,7 @@
         choice["delta"] = QJsonObject{{"content", wire::qstring(text)}};
     else
         choice["text"] = wire::qstring(text);
-    QJsonObject object;
-    object["id"] = wire::qstring(m_id);
-    object["object"] =
-        m_style == CompletionStyle::Chat ? "chat.completion.chunk" : "text_completion";
-    object["created"] = static_cast<qint64>(m_created);
-    object["model"] = wire::qstring(m_profile);
-    object["choices"] = QJsonArray{choice};
-    return core::concat("data: ", wire::toText(object), "\n\n");
+    return core::concat("data: ", wire::toText(chunk(choice)), "\n\n");
 }
 
 std::string CompletionWriter::lastEvents(const core::Usage &usage) const
@@ -185,13 +190,7 @@
         choice["delta"] = QJsonObject{};
     else
         choice["text"] = "";
-    QJsonObject object;
-    object["id"] = wire::qstring(m_id);
-    object["object"] =
-        m_style == CompletionStyle::Chat ? "chat.completion.chunk" : "text_completion";
-    object["created"] = static_cast<qint64>(m_created);
-    object["model"] = wire::qstring(m_profile);
-    object["choices"] = QJsonArray{choice};
+    QJsonObject object = chunk(choice);
     object["usage"] = usageObject(usage);
     return core::concat("data: ", wire::toText(object), "\n\ndata: [DONE]\n\n");
 }
--- a/src/entry/completionrequest.h
+++ b/src/entry/completionrequest.h
@@ -8,6 +8,7 @@
 #include "core/work.h"
 
 #include <absl/status/statusor.h>
+#include <QJsonObject>
 
 #include <string>
 #include <string_view>
@@ -47,6 +48,8 @@
     std::string lastEvents(const core::Usage &usage) const;
 
 private:
+    QJsonObject chunk(const QJsonObject &choice) const;
+
     CompletionStyle m_style;
     std::string m_id;
     std::string m_profile;
--- a/src/platform/fleetclient.cpp
+++ b/src/platform/fleetclient.cpp
@@ -14,6 +14,18 @@
     return QUrl::toPercentEncoding(QString::fromStdString(text)).toStdString();
 }
 
+// The platform answers a look-up with 200 for something it has received and 404 for the rest.
+absl::StatusOr<bool> knownToPlatform(const absl::StatusOr<wire::HttpResponse> &response)
+{
+    if (!response.ok())
+        return response.status();
+    if (response->status == 200)
+        return true;
+    if (response->status == 404)
+        return false;
+    return absl::UnavailableError(core::concat("platform answered ", response->status));
+}
+
 } // namespace
 
 FleetClient::FleetClient(wire::HttpClient &http, std::string address, core::Milliseconds timeout)
@@ -90,13 +102,7 @@
 {
     const auto response =
         co_await get(core::concat("/v1/endpoints/orders?order_id=", encoded(orderId)));
-    if (!response.ok())
-        co_return response.status();
-    if (response->status == 200)
-        co_return true;
-    if (response->status == 404)
-        co_return false;
-    co_return absl::UnavailableError(core::concat("platform answered ", response->status));
+    co_return knownToPlatform(response);
 }
 
 wire::Task<absl::Status> FleetClient::sendReport(UsageReport report, wire::SendGuard guard)
@@ -116,13 +122,7 @@
 {
     const auto response =
         co_await get(core::concat("/v1/usage/reports?team=", encoded(team), "&window=", window));
-    if (!response.ok())
-        co_return response.status();
-    if (response->status == 200)
-        co_return true;
-    if (response->status == 404)
-        co_return false;
-    co_return absl::UnavailableError(core::concat("platform answered ", response->status));
+    co_return knownToPlatform(response);
 }
 
 } // namespace jujube::platform
--- a/src/wire/httpserver.cpp
+++ b/src/wire/httpserver.cpp
@@ -1,5 +1,6 @@
 #include "wire/httpserver.h"
 #include "core/text.h"
+#include "wire/requestbounds.h"
 
 #include <absl/strings/match.h>
 #include <QAbstractHttpServer>
@@ -29,13 +30,6 @@
 
 constexpr int ListenBacklog = 1024;
 
-// Dynamic properties that tie a socket to the exchange on it and a thread to its context object.
-constexpr const char *ActiveProperty = "exchangeActive";
-constexpr const char *EndedProperty = "exchangeEnded";
-constexpr const char *ContextProperty = "context";
-
-std::atomic<int> liveExchanges{0};
-
 std::string methodName(QHttpServerRequest::Method method)
 {
     switch (method) {
@@ -97,65 +91,6 @@
     return ntohs(address.sin_port);
 }
 
-// Qt's HTTP server buffers whatever arrives. This watches the raw bytes of one connection ahead
-// of it and refuses a request whose head or body is over the bound before Qt reads it.
-class RequestBounds
-{
-public:
-    enum class Verdict { Ok, HeaderTooLarge, BodyTooLarge };
-
-    explicit RequestBounds(const HttpServerLimits &limits) : m_limits(limits) { }
-
-    Verdict inspect(const QByteArray &bytes)
-    {
-        m_received += static_cast<size_t>(bytes.size());
-        if (!m_headSeen) {
-            m_head.append(bytes);
-            const qsizetype end = m_head.indexOf("\r\n\r\n");
-            if (end < 0) {
-                return static_cast<size_t>(m_head.size()) > m_limits.maxHeaderBytes
-                    ? Verdict::HeaderTooLarge
-                    : Verdict::Ok;
-            }
-            if (static_cast<size_t>(end) > m_limits.maxHeaderBytes)
-                return Verdict::HeaderTooLarge;
-            m_headSeen = true;
-            m_headBytes = static_cast<size_t>(end) + 4;
-            if (contentLength(m_head.left(end)) > m_limits.maxBodyBytes)
-                return Verdict::BodyTooLarge;
-            m_head.clear();
-        }
-        return m_received > m_headBytes + m_limits.maxBodyBytes ? Verdict::BodyTooLarge
-                                                                : Verdict::Ok;
-    }
-
-    void requestTaken()
-    {
-        m_received = 0;
-        m_headSeen = false;
-        m_head.clear();
-    }
-
-private:
-    static size_t contentLength(const QByteArray &head)
-    {
-        for (const QByteArray &line : head.split('\n')) {
-            if (!line.toLower().startsWith("content-length:"))
-                continue;
-            bool ok = false;
-            const qulonglong length = line.mid(line.indexOf(':') + 1).trimmed().toULongLong(&ok);
-            return ok ? length : std::numeric_limits<size_t>::max();
-        }
-        return 0;
-    }
-
-    HttpServerLimits m_limits;
-    QByteArray m_head;
-    size_t m_received = 0;
-    size_t m_headBytes = 0;
-    bool m_headSeen = false;
-};
-
 class BoundedTcpServer : public QTcpServer
 {
 public:
@@ -183,12 +118,13 @@
 private:
     void watchBounds(QTcpSocket *socket)
     {
-        auto bounds = std::make_shared<RequestBounds>(m_limits);
+        auto bounds =
+            std::make_shared<RequestBounds>(m_limits.maxHeaderBytes, m_limits.maxBodyBytes);
         QObject::connect(socket, &QTcpSocket::readyRead, socket, [socket, bounds]() {
-            if (socket->property(ActiveProperty).toBool())
+            if (socket->property(properties::Active).toBool())
                 return;
-            if (socket->property(EndedProperty).toBool()) {
-                socket->setProperty(EndedProperty, false);
+            if (socket->property(properties::Ended).toBool()) {
+                socket->setProperty(properties::Ended, false);
                 bounds->requestTaken();
             }
             switch (bounds->inspect(socket->peek(socket->bytesAvailable()))) {
@@ -209,7 +145,7 @@
         auto *timer = new QTimer(socket);
         timer->setInterval(m_limits.idle);
         QObject::connect(timer, &QTimer::timeout, socket, [socket]() {
-            if (!socket->property(ActiveProperty).toBool())
+            if (!socket->property(properties::Active).toBool())
                 socket->abort();
         });
         QObject::connect(socket, &QTcpSocket::readyRead, timer, qOverload<>(&QTimer::start));
@@ -243,7 +179,7 @@
 protected:
     bool handleRequest(const QHttpServerRequest &request, QTcpSocket *socket) override
     {
-        socket->setProperty(ActiveProperty, true);
+        socket->setProperty(properties::Active, true);
         auto exchange = Exchange::create(makeResponder(request, socket), socket);
         m_handler(convert(request), std::move(exchange));
         return true;
@@ -258,159 +194,8 @@
     HttpServer::Handler m_handler;
 };
 
-QByteArray bytes(std::string_view text)
-{
-    return {text.data(), static_cast<qsizetype>(text.size())};
-}
-
 } // namespace
 
-std::string_view IncomingRequest::header(std::string_view name) const
-{
-    for (const auto &[key, value] : headers) {
-        if (absl::EqualsIgnoreCase(key, core::toAbsl(name)))
-            return value;
-    }
-    return {};
-}
-
-std::string IncomingRequest::queryValue(std::string_view name) const
-{
-    const QUrlQuery parsed(QString::fromStdString(query));
-    return parsed
-        .queryItemValue(QString::fromUtf8(name.data(), static_cast<qsizetype>(name.size())),
-                        QUrl::FullyDecoded)
-        .toStdString();
-}
-
-std::shared_ptr<Exchange> Exchange::create(QHttpServerResponder responder, QTcpSocket *socket)
-{
-    auto *exchange = new Exchange(std::move(responder), socket);
-    return {exchange, [](Exchange *it) {
-                QMetaObject::invokeMethod(
-                    it->m_thread, [it]() { delete it; }, Qt::AutoConnection);
-            }};
-}
-
-Exchange::Exchange(QHttpServerResponder responder, QTcpSocket *socket)
-    : m_responder(std::move(responder)),
-      m_socket(socket),
-      m_thread(socket->thread()->property(ContextProperty).value<QObject *>())
-{
-    ++liveExchanges;
-    m_disconnected = QObject::connect(socket, &QTcpSocket::disconnected, m_thread, [this]() {
-        if (m_state != State::Ended && m_onDisconnect)
-            std::exchange(m_onDisconnect, nullptr)();
-    });
-}
-
-Exchange::~Exchange()
-{
-    --liveExchanges;
-    QObject::disconnect(m_disconnected);
-    if (m_state != State::Ended)
-        abort();
-    if (m_socket) {
-        m_socket->setProperty(ActiveProperty, false);
-        m_socket->setProperty(EndedProperty, true);
-    }
-}
-
-void Exchange::send(const OutgoingResponse &response)
-{
-    if (m_state != State::Fresh || !m_socket)
-        return;
-    m_responder.writeStatusLine(static_cast<QHttpServerResponder::StatusCode>(response.status));
-    m_responder.writeHeader("Content-Type", bytes(response.contentType));
-    for (const OutgoingHeader &header : response.headers)
-        m_responder.writeHeader(bytes(header.name), bytes(header.value));
-    m_responder.writeHeader("Content-Length", QByteArray::number(qulonglong(response.body.size())));
-    m_responder.writeBody(bytes(response.body));
-    conclude();
-}
-
-void Exchange::begin(int status, const std::string &contentType)
-{
-    if (m_state != State::Fresh || !m_socket)
-        return;
-    m_responder.writeStatusLine(static_cast<QHttpServerResponder::StatusCode>(status));
-    m_responder.writeHeader("Content-Type", bytes(contentType));
-    m_responder.writeHeader("Cache-Control", "no-cache");
-    m_responder.writeHeader("Transfer-Encoding", "chunked");
-    m_responder.writeBody(QByteArray());
-    m_state = State::Streaming;
-}
-
-void Exchange::write(std::string_view data)
-{
-    if (m_state != State::Streaming || !m_socket || data.empty())
-        return;
-    QByteArray chunk = QByteArray::number(qulonglong(data.size()), 16);
-    chunk.append("\r\n");
-    chunk.append(data.data(), static_cast<qsizetype>(data.size()));
-    chunk.append("\r\n");
-    m_responder.writeBody(chunk);
-}
-
-void Exchange::end()
-{
-    if (m_state != State::Streaming || !m_socket)
-        return;
-    m_responder.writeBody(QByteArray("0\r\n\r\n"));
-    conclude();
-}
-
-// The callback refers to the request's session, which refers to this object: without dropping it
-// here the three would keep each other alive for good.
-void Exchange::conclude()
-{
-    m_state = State::Ended;
-    m_onDisconnect = nullptr;
-}
-
-void Exchange::abort()
-{
-    conclude();
-    if (m_socket)
-        m_socket->abort();
-}
-
-void Exchange::cut()
-{
-    conclude();
-    if (m_socket)
-        m_socket->disconnectFromHost();
-}
-
-bool Exchange::connected() const
-{
-    return m_socket && m_socket->state() == QAbstractSocket::ConnectedState;
-}
-
-int64_t Exchange::unsentBytes() const
-{
-    return m_socket ? m_socket->bytesToWrite() : 0;
-}
-
-void Exchange::onDisconnect(std::function<void()> callback)
-{
-    if (m_state == State::Ended)
-        return;
-    if (!connected()) {
-        callback();
-        return;
-    }
-    m_onDisconnect = std::move(callback);
-}
-
-void Exchange::post(std::function<void(Exchange &)> function)
-{
-    QMetaObject::invokeMethod(
-        m_thread,
-        [self = shared_from_this(), function = std::move(function)]() { function(*self); },
-        Qt::QueuedConnection);
-}
-
 // One thread with its own event loop, listening socket and Qt HTTP server.
 class HttpServer::Worker
 {
@@ -461,7 +246,7 @@
         QEventLoop loop;
         BoundedTcpServer listener(limits);
         QtHttpServer server(handler);
-        QThread::currentThread()->setProperty(ContextProperty, QVariant::fromValue(context));
+        QThread::currentThread()->setProperty(properties::Context, QVariant::fromValue(context));
         listener.setSocketDescriptor(fd);
         server.bind(&listener);
         m_context = context;
@@ -524,7 +309,7 @@
 
 int HttpServer::activeExchanges() const
 {
-    return liveExchanges.load();
+    return liveExchangeCount();
 }
 
 void HttpServer::stop()
--- a/test/fakes/fakeengine.cpp
+++ b/test/fakes/fakeengine.cpp
@@ -9,6 +9,7 @@
 
 #include "core/text.h"
 #include "fakes/fakeserver.h"
+#include "jujubereplay/enginemodel.h"
 #include "policy/prefixindex.h"
 #include "support/expectedtext.h"
 
@@ -43,26 +44,6 @@
 constexpr int DownPollMs = 50;
 constexpr int CacheEventGap = 10; // Every tenth cache event is never published.
 
-// Speed of each role relative to the mixed one.
-struct RoleSpeed
-{
-    double prefill = 1;
-    double step = 1;
-};
-
-RoleSpeed speedOf(core::Role role)
-{
-    switch (role) {
-    case core::Role::Prefill:
-        return {1.6, 1.6};
-    case core::Role::Decode:
-        return {0.5, 0.7};
-    case core::Role::Mixed:
-        break;
-    }
-    return {};
-}
-
 struct Request
 {
     std::string id;
@@ -233,7 +214,7 @@
             return;
         }
         admit();
-        const RoleSpeed speed = speedOf(m_role);
+        const replay::RoleSpeed speed = replay::roleSpeed(m_role);
         double chunk = MixedChunk * speed.prefill;
         double prefilled = 0;
         int decoding = 0;
--- a/tools/jujubereplay/simulation.cpp
+++ b/tools/jujubereplay/simulation.cpp
@@ -1,6 +1,7 @@
 #include "jujubereplay/simulation.h"
 
 #include "core/text.h"
+#include "jujubereplay/summary.h"
 
 #include <algorithm>
 #include <memory>
@@ -118,7 +119,7 @@
             m_now = event.ms;
             handle(event);
         }
-        summarise();
+        summarise(m_workload, PlotInterval, m_result);
         return std::move(m_result);
     }
 
@@ -592,85 +593,6 @@
         pump(m_workload.events[index].engine);
     }
 
-    // Results
-
-    static core::Milliseconds percentile95(std::vector<core::Milliseconds> values)
-    {
-        if (values.empty())
-            return {};
-        std::sort(values.begin(), values.end());
-        return values[values.size() * 95 / 100];
-    }
-
-    void summarise()
-    {
-        struct Count
-        {
-            double good = 0;
-            double all = 0;
-            double share() const { return all == 0 ? 1 : good / all; }
-        };
-        Count total;
-        std::map<std::string, Count> teams;
-        std::map<std::string, Count> profiles;
-        std::vector<core::Milliseconds> firstToken;
-        std::vector<core::Milliseconds> betweenTokens;
-        for (size_t i = 0; i < m_result.requests.size(); ++i) {
-            const RequestResult &result = m_result.requests[i];
-            const ReplayRequest &request = m_workload.requests[i];
-            for (Count *it : {&total, &teams[request.team], &profiles[request.profile]}) {
-                it->all += 1;
-                it->good += result.good ? 1 : 0;
-            }
-            if (request.profile == "chat" && result.end == RequestResult::End::Whole) {
-                firstToken.push_back(result.firstToken);
-                betweenTokens.push_back(result.betweenTokens);
-            }
-        }
-        m_result.goodput = total.share();
-        m_result.worstTeam = 1;
-        for (const auto &[team, count] : teams) {
-            m_result.byTeam[team] = count.share();
-            m_result.worstTeam = std::min(m_result.worstTeam, count.share());
-        }
-        for (const auto &[profile, count] : profiles)
-            m_result.byProfile[profile] = count.share();
-        summariseIntervals();
-        m_result.chatFirstToken95 = percentile95(firstToken);
-        m_result.chatBetweenTokens95 = percentile95(betweenTokens);
-    }
-
-    void summariseIntervals()
-    {
-        struct Tokens
-        {
-            double prompt = 0;
-            double all = 0;
-        };
-        std::vector<Tokens> tokens(m_result.intervals.size());
-        std::vector<std::map<std::string, std::pair<int, int>>> teams(m_result.intervals.size());
-        for (size_t i = 0; i < m_workload.requests.size(); ++i) {
-            const ReplayRequest &request = m_workload.requests[i];
-            const auto slot = static_cast<size_t>(request.at / PlotInterval);
-            if (slot >= m_result.intervals.size())
-                continue;
-            const bool good = m_result.requests[i].good;
-            m_result.intervals[slot].arrived += 1;
-            m_result.intervals[slot].good += good ? 1 : 0;
-            tokens[slot].prompt += request.promptTokens;
-            tokens[slot].all += request.promptTokens + request.outputTokens;
-            auto &team = teams[slot][request.team];
-            team.first += good ? 1 : 0;
-            team.second += 1;
-        }
-        for (size_t i = 0; i < m_result.intervals.size(); ++i) {
-            IntervalState &it = m_result.intervals[i];
-            it.promptShare = tokens[i].all == 0 ? 0 : tokens[i].prompt / tokens[i].all;
-            for (const auto &[name, count] : teams[i])
-                it.worstTeam = std::min(it.worstTeam, double(count.first) / count.second);
-        }
-    }
-
     const Workload &m_workload;
     const Policy &m_policy;
     std::mt19937_64 m_random;
