--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -171,8 +171,25 @@
     std::erase_if(plan.endpoints, [&](const auto &it) { return !registered.contains(it.first); });
 }
 
+// The widest spread that any profile of a model asks for.
+std::map<std::string, uint32_t> Controller::minDomainsByModel() const
+{
+    std::map<std::string, uint32_t> result;
+    const std::string name(core::shards::Profiles);
+    const platform::KvEntry *entry = m_mirror.find(core::shardKey(name));
+    if (!entry)
+        return result;
+    const auto config = core::Configuration::create({{name, {entry->revision, entry->value}}});
+    if (!config.ok())
+        return result;
+    for (const auto &[key, profile] : (*config)->profiles())
+        result[profile.model] = std::max(result[profile.model], profile.minDomains);
+    return result;
+}
+
 void Controller::planRoles(platform::Plan &plan)
 {
+    std::map<std::string, uint32_t> minDomains = minDomainsByModel();
     std::vector<policy::RoleView> engines;
     for (const auto &link : m_fleet.links()) {
         const platform::AgentRecord &record = link->record();
@@ -186,6 +203,7 @@
         view.vm = record.vm;
         view.domain = record.domain;
         view.model = record.model;
+        view.minDomains = minDomains[record.model];
         view.role = planned->second.role;
         view.available = link->up() && load.ready && load.role == planned->second.role;
         view.queuedTokens = load.queuedTokens;
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -11,6 +11,7 @@
 #include "platform/leaseholder.h"
 #include "policy/roleplanner.h"
 
+#include <map>
 #include <set>
 #include <string>
 
@@ -53,6 +54,7 @@
     wire::Task<void> tick();
     wire::Task<void> refreshVms();
     void mergeEndpoints(platform::Plan &plan);
+    std::map<std::string, uint32_t> minDomainsByModel() const;
     void planRoles(platform::Plan &plan);
     void settleOrders(platform::Plan &plan) const;
     wire::Task<bool> writePlan(platform::Plan plan);
--- a/src/entry/entrysettings.cpp
+++ b/src/entry/entrysettings.cpp
@@ -43,9 +43,6 @@
     settings.stopDelay = table->milliseconds("stop_delay_ms", {1'000, 0, 600'000});
     settings.stopLimit = table->milliseconds("stop_limit_ms", {120'000, 0, 3'600'000});
     settings.planRoles = table->boolean("plan_roles", true);
-    settings.planEndpoints = table->boolean("plan_endpoints", false);
-    settings.endpointHourPrice = table->number("endpoint_hour_price", {1.0, 0.0, 1e6});
-    settings.requestWorth = table->number("request_worth", {0.01, 0.0, 1e6});
     table->rejectUnknown();
     const absl::Status status = errors.status();
     if (!status.ok())
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -39,9 +39,6 @@
     core::Milliseconds stopDelay{1'000}; ///< From not ready to closing the listeners.
     core::Milliseconds stopLimit{120'000};
     bool planRoles = true;
-    bool planEndpoints = false;
-    double endpointHourPrice = 1.0;
-    double requestWorth = 0.01;
 
     static absl::StatusOr<EntrySettings> load(const std::string &path);
 };
--- a/src/policy/roleplanner.cpp
+++ b/src/policy/roleplanner.cpp
@@ -171,7 +171,8 @@
         ++mixed;
         mixedDomains.insert(it.domain);
     }
-    const size_t wantedDomains = std::min<size_t>(2, domains.size());
+    const size_t wantedDomains =
+            std::min<size_t>(std::max(2U, candidate.minDomains), domains.size());
     return mixed >= std::max(m_settings.minMixed, 1U) && mixedDomains.size() >= wantedDomains;
 }
 
--- a/src/policy/roleplanner.h
+++ b/src/policy/roleplanner.h
@@ -20,6 +20,7 @@
     std::string vm;
     std::string domain;
     std::string model;
+    uint32_t minDomains = 1; ///< Failure domains that the model's profiles ask for.
     core::Role role = core::Role::Mixed;
     bool available = false;    ///< Up, not draining and not in the middle of a change.
     uint64_t queuedTokens = 0; ///< Prefill backlog.
--- a/test/correctness/roleplanner.cpp
+++ b/test/correctness/roleplanner.cpp
@@ -90,6 +90,32 @@
     cr_assert_geq(domains.size(), 2U);
 }
 
+Test(roleplanner, a_profile_may_ask_for_more_failure_domains)
+{
+    policy::RolePlannerSettings settings;
+    settings.settle = 0ms;
+    settings.maxChanges = 100;
+    policy::RolePlanner planner(settings);
+    auto engines = fleet(6);
+    for (auto &it : engines)
+        it.minDomains = 3;
+    core::TimePoint now {1'000s};
+    for (int i = 0; i < 1'000; ++i, now += 250ms) {
+        for (auto &it : engines)
+            it.queuedTokens = 80'000;
+        if (const auto change = planner.plan(engines, now)) {
+            for (auto &it : engines)
+                it.role = it.vm == change->vm ? change->role : it.role;
+        }
+    }
+    std::set<std::string> domains;
+    for (const auto &it : engines) {
+        if (it.role == core::Role::Mixed)
+            domains.insert(it.domain);
+    }
+    cr_assert_eq(domains.size(), 3U);
+}
+
 Test(roleplanner, nothing_changes_while_an_engine_is_away)
 {
     policy::RolePlanner planner({});
