Freshness speaks of the configuration alone; entries start without the KV

Cause, found by scripts/partition: an entry cut off from KV and peer refused keyed requests although its agents relayed confirmations (wanted 200, got 503). (1) The entry was the controller; its lapsed lease changed a mirrored key, so what was relayed spoke of a newer version than it had. (2) Idle links beat every 2 s, so relayed evidence was up to 6 s old against a limit of 3 s. Ruled out: the agents' links (up throughout) and the relay. Now evidence counts the configuration's revision only; an entry that lacks a confirmation asks its agents every 0.5 s; idle beats 1.5 s, limit 4 s. Also: a starting entry without the KV takes the configuration from the peers of its settings; before its first configuration an entry says that it cannot confirm keys, where it said that they are invalid.

--- a/src/core/tomltable.cpp
+++ b/src/core/tomltable.cpp
@@ -187,6 +187,19 @@
     return {};
 }
 
+std::vector<std::string> TomlTable::endpoints(std::string_view key)
+{
+    std::vector<std::string> result;
+    for (std::string &it : strings(key)) {
+        if (isEndpoint(it))
+            result.push_back(std::move(it));
+        else
+            m_errors->add(concat(m_path, key, " holds '", it,
+                                 "'; allowed: an IP address and port, such as 127.0.0.1:8080"));
+    }
+    return result;
+}
+
 void TomlTable::forEachTable(std::string_view key, const std::function<void(TomlTable &)> &visit)
 {
     const toml::node *node = find(key);
--- a/src/core/tomltable.h
+++ b/src/core/tomltable.h
@@ -73,6 +73,8 @@
     std::chrono::milliseconds milliseconds(std::string_view key, Bounds<int64_t> bounds);
     /** Reads an IPv4 "address:port". */
     std::string endpoint(std::string_view key, bool required = true);
+    /** Reads an array of "address:port"; absent means none. */
+    std::vector<std::string> endpoints(std::string_view key);
 
     template <typename T> T integer(std::string_view key, Bounds<T> bounds)
     {
--- a/src/entry/agentlink.cpp
+++ b/src/entry/agentlink.cpp
@@ -12,7 +12,9 @@
 constexpr core::Milliseconds HintInterval{1'000};
 constexpr core::Milliseconds MaintainPoll{100};
 // A link without requests is asked less often: most links of a large fleet are idle.
-constexpr core::Milliseconds IdlePingInterval{2'000};
+constexpr core::Milliseconds IdlePingInterval{1'500};
+// Evidence older than this makes an entry ask its agents more often: they may relay newer.
+constexpr core::Milliseconds EvidenceWanted{1'500};
 constexpr core::Milliseconds IdleAfter{10'000};
 constexpr core::Milliseconds PingTimeout{1'000};
 constexpr core::Milliseconds DialTimeout{1'000};
@@ -108,6 +110,8 @@
 // alone carry: evidence and plan hints.
 bool AgentLink::pingDue(core::TimePoint now) const
 {
+    if (m_wantsEvidence)
+        return now - m_pingedAt >= LoadInterval;
     if (now - m_usedAt > IdleAfter)
         return now - m_pingedAt >= IdlePingInterval;
     return now - m_view.reportedAt >= LoadInterval || now - m_pingedAt >= HintInterval;
@@ -118,7 +122,9 @@
     m_pingedAt = core::BootClock::now();
     try {
         auto request = connection->rpc->agent.pingRequest();
-        wire::write(request.initPing(), m_ping());
+        const wire::PingMessage message = m_ping();
+        m_wantsEvidence = m_pingedAt - message.evidence.confirmedAt > EvidenceWanted;
+        wire::write(request.initPing(), message);
         auto reply = co_await m_io.within(
             PingTimeout,
             kj::Promise<capnp::Response<wire::schema::AgentSession::PingResults>>(request.send()));
--- a/src/entry/agentlink.h
+++ b/src/entry/agentlink.h
@@ -76,6 +76,7 @@
     policy::OutlierDetector m_health;
     core::TimePoint m_usedAt{}; ///< When a request was last sent to this agent.
     core::TimePoint m_pingedAt{};
+    bool m_wantsEvidence = false; ///< This entry has had no confirmation for a while.
     bool m_closed = false;
 };
 
--- a/src/entry/callerapi.cpp
+++ b/src/entry/callerapi.cpp
@@ -219,6 +219,10 @@
 void CallerApi::serveModels(const wire::IncomingRequest &request,
                             const std::shared_ptr<wire::Exchange> &exchange) const
 {
+    if (!m_view.everConfirmed.load()) {
+        sendError(*exchange, notConfirmed());
+        return;
+    }
     const auto config = m_view.configuration.load();
     const auto caller = authenticate(request, *config);
     if (!caller.ok()) {
@@ -255,6 +259,10 @@
 void CallerApi::serveCompletion(CompletionStyle style, const wire::IncomingRequest &request,
                                 const std::shared_ptr<wire::Exchange> &exchange) const
 {
+    if (!m_view.everConfirmed.load()) {
+        sendError(*exchange, notConfirmed());
+        return;
+    }
     const auto config = m_view.configuration.load();
     const auto caller = authenticate(request, *config);
     if (!caller.ok()) {
@@ -303,6 +311,10 @@
 void CallerApi::serveService(const wire::IncomingRequest &request,
                              const std::shared_ptr<wire::Exchange> &exchange) const
 {
+    if (!m_view.everConfirmed.load()) {
+        sendError(*exchange, notConfirmed());
+        return;
+    }
     const auto config = m_view.configuration.load();
     const std::string_view rest = std::string_view(request.path).substr(ServicePrefix.size());
     const size_t slash = rest.find('/');
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -80,7 +80,7 @@
       m_http(io),
       m_kv(m_http, m_settings.platform, m_settings.platformTimeout),
       m_platform(m_http, m_settings.platform, m_settings.platformTimeout),
-      m_mirror(io, m_kv, platform::FleetPrefix),
+      m_mirror(io, m_kv, platform::FleetPrefix, core::ConfigPrefix),
       m_peers(io, m_identity, m_mirror, {m_settings.name, m_incarnation, false}),
       m_fleet(
           io, m_identity, m_settings.maxCandidates, [this]() { return pingMessage(); },
@@ -136,6 +136,7 @@
         .with("incarnation", m_incarnation)
         .with("address", m_settings.httpListen);
     m_mirror.start();
+    m_peers.addSeeds(m_settings.peers);
     m_controller.start();
     wire::coroutineTasks().add(viewLoop());
     wire::coroutineTasks().add(flushLoop());
--- a/src/entry/entrysettings.cpp
+++ b/src/entry/entrysettings.cpp
@@ -20,6 +20,7 @@
     if (settings.rpcAddress.empty())
         settings.rpcAddress = settings.rpcListen;
     settings.platform = table->endpoint("platform");
+    settings.peers = table->endpoints("peers");
     settings.fleetSecret = table->requiredString("fleet_secret");
     settings.operatorToken = table->requiredString("operator_token");
     settings.httpThreads = table->integer<int>("http_threads", {4, 1, 64});
--- a/src/entry/entrysettings.h
+++ b/src/entry/entrysettings.h
@@ -11,6 +11,7 @@
 
 #include <chrono>
 #include <string>
+#include <vector>
 
 namespace jujube::entry {
 
@@ -24,6 +25,7 @@
     std::string rpcListen;
     std::string rpcAddress; ///< Where others reach it, if that is not where it listens.
     std::string platform;
+    std::vector<std::string> peers; ///< Entries to ask at start, in case the KV is down.
     std::string fleetSecret;
     std::string operatorToken;
     int httpThreads = 4;
--- a/src/entry/kvmirror.cpp
+++ b/src/entry/kvmirror.cpp
@@ -15,8 +15,9 @@
 
 } // namespace
 
-KvMirror::KvMirror(wire::IoContext &io, platform::KvClient &kv, std::string prefix)
-    : m_io(io), m_kv(kv), m_prefix(std::move(prefix))
+KvMirror::KvMirror(wire::IoContext &io, platform::KvClient &kv, std::string prefix,
+                   std::string evidencePrefix)
+    : m_io(io), m_kv(kv), m_prefix(std::move(prefix)), m_evidencePrefix(std::move(evidencePrefix))
 {
 }
 
@@ -47,7 +48,7 @@
             applyListing(*listing);
         listed = true;
         m_watchedRevision = std::max(m_watchedRevision, listing->revision);
-        m_evidence = {m_version, before};
+        m_evidence = {m_evidenceVersion, before};
     }
 }
 
@@ -90,6 +91,8 @@
     }
     m_byRevision.emplace(entry.revision, entry.key);
     m_version = std::max(m_version, entry.revision);
+    if (entry.key.starts_with(m_evidencePrefix))
+        m_evidenceVersion = std::max(m_evidenceVersion, entry.revision);
     if (m_onChange)
         m_onChange(it->second);
 }
@@ -107,8 +110,8 @@
 
 void KvMirror::noteEvidence(const core::Evidence &evidence)
 {
-    if (evidence.version <= m_version && evidence.confirmedAt > m_evidence.confirmedAt)
-        m_evidence = {m_version, evidence.confirmedAt};
+    if (evidence.version <= m_evidenceVersion && evidence.confirmedAt > m_evidence.confirmedAt)
+        m_evidence = {m_evidenceVersion, evidence.confirmedAt};
 }
 
 const platform::KvEntry *KvMirror::find(const std::string &key) const
--- a/src/entry/kvmirror.h
+++ b/src/entry/kvmirror.h
@@ -25,7 +25,9 @@
 public:
     using OnChange = std::function<void(const platform::KvEntry &)>;
 
-    KvMirror(wire::IoContext &io, platform::KvClient &kv, std::string prefix);
+    /** \param evidencePrefix the keys that evidence speaks of, a part of those mirrored. */
+    KvMirror(wire::IoContext &io, platform::KvClient &kv, std::string prefix,
+             std::string evidencePrefix);
 
     /** Called for every applied change. */
     void onChange(OnChange callback) { m_onChange = std::move(callback); }
@@ -38,7 +40,10 @@
     /** Changes newer than a version, oldest first, at most \a limit of them. */
     std::vector<platform::KvEntry> changesAfter(uint64_t version, size_t limit) const;
 
-    /** Takes evidence from elsewhere. It counts only if this mirror has all it speaks of. */
+    /** Takes evidence from elsewhere. It counts only if this mirror has all it speaks of.
+     *
+     * Evidence speaks of the configuration alone: the plan and the register change without making
+     * a key any less valid. */
     void noteEvidence(const core::Evidence &evidence);
     /** Newest evidence that this mirror's content was the newest in the KV. */
     const core::Evidence &evidence() const { return m_evidence; }
@@ -58,10 +63,12 @@
     wire::IoContext &m_io;
     platform::KvClient &m_kv;
     std::string m_prefix;
+    std::string m_evidencePrefix;
     OnChange m_onChange;
     std::map<std::string, platform::KvEntry> m_entries;
     std::multimap<uint64_t, std::string> m_byRevision;
     uint64_t m_version = 0;
+    uint64_t m_evidenceVersion = 0; ///< Newest change under the evidence prefix.
     uint64_t m_watchedRevision = 0;
     core::Evidence m_evidence;
     bool m_stopping = false;
--- a/src/entry/peerset.cpp
+++ b/src/entry/peerset.cpp
@@ -32,6 +32,19 @@
 {
 }
 
+void PeerSet::addSeeds(const std::vector<std::string> &addresses)
+{
+    for (const std::string &address : addresses) {
+        auto peer = std::make_shared<Peer>();
+        peer->record.name = "seed " + address;
+        peer->record.address = address;
+        peer->isSeed = true;
+        peer->knownSince = core::BootClock::now();
+        m_peers[peer->record.name] = peer;
+        wire::coroutineTasks().add(maintain(peer));
+    }
+}
+
 void PeerSet::setEntries(const std::vector<platform::EntryRecord> &entries)
 {
     std::map<std::string, std::shared_ptr<Peer>> next;
@@ -50,6 +63,12 @@
         next[record.name] = peer;
         wire::coroutineTasks().add(maintain(peer));
     }
+    // Seeds serve while no other entry is registered.
+    const bool othersRegistered = !next.empty();
+    for (const auto &[name, peer] : m_peers) {
+        if (peer->isSeed && !othersRegistered)
+            next[name] = peer;
+    }
     for (const auto &[name, peer] : m_peers) {
         const auto kept = next.find(name);
         if (kept == next.end() || kept->second != peer)
--- a/src/entry/peerset.h
+++ b/src/entry/peerset.h
@@ -34,6 +34,8 @@
 public:
     PeerSet(wire::IoContext &io, wire::RpcIdentity identity, KvMirror &mirror, OwnState own);
 
+    /** Entries to ask while none is registered: without the KV a starting entry knows nobody. */
+    void addSeeds(const std::vector<std::string> &addresses);
     /** Takes the registered entries; this entry's own record is passed over. */
     void setEntries(const std::vector<platform::EntryRecord> &entries);
     void setStopping() { m_own.stopping = true; }
@@ -58,6 +60,7 @@
         core::TimePoint knownSince{};
         bool refused = false;
         bool removed = false;
+        bool isSeed = false; ///< From the settings, not from the register.
     };
 
     wire::Task<void> maintain(std::shared_ptr<Peer> peer);
--- a/src/policy/freshness.h
+++ b/src/policy/freshness.h
@@ -21,7 +21,9 @@
 
 struct FreshnessSettings
 {
-    core::Milliseconds maxAge{3'000};      ///< Oldest confirmation that needs no further evidence.
+    /** Oldest confirmation that needs no further evidence. A relayed one is up to 3.5 s old: a
+     * watch of 1 s, a heartbeat of 1.5 s to the agent and one of 0.5 s from it. */
+    core::Milliseconds maxAge{4'000};
     core::Milliseconds heardWithin{2'500}; ///< A peer counts as heard for this long.
 };
 
--- /dev/null
+++ b/test/correctness/kvmirror.cpp
@@ -0,0 +1,70 @@
+/** \file
+ * Tests that a mirror never goes back and accepts evidence only for what it has.
+ */
+
+#include "entry/kvmirror.h"
+#include "support/loop.h"
+
+#include <criterion/criterion.h>
+
+using namespace jujube;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Fixture
+{
+    test::Loop loop;
+    wire::HttpClient http{loop.io()};
+    platform::KvClient kv{http, "127.0.0.1:9", 100ms};
+    entry::KvMirror mirror{loop.io(), kv, "fleet/", "fleet/config/"};
+};
+
+} // namespace
+
+Test(kvmirror, changes_apply_by_revision_in_any_order)
+{
+    Fixture fixture;
+    fixture.mirror.apply({{"fleet/config/keys-00", "new", 9, false}});
+    fixture.mirror.apply({{"fleet/config/keys-00", "old", 5, false}});
+    cr_assert_eq(fixture.mirror.find("fleet/config/keys-00")->value, "new");
+    fixture.mirror.apply({{"fleet/config/keys-00", "", 12, true}});
+    fixture.mirror.apply({{"fleet/config/keys-00", "new", 9, false}});
+    cr_assert_null(fixture.mirror.find("fleet/config/keys-00"));
+}
+
+Test(kvmirror, deletions_reach_the_peers)
+{
+    Fixture fixture;
+    fixture.mirror.apply({{"fleet/a", "x", 3, false}, {"fleet/b", "y", 4, false}});
+    fixture.mirror.apply({{"fleet/a", "", 7, true}});
+    const auto changes = fixture.mirror.changesAfter(3, 10);
+    cr_assert_eq(changes.size(), 2U);
+    cr_assert_eq(changes[0].key, "fleet/b");
+    cr_assert(changes[1].deleted);
+}
+
+Test(kvmirror, evidence_for_a_newer_configuration_does_not_count)
+{
+    Fixture fixture;
+    const core::TimePoint now = core::BootClock::now();
+    fixture.mirror.apply({{"fleet/config/keys-00", "k", 9, false}});
+    fixture.mirror.noteEvidence({10, now});
+    cr_assert_not(fixture.mirror.everConfirmed());
+    fixture.mirror.noteEvidence({9, now});
+    cr_assert(fixture.mirror.everConfirmed());
+}
+
+Test(kvmirror, a_new_plan_does_not_outdate_the_configuration)
+{
+    Fixture fixture;
+    const core::TimePoint now = core::BootClock::now();
+    fixture.mirror.apply({{"fleet/config/keys-00", "k", 9, false}});
+    // Elsewhere the plan went on to revision 40; what is relayed still speaks of revision 9.
+    entry::KvMirror other(fixture.loop.io(), fixture.kv, "fleet/", "fleet/config/");
+    other.apply({{"fleet/config/keys-00", "k", 9, false}, {"fleet/plan/main", "p", 40, false}});
+    other.noteEvidence({9, now});
+    cr_assert_eq(other.evidence().version, 9U, "version %lu", other.evidence().version);
+    fixture.mirror.noteEvidence(other.evidence());
+    cr_assert(fixture.mirror.evidence().confirmedAt == now);
+}
