--- a/test/correctness/guardedsocket.cpp
+++ b/test/correctness/guardedsocket.cpp
@@ -27,7 +27,7 @@
     sockaddr_in target{};
     target.sin_family = AF_INET;
     target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    bind(fd, reinterpret_cast<sockaddr *>(&target), sizeof(target));
+    cr_assert_eq(bind(fd, reinterpret_cast<sockaddr *>(&target), sizeof(target)), 0);
     listen(fd, 4);
     socklen_t size = sizeof(target);
     getsockname(fd, reinterpret_cast<sockaddr *>(&target), &size);
--- a/test/correctness/requestsession.cpp
+++ b/test/correctness/requestsession.cpp
@@ -48,12 +48,12 @@
     kj::Promise<void> fetch(FetchContext context) override
     {
         wire::ChunkMessage chunk;
-        const uint32_t given =
+        const uint64_t given =
             m_script == Script::BreakHalfWay ? 1 : m_work.maxTokens - m_work.resumeTokens;
         if (context.getParams().getOffset() == 0)
             chunk.data = std::string(given * 4, 'x');
         chunk.nextOffset = given * 4;
-        chunk.tokens = m_work.resumeTokens + given;
+        chunk.tokens = m_work.resumeTokens + static_cast<uint32_t>(given);
         chunk.progress = wire::Progress::FINISHED;
         chunk.outcome =
             m_script == Script::BreakHalfWay ? core::Outcome::Failed : core::Outcome::Whole;
--- a/test/correctness/router.cpp
+++ b/test/correctness/router.cpp
@@ -66,7 +66,7 @@
     const policy::Router router({});
     policy::PrefixIndex prefixes(1'000);
     std::mt19937_64 random(1);
-    const std::string prompt(64 * 4 * 10, 'x');
+    const std::string prompt(64UL * 4 * 10, 'x');
     auto wanted = request(640);
     wanted.prefixBlocks = policy::prefixBlocks(prompt);
     prefixes.record("warm", wanted.prefixBlocks);
@@ -124,7 +124,7 @@
 Test(prefixindex, later_blocks_are_evicted_first)
 {
     policy::PrefixIndex prefixes(4);
-    const auto blocks = policy::prefixBlocks(std::string(64 * 4 * 6, 'y'));
+    const auto blocks = policy::prefixBlocks(std::string(64UL * 4 * 6, 'y'));
     cr_assert_eq(blocks.size(), 6U);
     prefixes.record("vm", blocks);
     cr_assert_eq(prefixes.cachedTokens("vm", blocks), 4 * core::PrefixBlockTokens);
--- a/tools/jujubereplay/main.cpp
+++ b/tools/jujubereplay/main.cpp
@@ -98,7 +98,7 @@
 {
     replay::Report report;
     for (int i = 0; i < FLAGS_seeds; ++i) {
-        const uint64_t seed = static_cast<uint64_t>(FLAGS_first_seed + i);
+        const uint64_t seed = static_cast<uint64_t>(FLAGS_first_seed) + static_cast<uint64_t>(i);
         const auto workload = workloadFor(seed);
         if (!workload.ok()) {
             std::cerr << "jujube-replay: " << FLAGS_trace << ": " << workload.status().message()
