--- a/src/agent/endpointgate.cpp
+++ b/src/agent/endpointgate.cpp
@@ -72,7 +72,7 @@
       m_ledger(ledger),
       m_settings(settings),
       m_incarnation(incarnation),
-      m_dispatcher(policy::DispatcherSettings {})
+      m_dispatcher(policy::DispatcherSettings{})
 {
 }
 
@@ -110,9 +110,9 @@
     if (!admission.accepted) {
         core::countMetric("jujube_refused_total", teamLabel(message.team));
         core::Event("request.refused")
-                .with("request", message.requestId)
-                .with("team", message.team)
-                .with("expected_wait_ms", admission.expectedWait.count());
+            .with("request", message.requestId)
+            .with("team", message.team)
+            .with("expected_wait_ms", admission.expectedWait.count());
         reply.message = "it would not start within its deadline";
         reply.retryAfter = admission.retryAfter;
         return reply;
@@ -263,8 +263,8 @@
 
 wire::Task<void> EndpointGate::run(std::shared_ptr<Work> work)
 {
-    work->message.timeLeft = std::max(core::Milliseconds(1),
-                                      between(core::BootClock::now(), work->deadline));
+    work->message.timeLeft =
+        std::max(core::Milliseconds(1), between(core::BootClock::now(), work->deadline));
     if (m_settings.kind == core::WorkKind::Service)
         co_await runService(work);
     else
--- a/src/policy/dispatcher.cpp
+++ b/src/policy/dispatcher.cpp
@@ -65,8 +65,8 @@
     if (m_started.size() >= slots)
         return std::nullopt;
     const bool onlyUrgent = m_started.size() >= openSlots(slots);
-    const auto next = m_queue.take(
-            [onlyUrgent](const QueuedWork &work) { return work.urgent || !onlyUrgent; });
+    const auto next =
+        m_queue.take([onlyUrgent](const QueuedWork &work) { return work.urgent || !onlyUrgent; });
     if (!next)
         return std::nullopt;
     const auto it = m_waiting.find(next->id);
--- a/src/policy/roleplanner.cpp
+++ b/src/policy/roleplanner.cpp
@@ -172,7 +172,7 @@
         mixedDomains.insert(it.domain);
     }
     const size_t wantedDomains =
-            std::min<size_t>(std::max(2U, candidate.minDomains), domains.size());
+        std::min<size_t>(std::max(2U, candidate.minDomains), domains.size());
     return mixed >= std::max(m_settings.minMixed, 1U) && mixedDomains.size() >= wantedDomains;
 }
 
--- a/src/policy/roleplanner.h
+++ b/src/policy/roleplanner.h
@@ -41,17 +41,17 @@
 
 struct RolePlannerSettings
 {
-    core::Milliseconds horizon{60'000};    ///< Time over which a gain is counted.
-    core::Milliseconds changeCost{10'000}; ///< Time an engine is away, its last work included.
-    core::Milliseconds settle {30'000};     ///< Least time between two changes of one model.
-    core::Milliseconds budgetWindow {180'000}; ///< Time in which at most maxChanges are made.
-    size_t maxChanges = 2;                  ///< Changes of one model in a budget window.
-    core::Milliseconds reversal{180'000};  ///< Least time before an engine changes again.
-    core::Milliseconds smoothing{30'000};  ///< Time constant of the forecast.
-    core::Milliseconds lookAhead{40'000};  ///< How far the trend of slot use is followed.
-    core::Milliseconds minBacklog{1'000};  ///< Backlog below which no phase counts as short.
-    double margin = 1.5;                   ///< Gain must exceed the cost by this factor.
-    double specialistGain = 0.5;           ///< Extra speed of a specialist in its phase.
+    core::Milliseconds horizon{60'000};       ///< Time over which a gain is counted.
+    core::Milliseconds changeCost{10'000};    ///< Time an engine is away, its last work included.
+    core::Milliseconds settle{30'000};        ///< Least time between two changes of one model.
+    core::Milliseconds budgetWindow{180'000}; ///< Time in which at most maxChanges are made.
+    size_t maxChanges = 2;                    ///< Changes of one model in a budget window.
+    core::Milliseconds reversal{180'000};     ///< Least time before an engine changes again.
+    core::Milliseconds smoothing{30'000};     ///< Time constant of the forecast.
+    core::Milliseconds lookAhead{40'000};     ///< How far the trend of slot use is followed.
+    core::Milliseconds minBacklog{1'000};     ///< Backlog below which no phase counts as short.
+    double margin = 1.5;                      ///< Gain must exceed the cost by this factor.
+    double specialistGain = 0.5;              ///< Extra speed of a specialist in its phase.
     double slack = 0.6;    ///< Largest use of batch slots at which decode has room to give.
     double fullUse = 0.87; ///< Use of batch slots from which decode counts as short.
     double dominance = 3;  ///< Backlog of the short phase relative to the other one.
@@ -82,7 +82,7 @@
         double slotUse = 0;     ///< Smoothed share of batch slots in use.
         double slotUseFast = 0; ///< The same over a shorter time; the difference is the trend.
         core::TimePoint at{};
-        core::TimePoint since{}; ///< First observation; a trend needs some history.
+        core::TimePoint since{};             ///< First observation; a trend needs some history.
         std::deque<core::TimePoint> changes; ///< Of the last budget window.
     };
 
--- a/src/policy/router.cpp
+++ b/src/policy/router.cpp
@@ -68,7 +68,8 @@
     const double first = slotWait + memoryWait + ratio(waitingPrefill + ownPrefill, prefillRate);
     // A step takes longer the more requests share it, and every later one finds fewer slots.
     const double crowding = 1 + m_settings.crowdingWeight * inFlight / slots;
-    const double decode = ratio(request.outputTokens * m_settings.outputShare, decodeRate) * crowding;
+    const double decode =
+        ratio(request.outputTokens * m_settings.outputShare, decodeRate) * crowding;
     decision.predictedFirstToken = seconds(first);
     decision.predictedTotal = seconds(first + decode);
     return decision;
--- a/test/correctness/roleplanner.cpp
+++ b/test/correctness/roleplanner.cpp
@@ -99,7 +99,7 @@
     auto engines = fleet(6);
     for (auto &it : engines)
         it.minDomains = 3;
-    core::TimePoint now {1'000s};
+    core::TimePoint now{1'000s};
     for (int i = 0; i < 1'000; ++i, now += 250ms) {
         for (auto &it : engines)
             it.queuedTokens = 80'000;
--- a/test/fakes/relay.cpp
+++ b/test/fakes/relay.cpp
@@ -136,7 +136,7 @@
     }
     QSocketNotifier signals(fd, QSocketNotifier::Read);
     QObject::connect(&signals, &QSocketNotifier::activated, &signals, [&relay, fd]() {
-        signalfd_siginfo info {};
+        signalfd_siginfo info{};
         while (read(fd, &info, sizeof(info)) == sizeof(info)) {
             if (info.ssi_signo == SIGUSR1)
                 relay.silenceOpen();
--- a/tools/jujubectl/shardeditor.cpp
+++ b/tools/jujubectl/shardeditor.cpp
@@ -38,7 +38,7 @@
         if (memberText(it, "vm") == vm)
             return *it.as_table();
     }
-    engines.push_back(toml::table {{"vm", vm}, {"intent", "active"}});
+    engines.push_back(toml::table{{"vm", vm}, {"intent", "active"}});
     return *engines.back().as_table();
 }
 
--- a/tools/jujubereplay/bound.cpp
+++ b/tools/jujubereplay/bound.cpp
@@ -28,9 +28,9 @@
 {
     const double ownShare = 0.1;
     const double prefill = request.promptTokens * ownShare
-            / (fastest.prefillRate * roleSpeed(core::Role::Prefill).prefill) * 1'000;
+        / (fastest.prefillRate * roleSpeed(core::Role::Prefill).prefill) * 1'000;
     const double step = (fastest.stepMs / fastest.slots + fastest.stepPerRequestMs)
-            * roleSpeed(core::Role::Decode).step;
+        * roleSpeed(core::Role::Decode).step;
     return prefill + request.outputTokens * step;
 }
 
@@ -40,9 +40,8 @@
     double total = workload.engines * (to - from);
     for (const FleetEvent &event : workload.events) {
         const auto begin = static_cast<double>(event.at.count());
-        const double end = event.length.count() == 0
-                ? 1e18
-                : begin + static_cast<double>(event.length.count());
+        const double end =
+            event.length.count() == 0 ? 1e18 : begin + static_cast<double>(event.length.count());
         total -= std::max(0.0, std::min(to, end) - std::max(from, begin));
     }
     return total;
@@ -85,10 +84,9 @@
             const double from = static_cast<double>(begin) * grid;
             const double to = static_cast<double>(end) * grid;
             std::vector<double> costs;
-            const auto low = std::lower_bound(jobs.begin(), jobs.end(), from,
-                                              [](const Job &job, double at) {
-                                                  return job.release < at;
-                                              });
+            const auto low =
+                std::lower_bound(jobs.begin(), jobs.end(), from,
+                                 [](const Job &job, double at) { return job.release < at; });
             for (auto it = low; it != jobs.end() && it->release < to; ++it) {
                 if (it->due <= to)
                     costs.push_back(it->cost);
--- a/tools/jujubereplay/main.cpp
+++ b/tools/jujubereplay/main.cpp
@@ -5,6 +5,7 @@
 
 #include "core/text.h"
 #include "jujubereplay/bound.h"
+#include "jujubereplay/policies.h"
 #include "jujubereplay/report.h"
 #include "jujubereplay/simulation.h"
 #include "wire/processmain.h"
@@ -38,52 +39,6 @@
                                                         {"flood", replay::Scenario::Flood},
                                                         {"moderate", replay::Scenario::Moderate}};
 
-policy::DispatcherSettings plainQueue()
-{
-    policy::DispatcherSettings settings;
-    settings.fairTeams = false;
-    settings.admission = false;
-    settings.deadlineOrder = false;
-    return settings;
-}
-
-replay::Policy ours(const std::string &name)
-{
-    return {name, replay::Predicted{}, replay::PlannedRoles{}, {}};
-}
-
-// Every policy by name. Those named "no-..." are ours with one mechanism switched off.
-std::map<std::string, replay::Policy> allPolicies()
-{
-    std::map<std::string, replay::Policy> all;
-    all["a"] = {"a: static roles, round robin", replay::RoundRobin{}, replay::StaticRoles{},
-                plainQueue()};
-    all["b"] = {"b: static roles, least outstanding", replay::LeastOutstanding{},
-                replay::StaticRoles{}, plainQueue()};
-    all["c"] = {"c: threshold roles, least outstanding", replay::LeastOutstanding{},
-                replay::ThresholdRoles{}, plainQueue()};
-    all["mixed"] = {"all mixed, least outstanding", replay::LeastOutstanding{}, replay::AllMixed{},
-                    plainQueue()};
-    all["ours"] = ours("ours");
-    all["no-prediction"] = ours("no predicted routing");
-    all["no-prediction"].routing = replay::LeastOutstanding{};
-    all["no-prefix"] = ours("no prefix affinity");
-    all["no-prefix"].routing = replay::Predicted{false};
-    all["no-roles"] = ours("no role changes");
-    all["no-roles"].roles = replay::AllMixed{};
-    all["no-fairness"] = ours("no team fairness");
-    all["no-fairness"].dispatcher.fairTeams = false;
-    all["no-demotion"] = ours("no demotion of late work");
-    all["no-demotion"].dispatcher.demoteLate = false;
-    all["no-reserve"] = ours("no reserve for urgent work");
-    all["no-reserve"].dispatcher.urgentReserve = 0;
-    all["no-admission"] = ours("no admission");
-    all["no-admission"].dispatcher.admission = false;
-    all["no-deadline-order"] = ours("no deadline order");
-    all["no-deadline-order"].dispatcher.deadlineOrder = false;
-    return all;
-}
-
 absl::StatusOr<replay::Workload> workloadFor(uint64_t seed)
 {
     if (FLAGS_trace.empty())
@@ -125,7 +80,7 @@
 {
     gflags::SetUsageMessage("replays workloads against routing, queueing and role policies");
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    const auto all = allPolicies();
+    const auto all = replay::namedPolicies();
     if (FLAGS_list) {
         for (const auto &[key, policy] : all)
             std::cout << key << ": " << policy.name << "\n";
--- a/tools/jujubereplay/report.cpp
+++ b/tools/jujubereplay/report.cpp
@@ -30,18 +30,21 @@
     return values.empty() ? 0 : *std::max_element(values.begin(), values.end());
 }
 
-std::string polyline(const std::vector<double> &values, const char *colour, const char *name, int row)
+std::string polyline(const std::vector<double> &values, const char *colour, const char *name,
+                     int row)
 {
     std::string points;
     for (size_t i = 0; i < values.size(); ++i) {
-        const double x = Margin + static_cast<double>(i) * PlotWidth
-                        / static_cast<double>(std::max<size_t>(values.size() - 1, 1));
+        const double x = Margin
+            + static_cast<double>(i) * PlotWidth
+                / static_cast<double>(std::max<size_t>(values.size() - 1, 1));
         const double y = Margin + (1 - values[i]) * PlotHeight;
         core::append(points, x, ",", y, " ");
     }
-    return core::concat("<polyline fill=\"none\" stroke=\"", colour, "\" stroke-width=\"1.5\" points=\"",
-                        points, "\"/><text x=\"", Margin + row * 220, "\" y=\"20\" fill=\"", colour,
-                        "\">", name, "</text>\n");
+    return core::concat("<polyline fill=\"none\" stroke=\"", colour,
+                        "\" stroke-width=\"1.5\" points=\"", points, "\"/><text x=\"",
+                        Margin + row * 220, "\" y=\"20\" fill=\"", colour, "\">", name,
+                        "</text>\n");
 }
 
 } // namespace
@@ -71,8 +74,9 @@
 std::string Report::table() const
 {
     char buf[256];
-    std::snprintf(buf, sizeof(buf), "%-38s %8s %8s %9s %9s %7s %8s %8s\n", "policy (median; worst seed)",
-                  "goodput", "worst", "of bound", "team", "changes", "ttft95", "tbt95");
+    std::snprintf(buf, sizeof(buf), "%-38s %8s %8s %9s %9s %7s %8s %8s\n",
+                  "policy (median; worst seed)", "goodput", "worst", "of bound", "team", "changes",
+                  "ttft95", "tbt95");
     std::string out = buf;
     for (const std::string &policy : m_order) {
         const auto column = [&](auto member) {
@@ -85,7 +89,8 @@
         std::snprintf(buf, sizeof(buf), "%-38s %8.4f %8.4f %9.4f %9.4f %4.0f %3.0f %8.0f %8.0f\n",
                       policy.c_str(), median(goodput), least(goodput),
                       median(column(&Row::ofBound)), median(column(&Row::worstTeam)),
-                      median(column(&Row::roleChanges)), most(column(&Row::roleChanges)), median(column(&Row::chatFirstTokenMs)),
+                      median(column(&Row::roleChanges)), most(column(&Row::roleChanges)),
+                      median(column(&Row::chatFirstTokenMs)),
                       median(column(&Row::chatBetweenTokensMs)));
         out += buf;
     }
@@ -94,8 +99,9 @@
         bounds.push_back(bound);
     std::snprintf(buf, sizeof(buf), "%-38s %8.4f %8.4f\n", "clairvoyant bound", median(bounds),
                   least(bounds));
-    return out + buf + "team: goodput of the worst-served team; changes: median and most of all seeds; "
-                       "ttft95 and tbt95: chat, in ms\n";
+    return out + buf
+        + "team: goodput of the worst-served team; changes: median and most of all seeds; "
+          "ttft95 and tbt95: chat, in ms\n";
 }
 
 std::string Report::json() const
@@ -109,19 +115,19 @@
             QJsonObject teams;
             for (const auto &[name, share] : it.byTeam)
                 teams[wire::qstring(name)] = share;
-            runs.append(QJsonObject {{"policy", wire::qstring(policy)},
-                                     {"seed", wire::jsonNumber(it.seed)},
-                                     {"goodput", it.goodput},
-                                     {"of_bound", it.ofBound},
-                                     {"worst_team", it.worstTeam},
-                                     {"role_changes", it.roleChanges},
-                                     {"chat_first_token_95_ms", qint64(it.chatFirstTokenMs)},
-                                     {"chat_between_tokens_95_ms", qint64(it.chatBetweenTokensMs)},
-                                     {"by_profile", profiles},
-                                     {"by_team", teams}});
+            runs.append(QJsonObject{{"policy", wire::qstring(policy)},
+                                    {"seed", wire::jsonNumber(it.seed)},
+                                    {"goodput", it.goodput},
+                                    {"of_bound", it.ofBound},
+                                    {"worst_team", it.worstTeam},
+                                    {"role_changes", it.roleChanges},
+                                    {"chat_first_token_95_ms", qint64(it.chatFirstTokenMs)},
+                                    {"chat_between_tokens_95_ms", qint64(it.chatBetweenTokensMs)},
+                                    {"by_profile", profiles},
+                                    {"by_team", teams}});
         }
     }
-    return wire::toText(QJsonObject {{"runs", runs}}) + "\n";
+    return wire::toText(QJsonObject{{"runs", runs}}) + "\n";
 }
 
 std::string plot(const Workload &workload, const RunResult &result)
@@ -136,8 +142,8 @@
         roles.push_back(0.5 + (it.prefillEngines - it.decodeEngines) / (2.0 * workload.engines));
         worst.push_back(it.worstTeam);
     }
-    return core::concat("<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"", PlotWidth + 2 * Margin,
-                        "\" height=\"", PlotHeight + 2 * Margin,
+    return core::concat("<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"",
+                        PlotWidth + 2 * Margin, "\" height=\"", PlotHeight + 2 * Margin,
                         "\" font-family=\"sans-serif\" font-size=\"12\">\n",
                         polyline(mix, "#888888", "prompt tokens / all tokens", 0),
                         polyline(good, "#2266cc", "goodput", 1),
--- a/tools/jujubereplay/simulation.h
+++ b/tools/jujubereplay/simulation.h
@@ -66,16 +66,16 @@
 {
     enum class End { Unfinished, Whole, Refused, Expired };
     End end = End::Unfinished;
-    core::Milliseconds firstToken {};
-    core::Milliseconds betweenTokens {};
-    core::Milliseconds total {};
+    core::Milliseconds firstToken{};
+    core::Milliseconds betweenTokens{};
+    core::Milliseconds total{};
     bool good = false; ///< Whole, and within the profile's objectives.
 };
 
 /** State of the fleet in one interval of the run, for the plot. */
 struct IntervalState
 {
-    core::Milliseconds at {};
+    core::Milliseconds at{};
     int arrived = 0;
     int good = 0;
     double promptShare = 0;
@@ -91,12 +91,12 @@
     std::vector<RequestResult> requests;
     std::vector<IntervalState> intervals;
     int roleChanges = 0;
-    double goodput = 0;        ///< Share of requests that were good.
-    double worstTeam = 0;      ///< Smallest share of good requests among the teams.
+    double goodput = 0;   ///< Share of requests that were good.
+    double worstTeam = 0; ///< Smallest share of good requests among the teams.
     std::map<std::string, double> byTeam;
     std::map<std::string, double> byProfile;
-    core::Milliseconds chatFirstToken95 {};
-    core::Milliseconds chatBetweenTokens95 {};
+    core::Milliseconds chatFirstToken95{};
+    core::Milliseconds chatBetweenTokens95{};
 };
 
 /** Runs a workload. The same workload, policy and seed give the same result. */
