The platform stand-in runs in a test's process; lost answers have tests

Cause: leases, claims and usage reports were tested by fault runs alone; each step whose answer may be lost needs a focused test.

--- /dev/null
+++ b/test/correctness/platform.cpp
@@ -0,0 +1,179 @@
+/** \file
+ * Tests that leases, claims and usage reports survive answers that are lost after taking effect.
+ */
+
+#include "control/usagereporter.h"
+#include "fakes/platformstandin.h"
+#include "platform/claimstore.h"
+#include "platform/leaseholder.h"
+#include "support/loop.h"
+
+#include <criterion/criterion.h>
+
+using namespace jujube;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Fixture
+{
+    Fixture()
+        : platform({}),
+          address(platform.start()),
+          http(loop.io()),
+          kv(http, address, 1s),
+          fleet(http, address, 1s)
+    {
+    }
+
+    test::Loop loop;
+    test::PlatformStandIn platform;
+    std::string address;
+    wire::HttpClient http;
+    platform::KvClient kv;
+    platform::FleetClient fleet;
+};
+
+// Never destroyed: detached coroutines refer to it until the test process ends.
+Fixture &newFixture()
+{
+    return *new Fixture;
+}
+
+bool granted(const absl::StatusOr<platform::ClaimResult> &result)
+{
+    return result.ok() && std::holds_alternative<platform::ClaimGranted>(*result);
+}
+
+} // namespace
+
+Test(kv, a_write_whose_answer_was_lost_is_found_by_reading_back)
+{
+    Fixture &fixture = newFixture();
+    fixture.platform.setFault("kv_lose_answers", 1);
+    const auto written = fixture.loop.wait(
+        fixture.kv.update("k", [](const platform::KvEntry &) { return std::string("mine"); }));
+    cr_assert(written.ok(), "%s", written.status().ToString().c_str());
+    cr_assert_eq(fixture.platform.countOf("kv.put"), 1U);
+}
+
+Test(lease, only_one_holder_at_a_time_and_the_next_after_it_lapsed)
+{
+    Fixture &fixture = newFixture();
+    platform::LeaseHolder first(fixture.loop.io(), fixture.kv, "lock", "first", 400ms);
+    platform::LeaseHolder second(fixture.loop.io(), fixture.kv, "lock", "second", 400ms);
+    cr_assert(fixture.loop.wait(first.tryAcquire()));
+    cr_assert_not(fixture.loop.wait(second.tryAcquire()));
+    cr_assert(fixture.loop.wait(first.renew()));
+    fixture.loop.runFor(600ms);
+    cr_assert_not(first.held());
+    cr_assert(fixture.loop.wait(second.tryAcquire()));
+    cr_assert_not(fixture.loop.wait(first.renew()), "a lapsed lease must not come back");
+}
+
+Test(lease, a_released_lease_is_free_at_once)
+{
+    Fixture &fixture = newFixture();
+    platform::LeaseHolder first(fixture.loop.io(), fixture.kv, "lock", "first", 60s);
+    platform::LeaseHolder second(fixture.loop.io(), fixture.kv, "lock", "second", 60s);
+    cr_assert(fixture.loop.wait(first.tryAcquire()));
+    fixture.loop.wait(first.release());
+    cr_assert_not(first.held());
+    cr_assert(fixture.loop.wait(second.tryAcquire()));
+}
+
+Test(claims, a_key_is_granted_once_over_two_entries)
+{
+    Fixture &fixture = newFixture();
+    platform::ClaimStore one(fixture.loop.io(), fixture.kv, "main", 4, 60min);
+    platform::ClaimStore two(fixture.loop.io(), fixture.kv, "main", 4, 60min);
+    cr_assert(granted(fixture.loop.wait(one.claim("key", "r1", 7))));
+    const auto taken = fixture.loop.wait(two.claim("key", "r2", 7));
+    cr_assert(std::holds_alternative<platform::ClaimTaken>(*taken));
+    const auto reused = fixture.loop.wait(two.claim("key", "r3", 8));
+    cr_assert(std::holds_alternative<platform::ClaimMismatch>(*reused));
+}
+
+Test(claims, the_answer_of_a_settled_claim_is_repeated)
+{
+    Fixture &fixture = newFixture();
+    platform::ClaimStore one(fixture.loop.io(), fixture.kv, "main", 4, 60min);
+    platform::ClaimStore two(fixture.loop.io(), fixture.kv, "main", 4, 60min);
+    fixture.loop.wait(one.claim("key", "r1", 7));
+    one.settle("key", "r1", {201, "text/plain", "receipt 5", true});
+    fixture.loop.runFor(200ms);
+    const auto again = fixture.loop.wait(two.claim("key", "r2", 7));
+    cr_assert_eq(std::get<platform::ClaimAnswered>(*again).body, "receipt 5");
+}
+
+Test(claims, a_claim_given_back_can_be_claimed_again)
+{
+    Fixture &fixture = newFixture();
+    platform::ClaimStore one(fixture.loop.io(), fixture.kv, "main", 4, 60min);
+    fixture.loop.wait(one.claim("key", "r1", 7));
+    one.release("key", "r1");
+    fixture.loop.runFor(200ms);
+    cr_assert(granted(fixture.loop.wait(one.claim("key", "r2", 7))));
+}
+
+Test(claims, without_the_kv_a_claim_is_refused_and_does_not_bar_the_next_try)
+{
+    Fixture &fixture = newFixture();
+    platform::ClaimStore one(fixture.loop.io(), fixture.kv, "main", 4, 60min);
+    fixture.platform.setFault("kv_outage", 1);
+    cr_assert_not(fixture.loop.wait(one.claim("key", "r1", 7)).ok());
+    fixture.platform.setFault("kv_outage", 0);
+    fixture.loop.runFor(1'000ms);
+    cr_assert(granted(fixture.loop.wait(one.claim("key", "r2", 7))));
+}
+
+Test(claims, claims_that_arrive_together_share_a_write)
+{
+    Fixture &fixture = newFixture();
+    platform::ClaimStore one(fixture.loop.io(), fixture.kv, "main", 1, 60min);
+    std::vector<wire::Task<absl::StatusOr<platform::ClaimResult>>> pending;
+    for (int i = 0; i < 50; ++i)
+        pending.push_back(one.claim("key" + std::to_string(i), "r" + std::to_string(i), 1));
+    for (auto &it : pending)
+        cr_assert(granted(fixture.loop.wait(std::move(it))));
+    cr_assert_leq(fixture.platform.countOf("kv.put"), 3U);
+}
+
+Test(claims, a_page_that_cannot_be_read_is_not_replaced)
+{
+    Fixture &fixture = newFixture();
+    fixture.loop.wait(fixture.kv.compareAndSwap("claims/main/0", 0, "{broken"));
+    platform::ClaimStore one(fixture.loop.io(), fixture.kv, "main", 1, 60min);
+    cr_assert_not(fixture.loop.wait(one.claim("key", "r1", 7)).ok());
+    cr_assert_eq(fixture.loop.wait(fixture.kv.get("claims/main/0"))->value, "{broken");
+}
+
+Test(usagereports, a_report_whose_answer_was_lost_is_not_sent_again)
+{
+    Fixture &fixture = newFixture();
+    platform::LeaseHolder lease(fixture.loop.io(), fixture.kv, "lock", "me", 60s);
+    cr_assert(fixture.loop.wait(lease.tryAcquire()));
+    platform::UsageLedger ledger(fixture.kv, "main", platform::UsageSide::Entry, 11);
+    control::ReporterSettings settings;
+    settings.scope = "main";
+    settings.window = 1s;
+    settings.grace = 100ms;
+    control::UsageReporter reporter(fixture.kv, fixture.fleet, settings,
+                                    [](uint64_t) { return true; });
+    platform::UsageFigures figures;
+    figures.requests = 3;
+    ledger.count(platform::windowOf(core::wallTime(), 1s), 22, "team", figures);
+    cr_assert(fixture.loop.wait(ledger.flush()).ok());
+    cr_assert(ledger.clean());
+    fixture.platform.setFault("report_lose_answers", 1);
+    for (int i = 0; i < 6; ++i) {
+        fixture.loop.runFor(600ms);
+        fixture.loop.wait(reporter.tick(1, lease));
+    }
+    cr_assert_eq(fixture.platform.countOf("usage.report"), 1U);
+    // A successor finds the window sealed and reported.
+    control::UsageReporter successor(fixture.kv, fixture.fleet, settings,
+                                     [](uint64_t) { return true; });
+    fixture.loop.wait(successor.tick(2, lease));
+    cr_assert_eq(fixture.platform.countOf("usage.report"), 1U);
+}
--- a/test/fakes/fakeserver.cpp
+++ b/test/fakes/fakeserver.cpp
@@ -1,6 +1,7 @@
 #include "fakes/fakeserver.h"
 
 #include "core/eventlog.h"
+#include "core/text.h"
 #include "wire/processmain.h"
 
 #include <iostream>
@@ -35,6 +36,22 @@
     return lifecycle.run();
 }
 
+std::string FakeServer::start()
+{
+    auto server = wire::HttpServer::create(
+        "127.0.0.1:0", 1, {},
+        [this](const wire::IncomingRequest &request, const Answer &to) { dispatch(request, to); });
+    m_background = std::move(*server);
+    return core::concat("127.0.0.1:", m_background->port());
+}
+
+size_t FakeServer::countOf(const std::string &kind) const
+{
+    const std::lock_guard guard(m_mutex);
+    const auto it = m_counts.find(kind);
+    return it == m_counts.end() ? 0 : it->second;
+}
+
 void FakeServer::dispatch(const wire::IncomingRequest &request, const Answer &to)
 {
     if (request.path == "/history") {
@@ -71,6 +88,7 @@
     details["at_us"] = QString::number(nowUs());
     const std::lock_guard guard(m_mutex);
     m_history += wire::toText(details) + "\n";
+    ++m_counts[kind];
 }
 
 double FakeServer::fault(const char *name, double fallback) const
--- a/test/fakes/fakeserver.h
+++ b/test/fakes/fakeserver.h
@@ -37,6 +37,11 @@
     /** Serves until SIGTERM. \return the process's exit code. */
     int run(const std::string &address);
 
+    /** Serves on a free port in the background and returns the address. */
+    std::string start();
+    /** Records of one kind so far. */
+    size_t countOf(const std::string &kind) const;
+
     /** Adds a record to the history; members "at_us" and "kind" are set here. */
     void record(const std::string &kind, QJsonObject details);
     /** A fault's value, or the fallback when it is not set. */
@@ -58,6 +63,8 @@
     std::map<std::string, double> m_faults;
     std::string m_history;
     std::vector<Answer> m_silenced;
+    std::map<std::string, size_t> m_counts;
+    std::unique_ptr<wire::HttpServer> m_background;
 };
 
 /** Wall-clock microseconds since the epoch. */
--- /dev/null
+++ b/test/fakes/platformstandin.cpp
@@ -0,0 +1,385 @@
+#include "fakes/platformstandin.h"
+
+#include "core/text.h"
+
+#include <QTimer>
+
+#include <list>
+#include <map>
+#include <set>
+
+namespace jujube::test {
+
+namespace {
+
+struct Value
+{
+    std::string value;
+    uint64_t revision = 0;
+    bool deleted = false;
+    std::string lease;
+};
+
+struct Lease
+{
+    core::TimePoint until{};
+    core::Milliseconds ttl{};
+};
+
+struct Watch
+{
+    std::string prefix;
+    uint64_t after = 0;
+    Answer to;
+    core::TimePoint until{};
+};
+
+} // namespace
+
+class PlatformStandIn::State
+{
+public:
+    explicit State(PlatformOptions options)
+        : m_options(options),
+          m_server("platform", [this](const wire::IncomingRequest &request, const Answer &to) {
+              handle(request, to);
+          })
+    {
+        m_server.onFaults([this](const QJsonObject &faults) { takeFaults(faults); });
+    }
+
+    FakeServer &server() { return m_server; }
+
+private:
+    void handle(const wire::IncomingRequest &request, const Answer &to)
+    {
+        if (!m_started) {
+            m_started = true;
+            tick();
+        }
+        const auto object = wire::parseObject(request.body.empty() ? "{}" : request.body);
+        const QJsonObject body = object.ok() ? *object : QJsonObject();
+        const bool isKv = request.path.starts_with("/v1/kv") || request.path == "/v1/watch"
+            || request.path.starts_with("/v1/leases");
+        if (isKv) {
+            ++m_kvCalls;
+            if (m_server.fault("kv_outage") != 0) {
+                to->abort();
+                return;
+            }
+            handleKv(request, body, to);
+            return;
+        }
+        handlePlatform(request, body, to);
+    }
+
+    // Key-value service
+
+    void handleKv(const wire::IncomingRequest &request, const QJsonObject &body, const Answer &to)
+    {
+        expireLeases();
+        if (request.path == "/v1/kv" && request.method == "GET") {
+            const std::string prefix = request.queryValue("prefix");
+            if (prefix.empty())
+                kvAnswer(to, 200, entry(request.queryValue("key")));
+            else
+                kvAnswer(to, 200, listing(prefix, 0, false));
+        } else if (request.path == "/v1/kv") {
+            put(body, to);
+        } else if (request.path == "/v1/kv/delete") {
+            remove(body, to);
+        } else if (request.path == "/v1/watch") {
+            watch(request, to);
+        } else if (request.path == "/v1/leases") {
+            const std::string id = "lease-" + std::to_string(++m_leaseCount);
+            const core::Milliseconds ttl(static_cast<int64_t>(wire::numberAt(body, "ttl_ms")));
+            m_leases[id] = {core::BootClock::now() + ttl, ttl};
+            kvAnswer(to, 200, {{"lease", wire::qstring(id)}}, true);
+        } else if (request.path == "/v1/leases/renew") {
+            const auto it = m_leases.find(wire::textAt(body, "lease"));
+            if (it == m_leases.end()) {
+                kvAnswer(to, 404, {{"error", "lapsed"}});
+                return;
+            }
+            it->second.until = core::BootClock::now() + it->second.ttl;
+            kvAnswer(to, 200, {}, true);
+        } else if (request.path == "/v1/leases/revoke") {
+            dropLease(wire::textAt(body, "lease"));
+            kvAnswer(to, 200, {}, true);
+        }
+    }
+
+    void put(const QJsonObject &body, const Answer &to)
+    {
+        const std::string key = wire::textAt(body, "key");
+        const std::string lease = wire::textAt(body, "lease");
+        Value &value = m_values[key];
+        const uint64_t present = value.deleted ? 0 : value.revision;
+        const bool leaseGone = !lease.empty() && !m_leases.contains(lease);
+        if (present != wire::numberAt(body, "expected") || leaseGone) {
+            kvAnswer(to, leaseGone ? 404 : 409, {{"revision", wire::jsonNumber(present)}});
+            return;
+        }
+        value = {wire::textAt(body, "value"), ++m_revision, false, lease};
+        m_server.record("kv.put",
+                        {{"key", wire::qstring(key)},
+                         {"value", wire::qstring(value.value)},
+                         {"revision", wire::jsonNumber(m_revision)}});
+        kvAnswer(to, 200, {{"revision", wire::jsonNumber(m_revision)}}, true);
+        wakeWatches(key);
+    }
+
+    void remove(const QJsonObject &body, const Answer &to)
+    {
+        const std::string key = wire::textAt(body, "key");
+        const auto it = m_values.find(key);
+        if (it == m_values.end() || it->second.deleted
+            || it->second.revision != wire::numberAt(body, "expected")) {
+            kvAnswer(to, 409, {});
+            return;
+        }
+        erase(key);
+        kvAnswer(to, 200, {}, true);
+    }
+
+    void erase(const std::string &key)
+    {
+        m_values[key] = {"", ++m_revision, true, ""};
+        m_server.record("kv.delete",
+                        {{"key", wire::qstring(key)}, {"revision", wire::jsonNumber(m_revision)}});
+        wakeWatches(key);
+    }
+
+    void watch(const wire::IncomingRequest &request, const Answer &to)
+    {
+        Watch watch;
+        watch.prefix = request.queryValue("prefix");
+        watch.after = std::strtoull(request.queryValue("after").c_str(), nullptr, 10);
+        watch.to = to;
+        watch.until = core::BootClock::now()
+            + core::Milliseconds(std::atoi(request.queryValue("timeout_ms").c_str()));
+        const QJsonObject now = listing(watch.prefix, watch.after, true);
+        if (!now["entries"].toArray().isEmpty() || watch.until <= core::BootClock::now()) {
+            kvAnswer(to, 200, now);
+            return;
+        }
+        m_watches.push_back(watch);
+    }
+
+    void wakeWatches(const std::string &key)
+    {
+        for (auto it = m_watches.begin(); it != m_watches.end();) {
+            if (!key.starts_with(it->prefix)) {
+                ++it;
+                continue;
+            }
+            kvAnswer(it->to, 200, listing(it->prefix, it->after, true));
+            it = m_watches.erase(it);
+        }
+    }
+
+    QJsonObject entry(const std::string &key) const
+    {
+        QJsonObject object{{"key", wire::qstring(key)}, {"value", ""}, {"revision", 0}};
+        const auto it = m_values.find(key);
+        if (it == m_values.end())
+            return object;
+        object["value"] = wire::qstring(it->second.value);
+        object["revision"] = wire::jsonNumber(it->second.deleted ? 0 : it->second.revision);
+        return object;
+    }
+
+    QJsonObject listing(const std::string &prefix, uint64_t after, bool withDeleted) const
+    {
+        QJsonArray entries;
+        for (auto it = m_values.lower_bound(prefix); it != m_values.end(); ++it) {
+            if (!it->first.starts_with(prefix))
+                break;
+            if (it->second.revision <= after || (it->second.deleted && !withDeleted))
+                continue;
+            QJsonObject object = entry(it->first);
+            object["revision"] = wire::jsonNumber(it->second.revision);
+            object["deleted"] = it->second.deleted;
+            entries.append(object);
+        }
+        return {{"entries", entries}, {"revision", wire::jsonNumber(m_revision)}};
+    }
+
+    void kvAnswer(const Answer &to, int status, const QJsonObject &body, bool isWrite = false)
+    {
+        const bool lost = isWrite && m_server.fault("kv_lose_answers") != 0;
+        const bool out = m_server.fault("kv_outage") != 0;
+        if (lost || out) {
+            to->abort();
+            return;
+        }
+        const int delay = static_cast<int>(m_server.fault("kv_delay_ms"));
+        if (delay == 0) {
+            m_server.answer(to, status, body);
+            return;
+        }
+        QTimer::singleShot(delay,
+                           [this, to, status, body]() { m_server.answer(to, status, body); });
+    }
+
+    void expireLeases()
+    {
+        const core::TimePoint now = core::BootClock::now();
+        std::vector<std::string> expired;
+        for (const auto &[id, lease] : m_leases) {
+            if (lease.until < now)
+                expired.push_back(id);
+        }
+        for (const std::string &id : expired)
+            dropLease(id);
+    }
+
+    void dropLease(const std::string &id)
+    {
+        if (m_leases.erase(id) == 0)
+            return;
+        std::vector<std::string> keys;
+        for (const auto &[key, value] : m_values) {
+            if (value.lease == id && !value.deleted)
+                keys.push_back(key);
+        }
+        for (const std::string &key : keys)
+            erase(key);
+    }
+
+    void tick()
+    {
+        expireLeases();
+        const core::TimePoint now = core::BootClock::now();
+        for (auto it = m_watches.begin(); it != m_watches.end();) {
+            if (it->until > now) {
+                ++it;
+                continue;
+            }
+            kvAnswer(it->to, 200, listing(it->prefix, it->after, true));
+            it = m_watches.erase(it);
+        }
+        QTimer::singleShot(20, [this]() { tick(); });
+    }
+
+    // Endpoints, VMs, reports and weights
+
+    void handlePlatform(const wire::IncomingRequest &request, const QJsonObject &body,
+                        const Answer &to)
+    {
+        if (request.path == "/v1/endpoints/orders" && request.method == "POST") {
+            const std::string id = wire::textAt(body, "order_id");
+            m_server.record("fleet.order", body);
+            m_orders.insert(id);
+            if (wire::textAt(body, "action") == "remove")
+                announceLeaving(wire::textAt(body, "vm"));
+            acknowledge(to);
+        } else if (request.path == "/v1/endpoints/orders") {
+            const bool known = m_orders.contains(request.queryValue("order_id"));
+            m_server.answer(to, known ? 200 : 404, {});
+        } else if (request.path == "/v1/usage/reports" && request.method == "POST") {
+            m_server.record("usage.report", body);
+            m_reports.insert(
+                reportName(wire::textAt(body, "team"), wire::numberAt(body, "window")));
+            acknowledge(to);
+        } else if (request.path == "/v1/usage/reports") {
+            const std::string name =
+                reportName(request.queryValue("team"),
+                           std::strtoull(request.queryValue("window").c_str(), nullptr, 10));
+            m_server.answer(to, m_reports.contains(name) ? 200 : 404, {});
+        } else if (request.path == "/v1/vms") {
+            QJsonArray vms;
+            for (const std::string &vm : m_leaving)
+                vms.append(QJsonObject{{"vm", wire::qstring(vm)}, {"state", "leaving"}});
+            m_server.answer(to, 200, {{"vms", vms}});
+        } else if (request.path.starts_with("/v1/weights/")) {
+            serveWeights(request, to);
+        } else if (request.path == "/v1/counts") {
+            m_server.answer(to, 200, {{"kv_calls", wire::jsonNumber(m_kvCalls)}});
+        } else {
+            m_server.answer(to, 404, {});
+        }
+    }
+
+    void acknowledge(const Answer &to)
+    {
+        if (m_server.fault("report_lose_answers") != 0)
+            to->abort();
+        else
+            m_server.answer(to, 200, {});
+    }
+
+    // One download at a time gets the whole rate; later ones wait for their turn.
+    void serveWeights(const wire::IncomingRequest &request, const Answer &to)
+    {
+        const double size = std::atof(request.queryValue("bytes").c_str());
+        const core::TimePoint now = core::BootClock::now();
+        m_weightsFreeAt = std::max(m_weightsFreeAt, now)
+            + std::chrono::milliseconds(static_cast<int64_t>(size / m_options.weightRate * 1'000));
+        const auto wait =
+            std::chrono::duration_cast<std::chrono::milliseconds>(m_weightsFreeAt - now);
+        m_server.record("weights", {{"path", wire::qstring(request.path)}, {"bytes", size}});
+        QTimer::singleShot(wait, [this, to]() { m_server.answer(to, 200, {}); });
+    }
+
+    void announceLeaving(const std::string &vm)
+    {
+        m_server.record("vm.leaving", {{"vm", wire::qstring(vm)}});
+        QTimer::singleShot(m_options.vmLag, [this, vm]() { m_leaving.insert(vm); });
+    }
+
+    // "leaving_vm" names a VM that the platform takes away; the list shows it after its lag.
+    void takeFaults(const QJsonObject &faults)
+    {
+        if (faults.contains("leaving_vm"))
+            announceLeaving(wire::textAt(faults, "leaving_vm"));
+    }
+
+    static std::string reportName(const std::string &team, uint64_t window)
+    {
+        return core::concat(team, "/", window);
+    }
+
+    PlatformOptions m_options;
+    FakeServer m_server;
+    bool m_started = false;
+    uint64_t m_revision = 0;
+    uint64_t m_leaseCount = 0;
+    uint64_t m_kvCalls = 0;
+    std::map<std::string, Value> m_values;
+    std::map<std::string, Lease> m_leases;
+    std::list<Watch> m_watches;
+    std::set<std::string> m_orders;
+    std::set<std::string> m_reports;
+    std::set<std::string> m_leaving;
+    core::TimePoint m_weightsFreeAt{};
+};
+
+PlatformStandIn::PlatformStandIn(PlatformOptions options)
+    : m_state(std::make_unique<State>(options))
+{
+}
+
+PlatformStandIn::~PlatformStandIn() = default;
+
+int PlatformStandIn::run(const std::string &address)
+{
+    return m_state->server().run(address);
+}
+
+std::string PlatformStandIn::start()
+{
+    return m_state->server().start();
+}
+
+void PlatformStandIn::setFault(const char *name, double value)
+{
+    m_state->server().setFault(name, value);
+}
+
+size_t PlatformStandIn::countOf(const std::string &kind) const
+{
+    return m_state->server().countOf(kind);
+}
+
+} // namespace jujube::test
