Two controllers that both believe they are in charge: a focused test

The test removes the lease's key under its holder, lets a second one take over, and makes both want to write.

--- /dev/null
+++ b/test/correctness/controller.cpp
@@ -0,0 +1,135 @@
+/** \file
+ * Tests that of two controllers that both believe they are in charge only the newer one has effect.
+ */
+
+#include "control/controller.h"
+#include "core/keyhash.h"
+#include "fakes/platformstandin.h"
+#include "platform/registry.h"
+#include "support/loop.h"
+
+#include <criterion/criterion.h>
+
+using namespace jujube;
+using namespace std::chrono_literals;
+
+namespace {
+
+// One controller candidate with what an entry gives it.
+struct Candidate
+{
+    Candidate(test::Loop &loop, const std::string &address, const std::string &name)
+        : http(loop.io()),
+          kv(http, address, 1s),
+          fleet(http, address, 1s),
+          mirror(loop.io(), kv, platform::FleetPrefix, core::ConfigPrefix),
+          view(
+              loop.io(), {name, "s"}, 16, [] { return wire::PingMessage(); },
+              [](const core::Evidence &) {}),
+          reporter(kv, fleet, {}, [](uint64_t) { return true; }),
+          controller(loop.io(), kv, fleet, mirror, view, reporter,
+                     {name, "main", core::stableHash(name), 60s, false})
+    {
+        mirror.start();
+    }
+
+    wire::HttpClient http;
+    platform::KvClient kv;
+    platform::FleetClient fleet;
+    entry::KvMirror mirror;
+    entry::FleetView view;
+    control::UsageReporter reporter;
+    control::Controller controller;
+};
+
+struct Fixture
+{
+    Fixture()
+        : platform({}), address(platform.start()), a(loop, address, "a"), b(loop, address, "b")
+    {
+    }
+
+    platform::Plan plan()
+    {
+        return *platform::Plan::parse(loop.wait(a.kv.get(platform::planKey("main")))->value);
+    }
+
+    void registerAgent(const std::string &vm)
+    {
+        platform::AgentRecord record;
+        record.vm = vm;
+        record.address = "127.0.0.1:9";
+        record.domain = "d";
+        record.model = "m";
+        record.incarnation = 1;
+        cr_assert(
+            loop.wait(a.kv.compareAndSwap(platform::agentKey(vm), 0, record.serialize())).ok());
+    }
+
+    // Removes the lease's key, as a lapse does, while its holder still believes in it.
+    void loseLease()
+    {
+        const auto key = loop.wait(a.kv.get("fleet/controller/main"));
+        cr_assert(loop.wait(a.kv.remove(key->key, key->revision)).ok());
+    }
+
+    test::Loop loop;
+    test::PlatformStandIn platform;
+    std::string address;
+    Candidate a;
+    Candidate b;
+};
+
+// Never destroyed: detached coroutines refer to it until the test process ends.
+Fixture &newFixture()
+{
+    return *new Fixture;
+}
+
+} // namespace
+
+Test(controller, one_candidate_takes_charge_and_plans_for_every_agent)
+{
+    Fixture &fixture = newFixture();
+    fixture.registerAgent("vm-1");
+    fixture.a.controller.start();
+    fixture.loop.runFor(2s);
+    cr_assert(fixture.a.controller.inCharge());
+    fixture.b.controller.start();
+    fixture.loop.runFor(1s);
+    cr_assert_not(fixture.b.controller.inCharge());
+    cr_assert(fixture.plan().endpoints.contains("vm-1"));
+}
+
+Test(controller, a_deposed_controller_that_believes_in_its_lease_has_no_effect)
+{
+    Fixture &fixture = newFixture();
+    fixture.a.controller.start();
+    fixture.loop.runFor(2s);
+    const uint64_t firstTerm = fixture.plan().term;
+    fixture.loseLease();
+    fixture.b.controller.start();
+    fixture.loop.runFor(2s);
+    cr_assert(fixture.b.controller.inCharge());
+    cr_assert(fixture.a.controller.inCharge(), "the first one must still believe in its lease");
+    // Both see a new agent and want to write it into the plan.
+    fixture.registerAgent("vm-1");
+    fixture.loop.runFor(2s);
+    cr_assert_not(fixture.a.controller.inCharge());
+    cr_assert(fixture.b.controller.inCharge());
+    const platform::Plan plan = fixture.plan();
+    cr_assert_eq(plan.holder, "b");
+    cr_assert_gt(plan.term, firstTerm);
+    cr_assert_eq(plan.endpoints.at("vm-1").number.term, plan.term);
+}
+
+Test(controller, a_stopped_controller_gives_the_role_up_at_once)
+{
+    Fixture &fixture = newFixture();
+    fixture.a.controller.start();
+    fixture.loop.runFor(2s);
+    fixture.b.controller.start();
+    fixture.loop.wait(fixture.a.controller.stop());
+    fixture.loop.runFor(2s);
+    cr_assert(fixture.b.controller.inCharge());
+}
