--- a/src/entry/callerapi.cpp
+++ b/src/entry/callerapi.cpp
@@ -216,20 +216,32 @@
     return Caller{record->team, record->keyId};
 }
 
-void CallerApi::serveModels(const wire::IncomingRequest &request,
-                            const std::shared_ptr<wire::Exchange> &exchange) const
+std::optional<CallerApi::Caller> CallerApi::admit(const wire::IncomingRequest &request,
+                                                  const core::Configuration &config,
+                                                  wire::Exchange &exchange) const
 {
-    if (!m_view.everConfirmed.load()) {
-        sendError(*exchange, notConfirmed());
-        return;
+    // Without a configuration every key would look invalid, and a stale one may hold a key that
+    // has been withdrawn.
+    if (!m_view.everConfirmed.load() || m_view.freshness.load() == policy::Freshness::CutOff) {
+        sendError(exchange, notConfirmed());
+        return std::nullopt;
     }
-    const auto config = m_view.configuration.load();
-    const auto caller = authenticate(request, *config);
+    const auto caller = authenticate(request, config);
     if (!caller.ok()) {
-        sendError(*exchange,
+        sendError(exchange,
                   refusal(401, "unauthenticated", std::string(caller.status().message())));
-        return;
+        return std::nullopt;
     }
+    return *caller;
+}
+
+void CallerApi::serveModels(const wire::IncomingRequest &request,
+                            const std::shared_ptr<wire::Exchange> &exchange) const
+{
+    const auto config = m_view.configuration.load();
+    const auto caller = admit(request, *config, *exchange);
+    if (!caller)
+        return;
     QJsonArray data;
     for (const auto &[name, profile] : config->profiles()) {
         if (profile.allows(caller->team))
@@ -259,21 +271,10 @@
 void CallerApi::serveCompletion(CompletionStyle style, const wire::IncomingRequest &request,
                                 const std::shared_ptr<wire::Exchange> &exchange) const
 {
-    if (!m_view.everConfirmed.load()) {
-        sendError(*exchange, notConfirmed());
-        return;
-    }
     const auto config = m_view.configuration.load();
-    const auto caller = authenticate(request, *config);
-    if (!caller.ok()) {
-        sendError(*exchange,
-                  refusal(401, "unauthenticated", std::string(caller.status().message())));
+    const auto caller = admit(request, *config, *exchange);
+    if (!caller)
         return;
-    }
-    if (m_view.freshness.load() == policy::Freshness::CutOff) {
-        sendError(*exchange, notConfirmed());
-        return;
-    }
     auto completion = CompletionRequest::parse(style, request.body);
     if (!completion.ok()) {
         sendError(*exchange,
@@ -331,17 +332,10 @@
 
     Caller caller;
     if (!route || !route->open) {
-        const auto known = authenticate(request, *config);
-        if (!known.ok()) {
-            sendError(*exchange,
-                      refusal(401, "unauthenticated", std::string(known.status().message())));
+        const auto known = admit(request, *config, *exchange);
+        if (!known)
             return;
-        }
         caller = *known;
-        if (m_view.freshness.load() == policy::Freshness::CutOff) {
-            sendError(*exchange, notConfirmed());
-            return;
-        }
     } else {
         caller.team = "open";
     }
--- a/src/entry/callerapi.h
+++ b/src/entry/callerapi.h
@@ -12,6 +12,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace jujube::entry {
@@ -44,6 +45,9 @@
 
     absl::StatusOr<Caller> authenticate(const wire::IncomingRequest &request,
                                         const core::Configuration &config) const;
+    /** The caller of a keyed request; nothing once a refusal has been sent. */
+    std::optional<Caller> admit(const wire::IncomingRequest &request,
+                                const core::Configuration &config, wire::Exchange &exchange) const;
     void serveModels(const wire::IncomingRequest &request,
                      const std::shared_ptr<wire::Exchange> &exchange) const;
     void serveCompletion(CompletionStyle style, const wire::IncomingRequest &request,
--- a/test/correctness/platform.cpp
+++ b/test/correctness/platform.cpp
@@ -132,6 +132,7 @@
     Fixture &fixture = newFixture();
     platform::ClaimStore one(fixture.loop.io(), fixture.kv, "main", 1, 60min);
     std::vector<wire::Task<absl::StatusOr<platform::ClaimResult>>> pending;
+    pending.reserve(50);
     for (int i = 0; i < 50; ++i)
         pending.push_back(one.claim("key" + std::to_string(i), "r" + std::to_string(i), 1));
     for (auto &it : pending)
