--- a/src/agent/agentprocess.cpp
+++ b/src/agent/agentprocess.cpp
@@ -3,7 +3,7 @@
 #include "core/eventlog.h"
 #include "core/keyhash.h"
 #include "core/text.h"
-#include "platform/registry.h"
+#include "state/registry.h"
 #include "wire/events.h"
 
 namespace jujube::agent {
@@ -113,7 +113,7 @@
       m_incarnation(core::randomIncarnation()),
       m_http(io),
       m_kv(m_http, m_settings.platform, m_settings.platformTimeout),
-      m_ledger(m_kv, m_settings.scope, platform::UsageSide::Agent, m_incarnation),
+      m_ledger(m_kv, m_settings.scope, state::UsageSide::Agent, m_incarnation),
       m_engine(m_http, m_settings.endpoint),
       m_gate(io, m_engine, m_ledger, gateSettings(m_settings), m_incarnation),
       m_follower(io, m_kv, m_engine, m_gate, followerIdentity(m_settings, m_incarnation)),
@@ -162,7 +162,7 @@
 
 wire::Task<void> AgentProcess::registerLoop()
 {
-    platform::AgentRecord record;
+    state::AgentRecord record;
     record.vm = m_settings.vm;
     record.address = m_settings.rpcAddress;
     record.domain = m_settings.domain;
@@ -172,8 +172,8 @@
     while (!m_stopping) {
         // A record of an earlier incarnation is replaced: it had this address, which is ours now.
         const auto entry = co_await m_kv.update(
-            platform::agentKey(m_settings.vm),
-            [text = record.serialize()](const platform::KvEntry &) { return text; });
+            state::agentKey(m_settings.vm),
+            [text = record.serialize()](const state::KvEntry &) { return text; });
         if (entry.ok()) {
             m_ready = true;
             core::Event("agent.registered").with("vm", m_settings.vm);
@@ -214,9 +214,9 @@
         if (!status.ok())
             co_await m_io.sleep(RegisterRetry);
     }
-    const auto entry = co_await m_kv.get(platform::agentKey(m_settings.vm));
+    const auto entry = co_await m_kv.get(state::agentKey(m_settings.vm));
     if (entry.ok()) {
-        const auto record = platform::AgentRecord::parse(entry->value);
+        const auto record = state::AgentRecord::parse(entry->value);
         if (record.ok() && record->incarnation == m_incarnation)
             co_await m_kv.remove(entry->key, entry->revision);
     }
--- a/src/agent/agentprocess.h
+++ b/src/agent/agentprocess.h
@@ -41,8 +41,8 @@
     AgentSettings m_settings;
     uint64_t m_incarnation;
     wire::HttpClient m_http;
-    platform::KvClient m_kv;
-    platform::UsageLedger m_ledger;
+    state::KvClient m_kv;
+    state::UsageLedger m_ledger;
     EngineClient m_engine;
     EndpointGate m_gate;
     PlanFollower m_follower;
--- a/src/agent/endpointgate.cpp
+++ b/src/agent/endpointgate.cpp
@@ -65,7 +65,7 @@
     std::vector<kj::Own<kj::PromiseFulfiller<void>>> waiters;
 };
 
-EndpointGate::EndpointGate(wire::IoContext &io, EngineClient &engine, platform::UsageLedger &ledger,
+EndpointGate::EndpointGate(wire::IoContext &io, EngineClient &engine, state::UsageLedger &ledger,
                            GateSettings settings, uint64_t incarnation)
     : m_io(io),
       m_engine(engine),
@@ -355,7 +355,7 @@
 
 void EndpointGate::countUsage(const Work &work)
 {
-    platform::UsageFigures figures;
+    state::UsageFigures figures;
     figures.requests = work.outcome == core::Outcome::Whole ? 1 : 0;
     figures.usage = work.usage;
     figures.usage.outputTokens = work.produced;
--- a/src/agent/endpointgate.h
+++ b/src/agent/endpointgate.h
@@ -6,7 +6,7 @@
 
 #include "agent/answerbuffer.h"
 #include "agent/engineclient.h"
-#include "platform/usageledger.h"
+#include "state/usageledger.h"
 #include "policy/dispatcher.h"
 #include "wire/messages.h"
 
@@ -36,7 +36,7 @@
 class EndpointGate
 {
 public:
-    EndpointGate(wire::IoContext &io, EngineClient &engine, platform::UsageLedger &ledger,
+    EndpointGate(wire::IoContext &io, EngineClient &engine, state::UsageLedger &ledger,
                  GateSettings settings, uint64_t incarnation);
 
     /** Starts the timers. */
@@ -63,7 +63,7 @@
 
     void setEngineState(const EngineState &state);
     void setEngineLost();
-    void setApplied(platform::OrderNumber number) { m_applied = number; }
+    void setApplied(state::OrderNumber number) { m_applied = number; }
     void setEvidence(const core::Evidence &evidence);
 
 private:
@@ -92,7 +92,7 @@
 
     wire::IoContext &m_io;
     EngineClient &m_engine;
-    platform::UsageLedger &m_ledger;
+    state::UsageLedger &m_ledger;
     GateSettings m_settings;
     uint64_t m_incarnation;
     policy::Dispatcher m_dispatcher;
@@ -101,7 +101,7 @@
     EngineState m_engineState;
     bool m_engineUp = false;
     Closure m_closure = Closure::Open;
-    platform::OrderNumber m_applied;
+    state::OrderNumber m_applied;
     core::Evidence m_evidence;
 };
 
--- a/src/agent/engineclient.cpp
+++ b/src/agent/engineclient.cpp
@@ -164,7 +164,7 @@
     co_return state;
 }
 
-wire::Task<absl::Status> EngineClient::orderRole(core::Role role, platform::OrderNumber number,
+wire::Task<absl::Status> EngineClient::orderRole(core::Role role, state::OrderNumber number,
                                                  wire::SendGuard guard)
 {
     QJsonObject body;
--- a/src/agent/engineclient.h
+++ b/src/agent/engineclient.h
@@ -4,7 +4,7 @@
  * Defines the client of the endpoint beside an agent: a model engine or an application service.
  */
 
-#include "platform/plan.h"
+#include "state/plan.h"
 #include "wire/httpclient.h"
 #include "wire/messages.h"
 
@@ -20,7 +20,7 @@
     bool ready = false;
     uint32_t slots = 1;
     uint32_t freeKvPieces = 0;
-    platform::OrderNumber lastOrder;
+    state::OrderNumber lastOrder;
 };
 
 /** One piece of a generated answer. */
@@ -57,7 +57,7 @@
     wire::Task<absl::StatusOr<EngineState>> state();
     /** Orders a role. Nothing is sent after the guard's time. FailedPrecondition means that the
      * engine has already seen a newer order. */
-    wire::Task<absl::Status> orderRole(core::Role role, platform::OrderNumber number,
+    wire::Task<absl::Status> orderRole(core::Role role, state::OrderNumber number,
                                        wire::SendGuard guard);
     /** Whether a service answers at all. */
     wire::Task<bool> serviceAlive();
--- a/src/agent/planfollower.cpp
+++ b/src/agent/planfollower.cpp
@@ -2,7 +2,7 @@
 
 #include "core/eventlog.h"
 #include "core/text.h"
-#include "platform/registry.h"
+#include "state/registry.h"
 
 namespace jujube::agent {
 
@@ -26,7 +26,7 @@
 
 } // namespace
 
-PlanFollower::PlanFollower(wire::IoContext &io, platform::KvClient &kv, EngineClient &engine,
+PlanFollower::PlanFollower(wire::IoContext &io, state::KvClient &kv, EngineClient &engine,
                            EndpointGate &gate, FollowerIdentity identity)
     : m_io(io), m_kv(kv), m_engine(engine), m_gate(gate), m_identity(std::move(identity))
 {
@@ -38,7 +38,7 @@
     wire::coroutineTasks().add(followLoop());
 }
 
-void PlanFollower::hint(platform::OrderNumber number)
+void PlanFollower::hint(state::OrderNumber number)
 {
     m_hinted = std::max(m_hinted, number);
 }
@@ -84,10 +84,10 @@
 
 wire::Task<void> PlanFollower::readPlan()
 {
-    const auto entry = co_await m_kv.get(platform::planKey(m_identity.scope));
+    const auto entry = co_await m_kv.get(state::planKey(m_identity.scope));
     if (!entry.ok())
         co_return;
-    const auto plan = platform::Plan::parse(entry->value);
+    const auto plan = state::Plan::parse(entry->value);
     if (!plan.ok()) {
         core::Event("plan.unreadable").with("why", plan.status().message());
         co_return;
@@ -105,7 +105,7 @@
 
 wire::Task<void> PlanFollower::apply()
 {
-    const platform::EndpointPlan wanted = m_wanted;
+    const state::EndpointPlan wanted = m_wanted;
     if (wanted.intent != core::EngineIntent::Active) {
         if (m_gate.closure() != EndpointGate::Closure::Draining) {
             core::Event("endpoint.draining").with("vm", m_identity.vm);
@@ -139,7 +139,7 @@
     }
 }
 
-wire::Task<bool> PlanFollower::changeRole(platform::EndpointPlan wanted)
+wire::Task<bool> PlanFollower::changeRole(state::EndpointPlan wanted)
 {
     // Running work ends first: a role change interrupts the engine.
     m_gate.setClosure(EndpointGate::Closure::ChangingRole);
@@ -147,7 +147,7 @@
     if (!m_engineState.ready)
         co_return false;
 
-    platform::LeaseHolder lock(m_io, m_kv, orderLockKey(m_identity.vm),
+    state::LeaseHolder lock(m_io, m_kv, orderLockKey(m_identity.vm),
                                core::concat(m_identity.incarnation), OrderLockTtl);
     if (!co_await lock.tryAcquire())
         co_return false;
@@ -169,7 +169,7 @@
     co_return changed;
 }
 
-wire::Task<bool> PlanFollower::waitForRole(core::Role role, platform::LeaseHolder &lock)
+wire::Task<bool> PlanFollower::waitForRole(core::Role role, state::LeaseHolder &lock)
 {
     const core::TimePoint giveUp = core::BootClock::now() + RoleChangeTimeout;
     while (core::BootClock::now() < giveUp) {
@@ -190,12 +190,12 @@
     co_return false;
 }
 
-wire::Task<bool> PlanFollower::stillInCharge(platform::EndpointPlan wanted)
+wire::Task<bool> PlanFollower::stillInCharge(state::EndpointPlan wanted)
 {
-    const auto agent = co_await m_kv.get(platform::agentKey(m_identity.vm));
+    const auto agent = co_await m_kv.get(state::agentKey(m_identity.vm));
     if (!agent.ok())
         co_return false;
-    const auto record = platform::AgentRecord::parse(agent->value);
+    const auto record = state::AgentRecord::parse(agent->value);
     if (!record.ok() || record->incarnation != m_identity.incarnation)
         co_return false;
     co_await readPlan();
--- a/src/agent/planfollower.h
+++ b/src/agent/planfollower.h
@@ -6,8 +6,8 @@
 
 #include "agent/endpointgate.h"
 #include "agent/engineclient.h"
-#include "platform/leaseholder.h"
-#include "platform/plan.h"
+#include "state/leaseholder.h"
+#include "state/plan.h"
 
 #include <string>
 
@@ -32,35 +32,35 @@
 class PlanFollower
 {
 public:
-    PlanFollower(wire::IoContext &io, platform::KvClient &kv, EngineClient &engine,
+    PlanFollower(wire::IoContext &io, state::KvClient &kv, EngineClient &engine,
                  EndpointGate &gate, FollowerIdentity identity);
 
     /** Starts following; runs until stop(). */
     void start();
     void stop() { m_stopping = true; }
     /** Notes that a plan with this number exists. */
-    void hint(platform::OrderNumber number);
+    void hint(state::OrderNumber number);
 
 private:
     wire::Task<void> followLoop();
     wire::Task<void> engineLoop();
     wire::Task<void> readPlan();
     wire::Task<void> apply();
-    wire::Task<bool> changeRole(platform::EndpointPlan wanted);
-    wire::Task<bool> waitForRole(core::Role role, platform::LeaseHolder &lock);
-    wire::Task<bool> stillInCharge(platform::EndpointPlan wanted);
+    wire::Task<bool> changeRole(state::EndpointPlan wanted);
+    wire::Task<bool> waitForRole(core::Role role, state::LeaseHolder &lock);
+    wire::Task<bool> stillInCharge(state::EndpointPlan wanted);
     wire::Task<void> waitIdle();
 
     wire::IoContext &m_io;
-    platform::KvClient &m_kv;
+    state::KvClient &m_kv;
     EngineClient &m_engine;
     EndpointGate &m_gate;
     FollowerIdentity m_identity;
-    platform::OrderNumber m_hinted;
-    platform::OrderNumber m_read;    ///< Number of the plan that was read last.
-    platform::EndpointPlan m_wanted; ///< Wanted state of this endpoint in that plan.
+    state::OrderNumber m_hinted;
+    state::OrderNumber m_read;    ///< Number of the plan that was read last.
+    state::EndpointPlan m_wanted; ///< Wanted state of this endpoint in that plan.
     bool m_hasWanted = false;
-    platform::OrderNumber m_applied;
+    state::OrderNumber m_applied;
     core::TimePoint m_readAt{};
     EngineState m_engineState;
     bool m_engineKnown = false;
--- a/src/control/controller.cpp
+++ b/src/control/controller.cpp
@@ -2,7 +2,7 @@
 
 #include "core/eventlog.h"
 #include "core/text.h"
-#include "platform/registry.h"
+#include "state/registry.h"
 
 namespace jujube::control {
 
@@ -17,12 +17,12 @@
 
 std::string leaseKey(const std::string &scope)
 {
-    return core::concat(platform::FleetPrefix, "controller/", scope);
+    return core::concat(state::FleetPrefix, "controller/", scope);
 }
 
 } // namespace
 
-Controller::Controller(wire::IoContext &io, platform::KvClient &kv, platform::FleetClient &platform,
+Controller::Controller(wire::IoContext &io, state::KvClient &kv, state::FleetClient &platform,
                        entry::KvMirror &mirror, entry::FleetView &fleet, UsageReporter &reporter,
                        ControllerSettings settings)
     : m_io(io),
@@ -87,10 +87,10 @@
     if (m_mirror.find(leaseKey(m_settings.scope)) || !co_await m_lease.tryAcquire())
         co_return false;
     co_await m_io.sleep(TakeOverWait);
-    const auto current = co_await m_kv.get(platform::planKey(m_settings.scope));
+    const auto current = co_await m_kv.get(state::planKey(m_settings.scope));
     if (!current.ok() || !m_lease.held())
         co_return false;
-    auto plan = platform::Plan::parse(current->value);
+    auto plan = state::Plan::parse(current->value);
     if (!plan.ok()) {
         core::Event("plan.unreadable").with("why", plan.status().message());
         co_return false;
@@ -111,7 +111,7 @@
 wire::Task<void> Controller::tick()
 {
     co_await refreshVms();
-    platform::Plan next = m_plan;
+    state::Plan next = m_plan;
     mergeEndpoints(next);
     if (m_settings.planRoles)
         planRoles(next);
@@ -133,7 +133,7 @@
     if (!vms.ok())
         co_return;
     m_leavingVms.clear();
-    for (const platform::VmListing &it : *vms) {
+    for (const state::VmListing &it : *vms) {
         if (it.leaving)
             m_leavingVms.insert(it.vm);
     }
@@ -141,17 +141,17 @@
 
 // Every registered endpoint gets a wanted state: the operators' intent first, then the platform's
 // list, else active in the role it has.
-void Controller::mergeEndpoints(platform::Plan &plan)
+void Controller::mergeEndpoints(state::Plan &plan)
 {
     std::map<std::string, core::ShardValue> engines;
     const std::string enginesKey = core::shardKey(core::shards::Engines);
-    if (const platform::KvEntry *entry = m_mirror.find(enginesKey))
+    if (const state::KvEntry *entry = m_mirror.find(enginesKey))
         engines[std::string(core::shards::Engines)] = {entry->revision, entry->value};
     const auto config = core::Configuration::create(engines);
 
     std::set<std::string> registered;
-    for (const platform::KvEntry &it : m_mirror.list(platform::AgentPrefix)) {
-        const auto record = platform::AgentRecord::parse(it.value);
+    for (const state::KvEntry &it : m_mirror.list(state::AgentPrefix)) {
+        const auto record = state::AgentRecord::parse(it.value);
         if (!record.ok())
             continue;
         registered.insert(record->vm);
@@ -176,7 +176,7 @@
 {
     std::map<std::string, uint32_t> result;
     const std::string name(core::shards::Profiles);
-    const platform::KvEntry *entry = m_mirror.find(core::shardKey(name));
+    const state::KvEntry *entry = m_mirror.find(core::shardKey(name));
     if (!entry)
         return result;
     const auto config = core::Configuration::create({{name, {entry->revision, entry->value}}});
@@ -187,12 +187,12 @@
     return result;
 }
 
-void Controller::planRoles(platform::Plan &plan)
+void Controller::planRoles(state::Plan &plan)
 {
     std::map<std::string, uint32_t> minDomains = minDomainsByModel();
     std::vector<policy::RoleView> engines;
     for (const auto &link : m_fleet.links()) {
-        const platform::AgentRecord &record = link->record();
+        const state::AgentRecord &record = link->record();
         const auto planned = plan.endpoints.find(record.vm);
         if (record.kind != core::WorkKind::Language || planned == plan.endpoints.end())
             continue;
@@ -229,7 +229,7 @@
 
 // A withdrawn endpoint goes back to the platform once it has drained. The order is written as an
 // intent here and sent only after that write succeeded.
-void Controller::settleOrders(platform::Plan &plan) const
+void Controller::settleOrders(state::Plan &plan) const
 {
     for (const auto &[vm, endpoint] : plan.endpoints) {
         if (endpoint.intent != core::EngineIntent::Withdrawn)
@@ -241,7 +241,7 @@
         if (link == links.end())
             continue;
         const core::LoadReport &load = (*link)->load();
-        const platform::OrderNumber applied{load.appliedTerm, load.appliedSequence};
+        const state::OrderNumber applied{load.appliedTerm, load.appliedSequence};
         if (applied < endpoint.number)
             continue;
         const std::string id = core::concat("remove-", vm, "-", (*link)->record().incarnation);
@@ -249,18 +249,18 @@
                                        [&id](const auto &it) { return it.id == id; });
         if (known)
             continue;
-        plan.fleetOrders.push_back({id, platform::FleetAction::Remove, (*link)->record().domain, vm,
-                                    platform::FleetOrderState::Intended, core::wallTime().count()});
+        plan.fleetOrders.push_back({id, state::FleetAction::Remove, (*link)->record().domain, vm,
+                                    state::FleetOrderState::Intended, core::wallTime().count()});
     }
 }
 
-wire::Task<bool> Controller::writePlan(platform::Plan plan)
+wire::Task<bool> Controller::writePlan(state::Plan plan)
 {
     ++plan.writeNumber;
-    const std::string key = platform::planKey(m_settings.scope);
+    const std::string key = state::planKey(m_settings.scope);
     const std::string text = plan.serialize();
     auto revision = co_await m_kv.compareAndSwap(key, m_planRevision, text);
-    if (!revision.ok() && platform::isUncertain(revision.status())) {
+    if (!revision.ok() && state::isUncertain(revision.status())) {
         const auto current = co_await m_kv.get(key);
         if (current.ok() && current->value == text)
             revision = current->revision;
@@ -283,8 +283,8 @@
 wire::Task<void> Controller::sendOrders()
 {
     for (size_t i = 0; i < m_plan.fleetOrders.size(); ++i) {
-        const platform::FleetOrder order = m_plan.fleetOrders[i];
-        if (order.state == platform::FleetOrderState::Done)
+        const state::FleetOrder order = m_plan.fleetOrders[i];
+        if (order.state == state::FleetOrderState::Done)
             continue;
         // An earlier controller, or a lost answer, may have brought it there already.
         const auto received = co_await m_platform.orderReceived(order.id);
@@ -300,8 +300,8 @@
             if (!sent.ok())
                 continue;
         }
-        platform::Plan next = m_plan;
-        next.fleetOrders[i].state = platform::FleetOrderState::Done;
+        state::Plan next = m_plan;
+        next.fleetOrders[i].state = state::FleetOrderState::Done;
         if (!co_await writePlan(std::move(next)))
             co_return;
     }
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -7,8 +7,8 @@
 #include "control/usagereporter.h"
 #include "entry/fleetview.h"
 #include "entry/kvmirror.h"
-#include "platform/fleetclient.h"
-#include "platform/leaseholder.h"
+#include "state/fleetclient.h"
+#include "state/leaseholder.h"
 #include "policy/roleplanner.h"
 
 #include <map>
@@ -36,7 +36,7 @@
 class Controller
 {
 public:
-    Controller(wire::IoContext &io, platform::KvClient &kv, platform::FleetClient &platform,
+    Controller(wire::IoContext &io, state::KvClient &kv, state::FleetClient &platform,
                entry::KvMirror &mirror, entry::FleetView &fleet, UsageReporter &reporter,
                ControllerSettings settings);
 
@@ -53,23 +53,23 @@
     wire::Task<bool> takeOver();
     wire::Task<void> tick();
     wire::Task<void> refreshVms();
-    void mergeEndpoints(platform::Plan &plan);
+    void mergeEndpoints(state::Plan &plan);
     std::map<std::string, uint32_t> minDomainsByModel() const;
-    void planRoles(platform::Plan &plan);
-    void settleOrders(platform::Plan &plan) const;
-    wire::Task<bool> writePlan(platform::Plan plan);
+    void planRoles(state::Plan &plan);
+    void settleOrders(state::Plan &plan) const;
+    wire::Task<bool> writePlan(state::Plan plan);
     wire::Task<void> sendOrders();
 
     wire::IoContext &m_io;
-    platform::KvClient &m_kv;
-    platform::FleetClient &m_platform;
+    state::KvClient &m_kv;
+    state::FleetClient &m_platform;
     entry::KvMirror &m_mirror;
     entry::FleetView &m_fleet;
     UsageReporter &m_reporter;
     ControllerSettings m_settings;
-    platform::LeaseHolder m_lease;
+    state::LeaseHolder m_lease;
     policy::RolePlanner m_rolePlanner;
-    platform::Plan m_plan;
+    state::Plan m_plan;
     uint64_t m_planRevision = 0;
     std::set<std::string> m_leavingVms;
     std::set<std::string> m_pinned; ///< VMs whose role an operator has fixed.
--- a/src/control/usagereporter.cpp
+++ b/src/control/usagereporter.cpp
@@ -31,7 +31,7 @@
     TeamFigures teams;
     for (auto it = object.begin(); it != object.end(); ++it) {
         const QJsonObject value = it.value().toObject();
-        platform::UsageFigures figures;
+        state::UsageFigures figures;
         figures.requests = wire::numberAt(value, "requests");
         figures.usage = {wire::numberAt(value, "prompt"), wire::numberAt(value, "cached"),
                          wire::numberAt(value, "output")};
@@ -40,9 +40,9 @@
     return teams;
 }
 
-platform::UsageFigures larger(const platform::UsageFigures &a, const platform::UsageFigures &b)
+state::UsageFigures larger(const state::UsageFigures &a, const state::UsageFigures &b)
 {
-    platform::UsageFigures result;
+    state::UsageFigures result;
     result.requests = std::max(a.requests, b.requests);
     result.usage.promptTokens = std::max(a.usage.promptTokens, b.usage.promptTokens);
     result.usage.cachedTokens = std::max(a.usage.cachedTokens, b.usage.cachedTokens);
@@ -51,11 +51,11 @@
 }
 
 // Late counts only add: a figure that was reported is never taken back.
-platform::UsageFigures excess(const platform::UsageFigures &total,
-                              const platform::UsageFigures &included)
+state::UsageFigures excess(const state::UsageFigures &total,
+                              const state::UsageFigures &included)
 {
     const auto above = [](uint64_t a, uint64_t b) { return a > b ? a - b : 0; };
-    platform::UsageFigures result;
+    state::UsageFigures result;
     result.requests = above(total.requests, included.requests);
     result.usage.promptTokens = above(total.usage.promptTokens, included.usage.promptTokens);
     result.usage.cachedTokens = above(total.usage.cachedTokens, included.usage.cachedTokens);
@@ -103,7 +103,7 @@
     return sealed;
 }
 
-TeamFigures addUp(const std::vector<platform::UsagePage> &pages,
+TeamFigures addUp(const std::vector<state::UsagePage> &pages,
                   const std::function<bool(uint64_t)> &entryLives)
 {
     struct PairKey
@@ -115,13 +115,13 @@
     };
     struct BothEnds
     {
-        platform::UsageFigures entry;
-        platform::UsageFigures agent;
+        state::UsageFigures entry;
+        state::UsageFigures agent;
     };
     std::map<PairKey, BothEnds> pairs;
-    for (const platform::UsagePage &page : pages) {
-        for (const platform::UsageRow &row : page.rows) {
-            if (page.side == platform::UsageSide::Entry)
+    for (const state::UsagePage &page : pages) {
+        for (const state::UsageRow &row : page.rows) {
+            if (page.side == state::UsageSide::Entry)
                 pairs[{page.incarnation, row.peer, row.team}].entry.add(row.figures);
             else
                 pairs[{row.peer, page.incarnation, row.team}].agent.add(row.figures);
@@ -130,13 +130,13 @@
     TeamFigures totals;
     for (const auto &[key, ends] : pairs) {
         const auto figures = entryLives(key.entry) ? ends.entry : larger(ends.entry, ends.agent);
-        if (figures != platform::UsageFigures{})
+        if (figures != state::UsageFigures{})
             totals[key.team].add(figures);
     }
     return totals;
 }
 
-UsageReporter::UsageReporter(platform::KvClient &kv, platform::FleetClient &platform,
+UsageReporter::UsageReporter(state::KvClient &kv, state::FleetClient &platform,
                              ReporterSettings settings, std::function<bool(uint64_t)> entryLives)
     : m_kv(kv),
       m_platform(platform),
@@ -150,7 +150,7 @@
     return core::concat("sealed/", m_settings.scope, "/");
 }
 
-wire::Task<void> UsageReporter::tick(uint64_t term, const platform::LeaseHolder &lease)
+wire::Task<void> UsageReporter::tick(uint64_t term, const state::LeaseHolder &lease)
 {
     if (core::BootClock::now() < m_nextCheck)
         co_return;
@@ -174,14 +174,14 @@
 uint64_t UsageReporter::newestClosedWindow() const
 {
     const uint64_t open =
-        platform::windowOf(core::wallTime() - m_settings.grace, m_settings.window);
+        state::windowOf(core::wallTime() - m_settings.grace, m_settings.window);
     return open - static_cast<uint64_t>(m_settings.window.count());
 }
 
 // Seals every closed window that has pages, oldest first, and the newest one even without pages,
 // for it carries the late counts of windows that were sealed before.
 wire::Task<bool> UsageReporter::sealThrough(uint64_t newest, uint64_t term,
-                                            const platform::LeaseHolder &lease)
+                                            const state::LeaseHolder &lease)
 {
     if (!co_await noteChangedPages())
         co_return false;
@@ -210,11 +210,11 @@
 // One call tells which pages were written since the last look, however old their window is.
 wire::Task<bool> UsageReporter::noteChangedPages()
 {
-    const std::string prefix = platform::usagePrefix(m_settings.scope);
+    const std::string prefix = state::usagePrefix(m_settings.scope);
     const auto changes = co_await m_kv.watch(prefix, m_usageRevision, core::Milliseconds(0));
     if (!changes.ok())
         co_return false;
-    for (const platform::KvEntry &it : changes->entries) {
+    for (const state::KvEntry &it : changes->entries) {
         if (!it.deleted)
             m_changed.insert(std::strtoull(it.key.c_str() + prefix.size(), nullptr, 10));
     }
@@ -230,7 +230,7 @@
     m_sealed.clear();
     m_changed.clear();
     m_usageRevision = 0;
-    for (const platform::KvEntry &it : listing->entries) {
+    for (const state::KvEntry &it : listing->entries) {
         const auto sealed = SealedWindow::parse(it.value);
         if (sealed.ok())
             m_sealed[sealed->window] = *sealed;
@@ -240,12 +240,12 @@
 
 wire::Task<absl::StatusOr<TeamFigures>> UsageReporter::total(uint64_t window)
 {
-    const auto listing = co_await m_kv.list(platform::usagePrefix(m_settings.scope, window));
+    const auto listing = co_await m_kv.list(state::usagePrefix(m_settings.scope, window));
     if (!listing.ok())
         co_return listing.status();
-    std::vector<platform::UsagePage> pages;
-    for (const platform::KvEntry &it : listing->entries) {
-        const auto page = platform::UsagePage::parse(it.value);
+    std::vector<state::UsagePage> pages;
+    for (const state::KvEntry &it : listing->entries) {
+        const auto page = state::UsagePage::parse(it.value);
         if (!page.ok())
             co_return page.status();
         pages.push_back(*page);
@@ -274,8 +274,8 @@
         for (const auto &[team, figures] : *now) {
             const auto it = included.find(team);
             const auto late =
-                excess(figures, it == included.end() ? platform::UsageFigures{} : it->second);
-            if (late == platform::UsageFigures{})
+                excess(figures, it == included.end() ? state::UsageFigures{} : it->second);
+            if (late == state::UsageFigures{})
                 continue;
             sealed.adjustments[earlier][team] = late;
             sealed.reported[team].add(late);
@@ -283,7 +283,7 @@
     }
     const std::string key = core::concat(sealedPrefix(), window);
     const auto written = co_await m_kv.update(
-        key, [&sealed](const platform::KvEntry &entry) -> absl::StatusOr<std::string> {
+        key, [&sealed](const state::KvEntry &entry) -> absl::StatusOr<std::string> {
             // Sealed by an earlier controller: its figures stand.
             if (entry.revision != 0)
                 return absl::AlreadyExistsError(entry.value);
@@ -317,7 +317,7 @@
 }
 
 wire::Task<bool> UsageReporter::report(SealedWindow &sealed, uint64_t term,
-                                       const platform::LeaseHolder &lease)
+                                       const state::LeaseHolder &lease)
 {
     for (const auto &[team, figures] : sealed.reported) {
         const auto received = co_await m_platform.reportReceived(team, sealed.window);
@@ -325,7 +325,7 @@
             co_return false;
         if (*received)
             continue;
-        const platform::UsageReport message{team, sealed.window, term, figures.requests,
+        const state::UsageReport message{team, sealed.window, term, figures.requests,
                                             figures.usage};
         const absl::Status sent = co_await m_platform.sendReport(message, {lease.validUntil()});
         core::Event("usage.reported")
@@ -339,7 +339,7 @@
     }
     const std::string key = core::concat(sealedPrefix(), sealed.window);
     const auto written = co_await m_kv.update(
-        key, [](const platform::KvEntry &entry) -> absl::StatusOr<std::string> {
+        key, [](const state::KvEntry &entry) -> absl::StatusOr<std::string> {
             auto stored = SealedWindow::parse(entry.value);
             if (!stored.ok())
                 return stored.status();
@@ -356,10 +356,10 @@
     while (!m_sealed.empty() && m_sealed.begin()->first < keepFrom
            && m_sealed.begin()->second.done) {
         const uint64_t window = m_sealed.begin()->first;
-        const auto pages = co_await m_kv.list(platform::usagePrefix(m_settings.scope, window));
+        const auto pages = co_await m_kv.list(state::usagePrefix(m_settings.scope, window));
         if (!pages.ok())
             co_return;
-        for (const platform::KvEntry &it : pages->entries)
+        for (const state::KvEntry &it : pages->entries)
             co_await m_kv.remove(it.key, it.revision);
         const auto sealed = co_await m_kv.get(core::concat(sealedPrefix(), window));
         if (sealed.ok() && sealed->revision != 0)
--- a/src/control/usagereporter.h
+++ b/src/control/usagereporter.h
@@ -4,9 +4,9 @@
  * Defines how usage windows are added up, sealed and reported to the platform.
  */
 
-#include "platform/fleetclient.h"
-#include "platform/leaseholder.h"
-#include "platform/usageledger.h"
+#include "state/fleetclient.h"
+#include "state/leaseholder.h"
+#include "state/usageledger.h"
 
 #include <functional>
 #include <map>
@@ -16,7 +16,7 @@
 
 namespace jujube::control {
 
-using TeamFigures = std::map<std::string, platform::UsageFigures>;
+using TeamFigures = std::map<std::string, state::UsageFigures>;
 
 /** Figures of one window as fixed before the first report. */
 struct SealedWindow
@@ -38,7 +38,7 @@
  * knows what reached the caller. When an entry is gone, its last counts may be missing, and the
  * larger of both ends' figures is right.
  */
-TeamFigures addUp(const std::vector<platform::UsagePage> &pages,
+TeamFigures addUp(const std::vector<state::UsagePage> &pages,
                   const std::function<bool(uint64_t)> &entryLives);
 
 struct ReporterSettings
@@ -53,28 +53,28 @@
 class UsageReporter
 {
 public:
-    UsageReporter(platform::KvClient &kv, platform::FleetClient &platform,
+    UsageReporter(state::KvClient &kv, state::FleetClient &platform,
                   ReporterSettings settings, std::function<bool(uint64_t)> entryLives);
 
     /** Seals and reports what is due. Sends only while the lease is held. */
-    wire::Task<void> tick(uint64_t term, const platform::LeaseHolder &lease);
+    wire::Task<void> tick(uint64_t term, const state::LeaseHolder &lease);
 
 private:
     wire::Task<bool> load();
     uint64_t newestClosedWindow() const;
     wire::Task<bool> sealThrough(uint64_t newest, uint64_t term,
-                                 const platform::LeaseHolder &lease);
+                                 const state::LeaseHolder &lease);
     wire::Task<bool> noteChangedPages();
     wire::Task<absl::StatusOr<TeamFigures>> total(uint64_t window);
     wire::Task<bool> seal(uint64_t window, std::vector<uint64_t> lateWindows, uint64_t term);
     wire::Task<bool> report(SealedWindow &sealed, uint64_t term,
-                            const platform::LeaseHolder &lease);
+                            const state::LeaseHolder &lease);
     std::string sealedPrefix() const;
     TeamFigures includedSoFar(uint64_t window) const;
     wire::Task<void> dropOld(uint64_t newest);
 
-    platform::KvClient &m_kv;
-    platform::FleetClient &m_platform;
+    state::KvClient &m_kv;
+    state::FleetClient &m_platform;
     ReporterSettings m_settings;
     std::function<bool(uint64_t)> m_entryLives;
     std::map<uint64_t, SealedWindow> m_sealed;
--- a/src/core/eventlog.cpp
+++ b/src/core/eventlog.cpp
@@ -1,5 +1,6 @@
 #include "core/eventlog.h"
 
+#include "core/clock.h"
 #include "core/hybridclock.h"
 
 #include <boost/log/core.hpp>
@@ -13,20 +14,70 @@
 #include <deque>
 #include <iostream>
 #include <mutex>
+#include <poll.h>
+#include <unistd.h>
 
 namespace jujube::core {
 
 namespace {
 
-// Bounds the memory of the time line in one process to a few megabytes.
-constexpr size_t MaxKeptEvents = 20'000;
+// Lines wait this long or until there are this many bytes, so that a busy process makes few writes.
+constexpr std::chrono::milliseconds FlushInterval{100};
+constexpr size_t FlushBytes = 3'072;
+// A write of this size to a pipe that polls as writable does not wait.
+constexpr size_t WriteBytes = 4'096;
+// Lines that wait for a slow reader. More are dropped, newest first.
+constexpr size_t MaxWaiting = 256 * 1024;
+
+// Standard output that never waits for its reader.
+class BoundedOutput
+{
+public:
+    void add(const std::string &line)
+    {
+        if (m_waiting.size() + line.size() > MaxWaiting) {
+            ++m_dropped;
+            return;
+        }
+        if (m_dropped > 0)
+            m_waiting += "event=log.dropped lines=" + std::to_string(std::exchange(m_dropped, 0))
+                + "\n";
+        m_waiting += line;
+        m_waiting += '\n';
+        if (m_waiting.size() >= FlushBytes || BootClock::now() - m_flushedAt >= FlushInterval)
+            flush();
+    }
+
+    void flush()
+    {
+        m_flushedAt = BootClock::now();
+        size_t done = 0;
+        while (done < m_waiting.size()) {
+            pollfd ready{STDOUT_FILENO, POLLOUT, 0};
+            if (poll(&ready, 1, 0) != 1 || (ready.revents & POLLOUT) == 0)
+                break;
+            const ssize_t n = ::write(STDOUT_FILENO, m_waiting.data() + done,
+                                      std::min(WriteBytes, m_waiting.size() - done));
+            if (n <= 0)
+                break;
+            done += static_cast<size_t>(n);
+        }
+        m_waiting.erase(0, done);
+    }
+
+private:
+    std::string m_waiting;
+    uint64_t m_dropped = 0;
+    TimePoint m_flushedAt{};
+};
 
 struct EventStore
 {
     std::mutex mutex;
     std::deque<LoggedEvent> events;
     std::string process = "unnamed";
-    bool toStderr = false;
+    LogSettings settings{LogTarget::None};
+    BoundedOutput output;
     boost::log::sources::logger_mt logger;
 };
 
@@ -55,12 +106,24 @@
 } // namespace
 
 void startEventLog(const std::string &process, bool toStderr)
+{
+    startEventLog(process, LogSettings{toStderr ? LogTarget::Errors : LogTarget::None});
+}
+
+void flushEventLog()
+{
+    EventStore &log = store();
+    const std::lock_guard guard(log.mutex);
+    log.output.flush();
+}
+
+void startEventLog(const std::string &process, LogSettings settings)
 {
     EventStore &log = store();
     log.process = process;
-    log.toStderr = toStderr;
+    log.settings = settings;
     boost::log::core::get()->remove_all_sinks();
-    if (!toStderr) {
+    if (settings.target != LogTarget::Errors) {
         boost::log::core::get()->set_logging_enabled(false);
         return;
     }
@@ -118,10 +181,12 @@
     {
         const std::lock_guard guard(log.mutex);
         log.events.push_back(LoggedEvent{m_time, m_line});
-        if (log.events.size() > MaxKeptEvents)
+        if (log.events.size() > log.settings.keptEvents)
             log.events.pop_front();
+        if (log.settings.target == LogTarget::Output)
+            log.output.add(m_line);
     }
-    if (log.toStderr)
+    if (log.settings.target == LogTarget::Errors)
         BOOST_LOG(log.logger) << m_line;
 }
 
--- a/src/core/eventlog.h
+++ b/src/core/eventlog.h
@@ -21,6 +21,24 @@
     std::string line;
 };
 
+/** Where event lines go besides the time line of the process. */
+enum class LogTarget { None, Errors, Output };
+
+struct LogSettings
+{
+    LogTarget target = LogTarget::Errors;
+    size_t keptEvents = 20'000; ///< Bounds the memory of the time line to a few megabytes.
+};
+
+/** Starts logging for this process. Call once, before the first event.
+ *
+ * Output is written without ever waiting for its reader: lines that do not fit are dropped and
+ * counted, and the next line that fits tells how many.
+ *
+ * \param process name that every line carries, such as "entry1".
+ */
+void startEventLog(const std::string &process, LogSettings settings);
+
 /** Starts logging for this process. Call once, before the first event.
  *
  * \param process name that every line carries, such as "entry1".
@@ -28,6 +46,9 @@
  */
 void startEventLog(const std::string &process, bool toStderr = true);
 
+/** Writes what waits for standard output, as far as that takes it now. */
+void flushEventLog();
+
 /** Events recorded after the given hybrid time, oldest first, at most \a limit of them. */
 std::vector<LoggedEvent> eventsAfter(uint64_t hybridTime, size_t limit = 5000);
 
--- a/src/entry/agentlink.cpp
+++ b/src/entry/agentlink.cpp
@@ -24,7 +24,7 @@
 
 } // namespace
 
-AgentLink::AgentLink(wire::IoContext &io, wire::RpcIdentity identity, platform::AgentRecord record,
+AgentLink::AgentLink(wire::IoContext &io, wire::RpcIdentity identity, state::AgentRecord record,
                      std::function<wire::PingMessage()> ping,
                      std::function<void(const core::Evidence &)> onEvidence)
     : m_io(io),
@@ -42,7 +42,7 @@
     wire::coroutineTasks().add(maintain());
 }
 
-void AgentLink::updateRecord(const platform::AgentRecord &record)
+void AgentLink::updateRecord(const state::AgentRecord &record)
 {
     const bool moved = record.address != m_record.address;
     m_record = record;
--- a/src/entry/agentlink.h
+++ b/src/entry/agentlink.h
@@ -4,7 +4,7 @@
  * Defines an entry's link to one agent: its connection, heartbeat and last load report.
  */
 
-#include "platform/registry.h"
+#include "state/registry.h"
 #include "policy/outlierdetector.h"
 #include "policy/router.h"
 #include "wire/messages.h"
@@ -27,7 +27,7 @@
 {
 public:
     /** \param ping makes the message sent with each heartbeat. */
-    AgentLink(wire::IoContext &io, wire::RpcIdentity identity, platform::AgentRecord record,
+    AgentLink(wire::IoContext &io, wire::RpcIdentity identity, state::AgentRecord record,
               std::function<wire::PingMessage()> ping,
               std::function<void(const core::Evidence &)> onEvidence);
 
@@ -36,8 +36,8 @@
     void close() { m_closed = true; }
 
     /** Notes a changed registration, for example a new address. */
-    void updateRecord(const platform::AgentRecord &record);
-    const platform::AgentRecord &record() const { return m_record; }
+    void updateRecord(const state::AgentRecord &record);
+    const state::AgentRecord &record() const { return m_record; }
 
     /** The present connection, or nothing while the agent is not reached. */
     std::shared_ptr<AgentConnection> connection() const { return m_connection; }
@@ -68,7 +68,7 @@
 
     wire::IoContext &m_io;
     wire::RpcIdentity m_identity;
-    platform::AgentRecord m_record;
+    state::AgentRecord m_record;
     std::function<wire::PingMessage()> m_ping;
     std::function<void(const core::Evidence &)> m_onEvidence;
     std::shared_ptr<AgentConnection> m_connection;
--- a/src/entry/entryprocess.cpp
+++ b/src/entry/entryprocess.cpp
@@ -80,7 +80,7 @@
       m_http(io),
       m_kv(m_http, m_settings.platform, m_settings.platformTimeout),
       m_platform(m_http, m_settings.platform, m_settings.platformTimeout),
-      m_mirror(io, m_kv, platform::FleetPrefix, core::ConfigPrefix),
+      m_mirror(io, m_kv, state::FleetPrefix, core::ConfigPrefix),
       m_peers(io, m_identity, m_mirror, {m_settings.name, m_incarnation, false}),
       m_fleet(
           io, m_identity, m_settings.maxCandidates, [this]() { return pingMessage(); },
@@ -88,7 +88,7 @@
       m_router(policy::RouterSettings{}),
       m_prefixes(PrefixBlocksPerEndpoint),
       m_retries(policy::RetrySettings{}),
-      m_ledger(m_kv, m_settings.scope, platform::UsageSide::Entry, m_incarnation),
+      m_ledger(m_kv, m_settings.scope, state::UsageSide::Entry, m_incarnation),
       m_claims(io, m_kv, m_settings.scope, m_settings.claimShards, m_settings.claimKeep),
       m_random(core::randomIncarnation()),
       m_reporter(m_kv, m_platform, reporterSettings(m_settings),
@@ -106,7 +106,7 @@
           },
           ConnectionSilence)
 {
-    m_mirror.onChange([this](const platform::KvEntry &entry) { mirrorChanged(entry); });
+    m_mirror.onChange([this](const state::KvEntry &entry) { mirrorChanged(entry); });
 }
 
 EntryProcess::~EntryProcess() = default;
@@ -146,12 +146,12 @@
 
 wire::Task<void> EntryProcess::registerLoop()
 {
-    const platform::EntryRecord record{m_settings.name, m_settings.rpcAddress, m_settings.domain,
+    const state::EntryRecord record{m_settings.name, m_settings.rpcAddress, m_settings.domain,
                                        m_incarnation};
     while (!m_stopping) {
         const auto entry = co_await m_kv.update(
-            platform::entryKey(m_settings.name),
-            [text = record.serialize()](const platform::KvEntry &) { return text; });
+            state::entryKey(m_settings.name),
+            [text = record.serialize()](const state::KvEntry &) { return text; });
         if (entry.ok()) {
             m_mirror.apply({*entry});
             core::Event("entry.registered").with("name", m_settings.name);
@@ -210,7 +210,7 @@
         if (!m_controller.inCharge())
             continue;
         for (const std::string &name : m_peers.goneSince(core::BootClock::now() - PruneAfter)) {
-            const platform::KvEntry *entry = m_mirror.find(platform::entryKey(name));
+            const state::KvEntry *entry = m_mirror.find(state::entryKey(name));
             if (!entry)
                 continue;
             core::Event("entry.pruned").with("name", name);
@@ -219,7 +219,7 @@
     }
 }
 
-void EntryProcess::mirrorChanged(const platform::KvEntry &entry)
+void EntryProcess::mirrorChanged(const state::KvEntry &entry)
 {
     const bool scheduled = m_configurationChanged || m_membershipChanged;
     if (entry.key.starts_with(core::ConfigPrefix))
@@ -246,7 +246,7 @@
 void EntryProcess::rebuildConfiguration()
 {
     std::map<std::string, core::ShardValue> shards;
-    for (const platform::KvEntry &it : m_mirror.list(core::ConfigPrefix)) {
+    for (const state::KvEntry &it : m_mirror.list(core::ConfigPrefix)) {
         const std::string name = it.key.substr(std::string_view(core::ConfigPrefix).size());
         shards[name] = {it.revision, it.value};
     }
@@ -272,24 +272,24 @@
 
 void EntryProcess::rebuildMembership()
 {
-    std::vector<platform::AgentRecord> agents;
-    for (const platform::KvEntry &it : m_mirror.list(platform::AgentPrefix)) {
-        const auto record = platform::AgentRecord::parse(it.value);
+    std::vector<state::AgentRecord> agents;
+    for (const state::KvEntry &it : m_mirror.list(state::AgentPrefix)) {
+        const auto record = state::AgentRecord::parse(it.value);
         if (record.ok())
             agents.push_back(*record);
     }
-    std::vector<platform::EntryRecord> entries;
+    std::vector<state::EntryRecord> entries;
     m_liveEntries.clear();
-    for (const platform::KvEntry &it : m_mirror.list(platform::EntryPrefix)) {
-        const auto record = platform::EntryRecord::parse(it.value);
+    for (const state::KvEntry &it : m_mirror.list(state::EntryPrefix)) {
+        const auto record = state::EntryRecord::parse(it.value);
         if (!record.ok())
             continue;
         entries.push_back(*record);
         m_liveEntries.insert(record->incarnation);
     }
     std::set<std::string> leaving;
-    if (const platform::KvEntry *entry = m_mirror.find(platform::planKey(m_settings.scope))) {
-        const auto plan = platform::Plan::parse(entry->value);
+    if (const state::KvEntry *entry = m_mirror.find(state::planKey(m_settings.scope))) {
+        const auto plan = state::Plan::parse(entry->value);
         if (plan.ok()) {
             // Idle links send few heartbeats; a new plan has to reach its agents now.
             if (std::exchange(m_plan, plan->number()) != plan->number()) {
@@ -347,7 +347,7 @@
     auto revision = co_await m_kv.compareAndSwap(key, fromRevision, value);
     if (!revision.ok()) {
         const auto current = co_await m_kv.get(key);
-        const bool landed = platform::isUncertain(revision.status()) && current.ok()
+        const bool landed = state::isUncertain(revision.status()) && current.ok()
             && current->value == value && current->revision > fromRevision;
         if (landed) {
             revision = current->revision;
@@ -481,9 +481,9 @@
         if (!status.ok() || !m_claims.idle())
             co_await m_io.sleep(DrainPoll);
     }
-    const auto entry = co_await m_kv.get(platform::entryKey(m_settings.name));
+    const auto entry = co_await m_kv.get(state::entryKey(m_settings.name));
     if (entry.ok()) {
-        const auto record = platform::EntryRecord::parse(entry->value);
+        const auto record = state::EntryRecord::parse(entry->value);
         if (record.ok() && record->incarnation == m_incarnation)
             co_await m_kv.remove(entry->key, entry->revision);
     }
--- a/src/entry/entryprocess.h
+++ b/src/entry/entryprocess.h
@@ -55,7 +55,7 @@
                                   OperatorDone done);
     wire::Task<void> collectTimeline(uint64_t after, OperatorDone done);
 
-    void mirrorChanged(const platform::KvEntry &entry);
+    void mirrorChanged(const state::KvEntry &entry);
     void applyChanges();
     void rebuildConfiguration();
     void rebuildMembership();
@@ -69,23 +69,23 @@
     uint64_t m_incarnation;
     wire::RpcIdentity m_identity;
     wire::HttpClient m_http;
-    platform::KvClient m_kv;
-    platform::FleetClient m_platform;
+    state::KvClient m_kv;
+    state::FleetClient m_platform;
     KvMirror m_mirror;
     PeerSet m_peers;
     FleetView m_fleet;
     policy::Router m_router;
     policy::PrefixIndex m_prefixes;
     policy::RetryBudget m_retries;
-    platform::UsageLedger m_ledger;
-    platform::ClaimStore m_claims;
+    state::UsageLedger m_ledger;
+    state::ClaimStore m_claims;
     std::mt19937_64 m_random;
     control::UsageReporter m_reporter;
     control::Controller m_controller;
     wire::RpcServer m_server;
     std::set<std::shared_ptr<RequestSession>> m_sessions;
     std::set<uint64_t> m_liveEntries;
-    platform::OrderNumber m_plan;
+    state::OrderNumber m_plan;
     bool m_configurationChanged = false;
     bool m_membershipChanged = false;
     bool m_stopping = false;
--- a/src/entry/fleetview.cpp
+++ b/src/entry/fleetview.cpp
@@ -18,11 +18,11 @@
 {
 }
 
-void FleetView::setAgents(const std::vector<platform::AgentRecord> &agents)
+void FleetView::setAgents(const std::vector<state::AgentRecord> &agents)
 {
     m_known = agents.size();
     std::set<std::string> wanted;
-    for (const platform::AgentRecord &record : selectAgents(agents)) {
+    for (const state::AgentRecord &record : selectAgents(agents)) {
         wanted.insert(record.vm);
         auto &link = m_links[record.vm];
         if (link) {
@@ -42,22 +42,22 @@
     }
 }
 
-std::vector<platform::AgentRecord>
-FleetView::selectAgents(std::vector<platform::AgentRecord> agents) const
+std::vector<state::AgentRecord>
+FleetView::selectAgents(std::vector<state::AgentRecord> agents) const
 {
     struct Ranked
     {
         uint64_t rank = 0;
-        platform::AgentRecord record;
+        state::AgentRecord record;
     };
     // By served model and failure domain, each in this entry's own order.
     std::map<std::string, std::map<std::string, std::vector<Ranked>>> groups;
-    for (platform::AgentRecord &it : agents) {
+    for (state::AgentRecord &it : agents) {
         const uint64_t rank = core::stableHash(core::concat(m_identity.process, "/", it.vm));
         auto &group = groups[it.model][it.domain];
         group.push_back({rank, std::move(it)});
     }
-    std::vector<platform::AgentRecord> selected;
+    std::vector<state::AgentRecord> selected;
     for (auto &[model, domains] : groups) {
         const size_t share = std::max<size_t>(1, m_maxCandidates / domains.size());
         for (auto &[domain, ranked] : domains) {
@@ -75,7 +75,7 @@
 {
     std::vector<std::shared_ptr<AgentLink>> result;
     for (const auto &[vm, link] : m_links) {
-        const platform::AgentRecord &record = link->record();
+        const state::AgentRecord &record = link->record();
         if (record.kind == kind && record.model == model && !m_leaving.contains(vm))
             result.push_back(link);
     }
--- a/src/entry/fleetview.h
+++ b/src/entry/fleetview.h
@@ -7,7 +7,7 @@
 #include "core/configuration.h"
 #include "entry/agentlink.h"
 #include "entry/kvmirror.h"
-#include "platform/plan.h"
+#include "state/plan.h"
 
 #include <map>
 #include <memory>
@@ -31,7 +31,7 @@
               std::function<void(const core::Evidence &)> onEvidence);
 
     /** Takes the registered agents; opens and closes links to match. */
-    void setAgents(const std::vector<platform::AgentRecord> &agents);
+    void setAgents(const std::vector<state::AgentRecord> &agents);
     /** Takes the newest plan and the operators' intents; their endpoints get no new work. */
     void setLeaving(std::set<std::string> vms) { m_leaving = std::move(vms); }
 
@@ -44,8 +44,8 @@
     size_t knownAgents() const { return m_known; }
 
 private:
-    std::vector<platform::AgentRecord>
-    selectAgents(std::vector<platform::AgentRecord> agents) const;
+    std::vector<state::AgentRecord>
+    selectAgents(std::vector<state::AgentRecord> agents) const;
 
     wire::IoContext &m_io;
     wire::RpcIdentity m_identity;
--- a/src/entry/kvmirror.cpp
+++ b/src/entry/kvmirror.cpp
@@ -15,7 +15,7 @@
 
 } // namespace
 
-KvMirror::KvMirror(wire::IoContext &io, platform::KvClient &kv, std::string prefix,
+KvMirror::KvMirror(wire::IoContext &io, state::KvClient &kv, std::string prefix,
                    std::string evidencePrefix)
     : m_io(io), m_kv(kv), m_prefix(std::move(prefix)), m_evidencePrefix(std::move(evidencePrefix))
 {
@@ -52,15 +52,15 @@
     }
 }
 
-void KvMirror::applyListing(const platform::KvListing &listing)
+void KvMirror::applyListing(const state::KvListing &listing)
 {
     std::set<std::string> present;
-    for (const platform::KvEntry &it : listing.entries) {
+    for (const state::KvEntry &it : listing.entries) {
         present.insert(it.key);
         applyOne(it);
     }
     // What a peer told of before, and the KV no longer has, was deleted in between.
-    std::vector<platform::KvEntry> gone;
+    std::vector<state::KvEntry> gone;
     for (const auto &[key, entry] : m_entries) {
         if (!entry.deleted && entry.revision <= listing.revision && !present.contains(key))
             gone.push_back({key, {}, listing.revision, true});
@@ -68,13 +68,13 @@
     apply(gone);
 }
 
-void KvMirror::apply(const std::vector<platform::KvEntry> &changes)
+void KvMirror::apply(const std::vector<state::KvEntry> &changes)
 {
-    for (const platform::KvEntry &it : changes)
+    for (const state::KvEntry &it : changes)
         applyOne(it);
 }
 
-void KvMirror::applyOne(const platform::KvEntry &entry)
+void KvMirror::applyOne(const state::KvEntry &entry)
 {
     auto [it, isNew] = m_entries.try_emplace(entry.key, entry);
     if (!isNew) {
@@ -97,9 +97,9 @@
         m_onChange(it->second);
 }
 
-std::vector<platform::KvEntry> KvMirror::changesAfter(uint64_t version, size_t limit) const
+std::vector<state::KvEntry> KvMirror::changesAfter(uint64_t version, size_t limit) const
 {
-    std::vector<platform::KvEntry> result;
+    std::vector<state::KvEntry> result;
     for (auto it = m_byRevision.upper_bound(version); it != m_byRevision.end(); ++it) {
         if (result.size() >= limit && it->first != result.back().revision)
             break;
@@ -114,15 +114,15 @@
         m_evidence = {m_evidenceVersion, evidence.confirmedAt};
 }
 
-const platform::KvEntry *KvMirror::find(const std::string &key) const
+const state::KvEntry *KvMirror::find(const std::string &key) const
 {
     const auto it = m_entries.find(key);
     return it == m_entries.end() || it->second.deleted ? nullptr : &it->second;
 }
 
-std::vector<platform::KvEntry> KvMirror::list(const std::string &prefix) const
+std::vector<state::KvEntry> KvMirror::list(const std::string &prefix) const
 {
-    std::vector<platform::KvEntry> result;
+    std::vector<state::KvEntry> result;
     for (auto it = m_entries.lower_bound(prefix); it != m_entries.end(); ++it) {
         if (it->first.compare(0, prefix.size(), prefix) != 0)
             break;
--- a/src/entry/kvmirror.h
+++ b/src/entry/kvmirror.h
@@ -5,7 +5,7 @@
  */
 
 #include "core/work.h"
-#include "platform/kvclient.h"
+#include "state/kvclient.h"
 
 #include <functional>
 #include <map>
@@ -23,10 +23,10 @@
 class KvMirror
 {
 public:
-    using OnChange = std::function<void(const platform::KvEntry &)>;
+    using OnChange = std::function<void(const state::KvEntry &)>;
 
     /** \param evidencePrefix the keys that evidence speaks of, a part of those mirrored. */
-    KvMirror(wire::IoContext &io, platform::KvClient &kv, std::string prefix,
+    KvMirror(wire::IoContext &io, state::KvClient &kv, std::string prefix,
              std::string evidencePrefix);
 
     /** Called for every applied change. */
@@ -36,9 +36,9 @@
     void stop() { m_stopping = true; }
 
     /** Applies changes of a peer, or of a write of this process. */
-    void apply(const std::vector<platform::KvEntry> &changes);
+    void apply(const std::vector<state::KvEntry> &changes);
     /** Changes newer than a version, oldest first, at most \a limit of them. */
-    std::vector<platform::KvEntry> changesAfter(uint64_t version, size_t limit) const;
+    std::vector<state::KvEntry> changesAfter(uint64_t version, size_t limit) const;
 
     /** Takes evidence from elsewhere. It counts only if this mirror has all it speaks of.
      *
@@ -51,21 +51,21 @@
     uint64_t version() const { return m_version; }
     bool everConfirmed() const { return m_evidence.confirmedAt != core::TimePoint{}; }
 
-    const platform::KvEntry *find(const std::string &key) const;
+    const state::KvEntry *find(const std::string &key) const;
     /** Entries that exist under a prefix. */
-    std::vector<platform::KvEntry> list(const std::string &prefix) const;
+    std::vector<state::KvEntry> list(const std::string &prefix) const;
 
 private:
     wire::Task<void> watchLoop();
-    void applyListing(const platform::KvListing &listing);
-    void applyOne(const platform::KvEntry &entry);
+    void applyListing(const state::KvListing &listing);
+    void applyOne(const state::KvEntry &entry);
 
     wire::IoContext &m_io;
-    platform::KvClient &m_kv;
+    state::KvClient &m_kv;
     std::string m_prefix;
     std::string m_evidencePrefix;
     OnChange m_onChange;
-    std::map<std::string, platform::KvEntry> m_entries;
+    std::map<std::string, state::KvEntry> m_entries;
     std::multimap<uint64_t, std::string> m_byRevision;
     uint64_t m_version = 0;
     uint64_t m_evidenceVersion = 0; ///< Newest change under the evidence prefix.
--- a/src/entry/peerset.cpp
+++ b/src/entry/peerset.cpp
@@ -16,9 +16,9 @@
 
 using ExchangeReply = capnp::Response<wire::schema::PeerSession::ExchangeResults>;
 
-std::vector<platform::KvEntry> readChanges(capnp::List<wire::schema::Change>::Reader reader)
+std::vector<state::KvEntry> readChanges(capnp::List<wire::schema::Change>::Reader reader)
 {
-    std::vector<platform::KvEntry> changes;
+    std::vector<state::KvEntry> changes;
     for (const auto it : reader)
         changes.push_back(
             {it.getKey().cStr(), it.getValue().cStr(), it.getRevision(), it.getDeleted()});
@@ -45,10 +45,10 @@
     }
 }
 
-void PeerSet::setEntries(const std::vector<platform::EntryRecord> &entries)
+void PeerSet::setEntries(const std::vector<state::EntryRecord> &entries)
 {
     std::map<std::string, std::shared_ptr<Peer>> next;
-    for (const platform::EntryRecord &record : entries) {
+    for (const state::EntryRecord &record : entries) {
         if (record.name == m_own.process)
             continue;
         const auto known = m_peers.find(record.name);
--- a/src/entry/peerset.h
+++ b/src/entry/peerset.h
@@ -5,7 +5,7 @@
  */
 
 #include "entry/kvmirror.h"
-#include "platform/registry.h"
+#include "state/registry.h"
 #include "policy/freshness.h"
 #include "wire/rpc.h"
 
@@ -37,7 +37,7 @@
     /** Entries to ask while none is registered: without the KV a starting entry knows nobody. */
     void addSeeds(const std::vector<std::string> &addresses);
     /** Takes the registered entries; this entry's own record is passed over. */
-    void setEntries(const std::vector<platform::EntryRecord> &entries);
+    void setEntries(const std::vector<state::EntryRecord> &entries);
     void setStopping() { m_own.stopping = true; }
 
     /** The last known members as the freshness rule wants them. */
@@ -54,7 +54,7 @@
 private:
     struct Peer
     {
-        platform::EntryRecord record;
+        state::EntryRecord record;
         std::shared_ptr<wire::RpcConnection> connection;
         core::TimePoint heardAt{};
         core::TimePoint knownSince{};
--- a/src/entry/requestsession.cpp
+++ b/src/entry/requestsession.cpp
@@ -99,11 +99,11 @@
              "the Idempotency-Key could not be recorded", ComeBackLater);
         co_return false;
     }
-    if (std::holds_alternative<platform::ClaimGranted>(*claim)) {
+    if (std::holds_alternative<state::ClaimGranted>(*claim)) {
         m_claimed = true;
         co_return true;
     }
-    if (const auto *answered = std::get_if<platform::ClaimAnswered>(&*claim)) {
+    if (const auto *answered = std::get_if<state::ClaimAnswered>(&*claim)) {
         if (answered->bodyKept) {
             AnswerWhole answer;
             answer.status = answered->status;
@@ -116,7 +116,7 @@
         }
         co_return false;
     }
-    if (std::holds_alternative<platform::ClaimMismatch>(*claim)) {
+    if (std::holds_alternative<state::ClaimMismatch>(*claim)) {
         fail(core::Outcome::NotRun, 422, "idempotency-key-reused",
              "the Idempotency-Key was used for a different request");
         co_return false;
@@ -392,7 +392,7 @@
 {
     if (std::exchange(attempt.counted, true))
         return;
-    platform::UsageFigures figures;
+    state::UsageFigures figures;
     figures.requests = whole ? 1 : 0;
     figures.usage.outputTokens = m_tokens - attempt.tokensBefore;
     if (figures.usage.outputTokens > 0 && attempt.tokensBefore == 0) {
--- a/src/entry/requestsession.h
+++ b/src/entry/requestsession.h
@@ -6,8 +6,8 @@
 
 #include "entry/answer.h"
 #include "entry/fleetview.h"
-#include "platform/claimstore.h"
-#include "platform/usageledger.h"
+#include "state/claimstore.h"
+#include "state/usageledger.h"
 #include "policy/retrybudget.h"
 #include "policy/router.h"
 #include "wire/messages.h"
@@ -38,8 +38,8 @@
     policy::Router &router;
     policy::PrefixIndex &prefixes;
     policy::RetryBudget &retries;
-    platform::UsageLedger &ledger;
-    platform::ClaimStore &claims;
+    state::UsageLedger &ledger;
+    state::ClaimStore &claims;
     std::mt19937_64 &random;
     uint64_t incarnation = 0; ///< Of this entry.
 };
--- /dev/null
+++ b/src/http/caller.cpp
@@ -0,0 +1,126 @@
+#include "http/caller.h"
+
+namespace jujube::http {
+
+namespace {
+
+using ErrorCode = boost::system::error_code;
+
+constexpr uint64_t MaxResponseBody = 16UL << 20U; // A page of the store holds about 1 MB.
+
+// One call under way. Ends by the response, a failure or the timer, whichever is first.
+class PendingCall : public std::enable_shared_from_this<PendingCall>
+{
+public:
+    PendingCall(boost::asio::io_context &io, ConnectionPool &pool,
+                std::function<void(CallResult)> done)
+        : m_timer(io), m_pool(pool), m_done(std::move(done))
+    {
+    }
+
+    void start(std::shared_ptr<ClientConnection> connection, std::string bytes,
+               core::Milliseconds timeout)
+    {
+        m_connection = std::move(connection);
+        const auto self = shared_from_this();
+        m_timer.expires_after(timeout);
+        m_timer.async_wait([self](const ErrorCode &ec) {
+            if (ec || !self->m_done)
+                return;
+            self->m_connection->close();
+            self->end({absl::DeadlineExceededError("no response in time"), CallError::MaybeSent});
+        });
+        ExchangeHandler handler;
+        handler.onHead = [self](const Head &head) {
+            self->m_response.head = head;
+            return true;
+        };
+        handler.onBody = [self](std::string &body) { self->takeBody(body); };
+        handler.onEnd = [self]() {
+            const auto connection = self->m_connection;
+            self->end({std::move(self->m_response), CallError::MaybeSent});
+            self->m_pool.put(connection);
+        };
+        handler.onFailure = [self](Failure failure, const std::string &why) {
+            self->end({absl::UnavailableError(why),
+                       failure == Failure::NotSent ? CallError::NotSent : CallError::MaybeSent});
+        };
+        m_connection->send(std::move(bytes), false, timeout, std::move(handler));
+    }
+
+private:
+    void takeBody(std::string &body)
+    {
+        m_response.body += body;
+        body.clear();
+        if (m_response.body.size() > MaxResponseBody) {
+            m_connection->close();
+            end({absl::ResourceExhaustedError("the response is too large"), CallError::MaybeSent});
+        }
+    }
+
+    void end(CallResult result)
+    {
+        m_timer.cancel();
+        m_connection = nullptr;
+        if (const auto done = std::exchange(m_done, {}))
+            done(std::move(result));
+    }
+
+    boost::asio::steady_timer m_timer;
+    ConnectionPool &m_pool;
+    std::shared_ptr<ClientConnection> m_connection;
+    std::function<void(CallResult)> m_done;
+    Response m_response;
+};
+
+} // namespace
+
+std::shared_ptr<ClientConnection> ConnectionPool::take(const std::string &address)
+{
+    auto &idle = m_idle[address];
+    while (!idle.empty()) {
+        auto connection = std::move(idle.back());
+        idle.pop_back();
+        connection->onIdleClose({});
+        if (connection->reusable())
+            return connection;
+        connection->close();
+    }
+    return ClientConnection::create(m_io, address);
+}
+
+void ConnectionPool::put(std::shared_ptr<ClientConnection> connection)
+{
+    if (!connection->reusable()) {
+        connection->close();
+        return;
+    }
+    ClientConnection *key = connection.get();
+    const std::string address = connection->address();
+    connection->onIdleClose([this, key, address]() {
+        std::erase_if(m_idle[address], [key](const auto &it) { return it.get() == key; });
+    });
+    m_idle[address].push_back(std::move(connection));
+}
+
+void ConnectionPool::drop(const std::string &address)
+{
+    const auto it = m_idle.find(address);
+    if (it == m_idle.end())
+        return;
+    for (const auto &connection : it->second)
+        connection->close();
+    m_idle.erase(it);
+}
+
+void Caller::call(const std::string &address, Request request, core::Milliseconds timeout,
+                  std::function<void(CallResult)> done)
+{
+    ++m_calls;
+    request.head.fields.add("Host", address);
+    const auto pending = std::make_shared<PendingCall>(m_io, m_pool, std::move(done));
+    pending->start(m_pool.take(address), renderRequest(request.head, request.body), timeout);
+}
+
+} // namespace jujube::http
--- /dev/null
+++ b/src/http/clientconnection.cpp
@@ -0,0 +1,262 @@
+#include "http/clientconnection.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace jujube::http {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+constexpr uint32_t MaxResponseHeadBytes = 64 * 1024; // Four times what callers may send.
+// Peers that state no idle time-out close after seconds; a request that crosses the close has an
+// unknown outcome, so such a connection is kept only briefly.
+constexpr core::Milliseconds UnstatedIdle{3'000};
+// Taken off a stated idle time-out, for the time a request is on its way.
+constexpr core::Milliseconds IdleMargin{700};
+// A silent peer is noticed after about three seconds, within the shortest time bound of a rule.
+constexpr int KeepAliveSeconds = 1;
+constexpr int KeepAliveProbes = 2;
+constexpr int UserTimeoutMs = 2'500;
+
+core::Milliseconds idleAllowed(const Fields &fields)
+{
+    const auto value = fields.find("keep-alive");
+    if (!value)
+        return UnstatedIdle;
+    const size_t at = value->find("timeout=");
+    if (at == std::string_view::npos)
+        return UnstatedIdle;
+    int64_t seconds = 0;
+    const char *begin = value->data() + at + std::string_view("timeout=").size();
+    std::from_chars(begin, value->data() + value->size(), seconds);
+    return std::max(core::Milliseconds(0), core::Milliseconds(seconds * 1000) - IdleMargin);
+}
+
+} // namespace
+
+void tuneSocket(tcp::socket &socket)
+{
+    ErrorCode ec;
+    socket.set_option(tcp::no_delay(true), ec);
+    socket.set_option(asio::socket_base::keep_alive(true), ec);
+    const int fd = socket.native_handle();
+    // Best effort: without these options a vanished peer is noticed later, by a time-out.
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &KeepAliveSeconds, sizeof(KeepAliveSeconds));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &KeepAliveSeconds, sizeof(KeepAliveSeconds));
+    setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &KeepAliveProbes, sizeof(KeepAliveProbes));
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &UserTimeoutMs, sizeof(UserTimeoutMs));
+}
+
+std::shared_ptr<ClientConnection> ClientConnection::create(asio::io_context &io,
+                                                           const std::string &address)
+{
+    return std::shared_ptr<ClientConnection>(new ClientConnection(io, address));
+}
+
+ClientConnection::ClientConnection(asio::io_context &io, std::string address)
+    : m_socket(io), m_timer(io), m_address(std::move(address))
+{
+}
+
+ClientConnection::~ClientConnection()
+{
+    shut();
+}
+
+void ClientConnection::send(std::string bytes, bool headRequest, core::Milliseconds connectTimeout,
+                            ExchangeHandler handler)
+{
+    m_busy = true;
+    m_sentAny = false;
+    m_headGiven = false;
+    m_skipping = false;
+    m_headRequest = headRequest;
+    m_out = std::move(bytes);
+    m_handler = std::make_shared<ExchangeHandler>(std::move(handler));
+    m_parser = std::make_unique<ResponseParser>(MaxResponseHeadBytes);
+    if (headRequest)
+        m_parser->expectNoBody();
+    if (m_open)
+        write();
+    else
+        connect(connectTimeout);
+}
+
+void ClientConnection::connect(core::Milliseconds timeout)
+{
+    const size_t colon = m_address.rfind(':');
+    ErrorCode ec;
+    const auto ip = asio::ip::make_address(m_address.substr(0, colon), ec);
+    uint16_t port = 0;
+    if (colon != std::string::npos)
+        std::from_chars(m_address.data() + colon + 1, m_address.data() + m_address.size(), port);
+    const auto self = shared_from_this();
+    if (ec || port == 0) {
+        asio::post(m_socket.get_executor(), [self]() {
+            self->fail(Failure::NotSent, "the address " + self->m_address + " is not valid");
+        });
+        return;
+    }
+    m_timer.expires_after(timeout);
+    m_timer.async_wait([self](const ErrorCode &waitError) {
+        if (!waitError && !self->m_open)
+            self->fail(Failure::NotSent, "no connection in time");
+    });
+    m_socket.async_connect(tcp::endpoint(ip, port), [self](const ErrorCode &connectError) {
+        if (self->m_closed)
+            return;
+        if (connectError)
+            self->fail(Failure::NotSent, connectError.message());
+        else
+            self->connected();
+    });
+}
+
+void ClientConnection::connected()
+{
+    m_open = true;
+    m_timer.cancel();
+    tuneSocket(m_socket);
+    write();
+    read();
+}
+
+void ClientConnection::write()
+{
+    m_writing = true;
+    m_sentAny = true;
+    const auto self = shared_from_this();
+    asio::async_write(m_socket, asio::buffer(m_out), [self](const ErrorCode &ec, size_t) {
+        self->m_writing = false;
+        if (ec && !self->m_closed && self->m_busy)
+            self->fail(Failure::Broken, ec.message());
+    });
+}
+
+void ClientConnection::read()
+{
+    const auto self = shared_from_this();
+    m_socket.async_read_some(asio::buffer(m_chunk), [self](const ErrorCode &ec, size_t n) {
+        if (self->m_closed)
+            return;
+        if (!ec) {
+            self->m_in.append(self->m_chunk.data(), n);
+            self->received();
+            if (!self->m_closed)
+                self->read();
+            return;
+        }
+        if (!self->m_busy) {
+            self->shut();
+            if (self->m_onIdleClose)
+                std::exchange(self->m_onIdleClose, {})();
+            return;
+        }
+        // Only an orderly end completes a body without a length; a reset does not.
+        if (ec == asio::error::eof && self->m_headGiven && !self->m_skipping
+            && !self->m_parser->consumeEnd()) {
+            self->finishExchange();
+            return;
+        }
+        self->fail(Failure::Broken, ec.message());
+    });
+}
+
+void ClientConnection::received()
+{
+    if (!m_busy) {
+        // Bytes without a request waiting belong to no request.
+        shut();
+        if (m_onIdleClose)
+            std::exchange(m_onIdleClose, {})();
+        return;
+    }
+    // A callback may end the exchange; its closure has to live until it returns.
+    const auto handler = m_handler;
+    while (!m_closed && m_busy && !m_in.empty()) {
+        const ErrorCode ec = m_parser->consume(m_in);
+        if (ec) {
+            fail(Failure::Malformed, ec.message());
+            return;
+        }
+        if (!m_parser->headDone())
+            return;
+        constexpr uint32_t FirstFinalStatus = 200;
+        if (!m_headGiven && !m_skipping) {
+            m_skipping = m_parser->head().status < FirstFinalStatus
+                || !handler->onHead(m_parser->head());
+            m_headGiven = !m_skipping;
+            if (m_closed)
+                return;
+        }
+        if (m_skipping)
+            m_parser->body().clear();
+        else if (!m_parser->body().empty())
+            handler->onBody(m_parser->body());
+        if (m_closed || !m_parser->done())
+            return;
+        if (!m_skipping) {
+            finishExchange();
+            return;
+        }
+        m_skipping = false;
+        m_parser = std::make_unique<ResponseParser>(MaxResponseHeadBytes);
+        if (m_headRequest)
+            m_parser->expectNoBody();
+    }
+}
+
+void ClientConnection::finishExchange()
+{
+    const Head &head = m_parser->head();
+    // An answer that came before the whole request was read leaves the peer waiting for bytes, and
+    // bytes behind the answer belong to no request: neither connection can be used again.
+    const bool keep = head.keepAlive && !head.untilClose && !m_writing && m_in.empty();
+    m_idleUntil = core::BootClock::now() + idleAllowed(head.fields);
+    m_busy = false;
+    const auto self = shared_from_this();
+    const auto handler = std::exchange(m_handler, {});
+    if (!keep)
+        shut();
+    handler->onEnd();
+}
+
+void ClientConnection::fail(Failure failure, const std::string &why)
+{
+    if (m_closed)
+        return;
+    const auto self = shared_from_this();
+    const auto handler = std::exchange(m_handler, {});
+    shut();
+    if (handler)
+        handler->onFailure(m_sentAny ? failure : Failure::NotSent, why);
+}
+
+void ClientConnection::close()
+{
+    const auto self = shared_from_this();
+    m_onIdleClose = {};
+    shut();
+}
+
+void ClientConnection::shut()
+{
+    m_closed = true;
+    m_open = false;
+    m_busy = false;
+    m_handler = {};
+    ErrorCode ec;
+    m_timer.cancel();
+    m_socket.close(ec);
+}
+
+} // namespace jujube::http
--- /dev/null
+++ b/src/http/clientconnection.h
@@ -0,0 +1,93 @@
+#pragma once
+
+/** \file
+ * Defines one connection to an HTTP server that carries one exchange at a time.
+ */
+
+#include "core/clock.h"
+#include "http/message.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+
+namespace jujube::http {
+
+/** How an exchange failed. */
+enum class Failure {
+    NotSent,  ///< No byte of the request left this process: the peer cannot have acted on it.
+    Broken,   ///< The connection ended or fell silent before the response was whole.
+    Malformed, ///< What came is no valid response.
+};
+
+/** Callbacks of one exchange. Dropping the exchange with close() silences them all. */
+struct ExchangeHandler
+{
+    /** A response head came. \return false if it belongs to another request: it is skipped. */
+    std::function<bool(const Head &)> onHead;
+    std::function<void(std::string &)> onBody; ///< Body bytes; what is taken must be cleared.
+    std::function<void()> onEnd;               ///< The response is whole.
+    std::function<void(Failure, const std::string &why)> onFailure;
+};
+
+/** A kept connection. Between two exchanges it watches for the peer's close or stray bytes. */
+class ClientConnection : public std::enable_shared_from_this<ClientConnection>
+{
+public:
+    static std::shared_ptr<ClientConnection> create(boost::asio::io_context &io,
+                                                    const std::string &address);
+    ~ClientConnection();
+
+    /** Sends a request, after connecting if need be. \a bytes is the whole message. */
+    void send(std::string bytes, bool headRequest, core::Milliseconds connectTimeout,
+              ExchangeHandler handler);
+    /** Ends the connection at once; no callback follows. */
+    void close();
+
+    /** Whether another request may be sent on it now. */
+    bool reusable() const { return m_open && !m_busy && m_idleUntil > core::BootClock::now(); }
+    bool open() const { return m_open; }
+    const std::string &address() const { return m_address; }
+    /** Called once when the connection closes by itself while idle. */
+    void onIdleClose(std::function<void()> callback) { m_onIdleClose = std::move(callback); }
+
+private:
+    ClientConnection(boost::asio::io_context &io, std::string address);
+
+    void connect(core::Milliseconds timeout);
+    void connected();
+    void write();
+    void read();
+    void received();
+    void finishExchange();
+    void fail(Failure failure, const std::string &why);
+    void shut();
+
+    boost::asio::ip::tcp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+    std::string m_address;
+    std::string m_out;
+    std::string m_in;
+    std::array<char, 16384> m_chunk{};
+    std::unique_ptr<ResponseParser> m_parser;
+    std::shared_ptr<ExchangeHandler> m_handler;
+    std::function<void()> m_onIdleClose;
+    core::TimePoint m_idleUntil{};
+    bool m_open = false;
+    bool m_busy = false;
+    bool m_closed = false;
+    bool m_writing = false;
+    bool m_sentAny = false;
+    bool m_headRequest = false;
+    bool m_headGiven = false;
+    bool m_skipping = false; ///< The response being read answers an earlier request.
+};
+
+/** Options that make a connection notice a peer that vanished without a reset. */
+void tuneSocket(boost::asio::ip::tcp::socket &socket);
+
+} // namespace jujube::http
--- /dev/null
+++ b/src/http/server.cpp
@@ -0,0 +1,377 @@
+#include "http/server.h"
+
+#include "core/eventlog.h"
+#include "http/clientconnection.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace jujube::http {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+// How far a client may send ahead while its request is being served.
+constexpr size_t MaxReadAhead = 64 * 1024;
+// A client that leaves this much unread is not going to read it in time.
+constexpr size_t MaxUnsent = 4UL << 20U;
+constexpr core::Milliseconds SweepInterval{500};
+constexpr core::Milliseconds AcceptRetry{50}; // Descriptors are short: wait for some to close.
+constexpr int Backlog = 1024;
+
+} // namespace
+
+Responder::Responder(std::shared_ptr<ServerConnection> connection, uint64_t exchange)
+    : m_connection(std::move(connection)), m_exchange(exchange)
+{
+}
+
+ServerConnection *Responder::current() const
+{
+    const bool valid
+        = m_connection && m_connection->m_busy && m_connection->m_exchange == m_exchange;
+    return valid ? m_connection.get() : nullptr;
+}
+
+void Responder::send(const Head &head, std::string_view body) const
+{
+    ServerConnection *connection = current();
+    if (!connection)
+        return;
+    connection->respond(head, Framing::Length, body.size());
+    if (!connection->m_headResponse)
+        connection->enqueue(body);
+    connection->finishResponse();
+}
+
+void Responder::begin(const Head &head, Framing framing, uint64_t length) const
+{
+    if (ServerConnection *connection = current()) {
+        connection->respond(head, framing, length);
+        connection->flush();
+    }
+}
+
+void Responder::write(std::string_view data) const
+{
+    ServerConnection *connection = current();
+    if (!connection || connection->m_headResponse)
+        return;
+    if (connection->m_framing == Framing::Chunked)
+        connection->enqueue(renderChunk(data));
+    else
+        connection->enqueue(data);
+    connection->flush();
+}
+
+void Responder::finish() const
+{
+    ServerConnection *connection = current();
+    if (!connection)
+        return;
+    if (connection->m_framing == Framing::Chunked && !connection->m_headResponse)
+        connection->enqueue(LastChunk);
+    connection->finishResponse();
+}
+
+void Responder::abort() const
+{
+    if (ServerConnection *connection = current())
+        connection->close();
+}
+
+void Responder::onClientGone(std::function<void()> callback) const
+{
+    if (ServerConnection *connection = current())
+        connection->m_onGone = std::move(callback);
+}
+
+bool Responder::keptConnection() const
+{
+    return m_exchange > 1;
+}
+
+Server::Server(asio::io_context &io, Handler handler)
+    : m_io(io), m_acceptor(io), m_retryAccept(io), m_sweep(io), m_handler(std::move(handler))
+{
+}
+
+Server::~Server()
+{
+    const auto connections = m_connections;
+    for (const auto &it : connections)
+        it->close();
+}
+
+absl::Status Server::listen(const std::string &address)
+{
+    const size_t colon = address.rfind(':');
+    ErrorCode ec;
+    const auto ip = asio::ip::make_address(address.substr(0, colon), ec);
+    uint16_t port = 0;
+    if (colon != std::string::npos)
+        std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
+    if (ec)
+        return absl::InvalidArgumentError("cannot listen on " + address + ": " + ec.message());
+    const tcp::endpoint endpoint(ip, port);
+    m_acceptor.open(endpoint.protocol(), ec);
+    if (!ec)
+        m_acceptor.set_option(asio::socket_base::reuse_address(true), ec);
+    if (!ec)
+        m_acceptor.bind(endpoint, ec);
+    if (!ec)
+        m_acceptor.listen(Backlog, ec);
+    if (ec)
+        return absl::UnavailableError("cannot listen on " + address + ": " + ec.message());
+    accept();
+    sweep();
+    return absl::OkStatus();
+}
+
+void Server::stopListening()
+{
+    ErrorCode ec;
+    m_acceptor.close(ec);
+}
+
+void Server::accept()
+{
+    m_acceptor.async_accept([this](const ErrorCode &ec, tcp::socket socket) {
+        if (!m_acceptor.is_open())
+            return;
+        if (ec) {
+            core::Event("server.accept.failed").with("why", ec.message());
+            m_retryAccept.expires_after(AcceptRetry);
+            m_retryAccept.async_wait([this](const ErrorCode &waitError) {
+                if (!waitError && m_acceptor.is_open())
+                    accept();
+            });
+            return;
+        }
+        tuneSocket(socket);
+        const auto connection = std::make_shared<ServerConnection>(*this, std::move(socket));
+        m_connections.insert(connection);
+        connection->start();
+        accept();
+    });
+}
+
+void Server::sweep()
+{
+    m_sweep.expires_after(SweepInterval);
+    m_sweep.async_wait([this](const ErrorCode &ec) {
+        if (ec)
+            return;
+        const core::TimePoint now = core::BootClock::now();
+        const auto connections = m_connections;
+        for (const auto &it : connections)
+            it->checkTimeouts(now);
+        sweep();
+    });
+}
+
+void Server::closeIdle()
+{
+    const auto connections = m_connections;
+    for (const auto &it : connections) {
+        if (it->idle())
+            it->close();
+    }
+}
+
+size_t Server::busyCount() const
+{
+    return static_cast<size_t>(std::count_if(m_connections.begin(), m_connections.end(),
+                                             [](const auto &it) { return it->busy(); }));
+}
+
+ServerConnection::ServerConnection(Server &server, tcp::socket socket)
+    : m_server(server), m_socket(std::move(socket)), m_since(core::BootClock::now())
+{
+}
+
+void ServerConnection::start()
+{
+    m_parser = std::make_unique<RequestParser>(m_server.m_limits.maxHeadBytes);
+    read();
+}
+
+void ServerConnection::read()
+{
+    if (m_reading || m_closed)
+        return;
+    m_reading = true;
+    const auto self = shared_from_this();
+    m_socket.async_read_some(asio::buffer(m_chunk), [self](const ErrorCode &ec, size_t n) {
+        self->m_reading = false;
+        if (self->m_closed)
+            return;
+        if (ec) {
+            self->lost();
+            return;
+        }
+        if (self->m_in.empty() && !self->m_busy && !self->m_parser->started())
+            self->m_since = core::BootClock::now();
+        self->m_in.append(self->m_chunk.data(), n);
+        self->received();
+        self->m_paused = self->m_busy && self->m_in.size() > MaxReadAhead;
+        if (!self->m_paused)
+            self->read();
+    });
+}
+
+void ServerConnection::received()
+{
+    if (m_busy || m_closeWhenFlushed || m_in.empty())
+        return;
+    if (const ErrorCode ec = m_parser->consume(m_in)) {
+        core::Event("request.malformed").with("why", ec.message());
+        refuse(ec == boost::beast::http::error::header_limit ? 431 : 400);
+        return;
+    }
+    if (!m_parser->headDone())
+        return;
+    const Head &head = m_parser->head();
+    if (m_parser->body().size() > m_server.m_limits.maxBodyBytes
+        || head.contentLength.value_or(0) > m_server.m_limits.maxBodyBytes) {
+        refuse(413);
+        return;
+    }
+    if (m_parser->done()) {
+        dispatch();
+        return;
+    }
+    if (const auto expect = head.fields.find("expect");
+        expect && equalNames(*expect, "100-continue") && m_parser->body().empty()) {
+        enqueue("HTTP/1.1 100 Continue\r\n\r\n");
+        flush();
+    }
+}
+
+void ServerConnection::dispatch()
+{
+    m_busy = true;
+    ++m_exchange;
+    Request request{std::move(m_parser->head()), std::move(m_parser->body())};
+    m_keep = request.head.keepAlive;
+    m_headResponse = request.head.method == "HEAD";
+    m_parser = std::make_unique<RequestParser>(m_server.m_limits.maxHeadBytes);
+    m_server.m_handler(std::move(request), Responder(shared_from_this(), m_exchange));
+}
+
+void ServerConnection::refuse(uint32_t status)
+{
+    m_busy = true;
+    ++m_exchange;
+    m_keep = false;
+    Head head;
+    head.status = status;
+    respond(head, Framing::Length, 0);
+    finishResponse();
+}
+
+void ServerConnection::respond(const Head &head, Framing framing, uint64_t length)
+{
+    m_framing = framing;
+    m_keep = m_keep && !m_server.m_closing;
+    enqueue(renderResponseHead(head, framing, length, m_keep));
+}
+
+void ServerConnection::enqueue(std::string_view data)
+{
+    m_out += data;
+    if (m_out.size() > MaxUnsent)
+        close();
+}
+
+void ServerConnection::flush()
+{
+    if (!m_writing.empty() || m_out.empty() || m_closed)
+        return;
+    m_writing.swap(m_out);
+    const auto self = shared_from_this();
+    asio::async_write(m_socket, asio::buffer(m_writing), [self](const ErrorCode &ec, size_t) {
+        self->m_writing.clear();
+        if (self->m_closed)
+            return;
+        if (ec)
+            self->lost();
+        else if (!self->m_out.empty())
+            self->flush();
+        else if (self->m_closeWhenFlushed)
+            self->close();
+    });
+}
+
+void ServerConnection::finishResponse()
+{
+    m_busy = false;
+    m_onGone = {};
+    m_since = core::BootClock::now();
+    m_closeWhenFlushed = !m_keep;
+    flush();
+    if (m_closeWhenFlushed)
+        return;
+    // A request that was sent ahead is taken up from the event loop, not from inside a response.
+    if (!m_in.empty() || m_paused) {
+        asio::post(m_socket.get_executor(), [self = shared_from_this()]() {
+            if (self->m_closed)
+                return;
+            self->received();
+            if (self->m_paused && self->m_in.size() <= MaxReadAhead) {
+                self->m_paused = false;
+                self->read();
+            }
+        });
+    }
+}
+
+bool ServerConnection::idle() const
+{
+    return !m_busy && m_in.empty() && !m_parser->started() && m_writing.empty();
+}
+
+void ServerConnection::checkTimeouts(core::TimePoint now)
+{
+    if (m_busy || m_closed)
+        return;
+    const ServerLimits &limits = m_server.m_limits;
+    if (idle()) {
+        if (now - m_since > limits.idleTimeout)
+            close();
+    } else if (!m_parser->headDone() && now - m_since > limits.headTimeout) {
+        refuse(408);
+    } else if (now - m_since > limits.headTimeout + limits.idleTimeout) {
+        close();
+    }
+}
+
+void ServerConnection::lost()
+{
+    const auto self = shared_from_this();
+    const auto gone = std::exchange(m_onGone, {});
+    close();
+    if (gone)
+        gone();
+}
+
+void ServerConnection::close()
+{
+    if (m_closed)
+        return;
+    const auto self = shared_from_this();
+    m_closed = true;
+    m_busy = false;
+    m_onGone = {};
+    ErrorCode ec;
+    m_socket.close(ec);
+    m_server.m_connections.erase(self);
+}
+
+} // namespace jujube::http
--- /dev/null
+++ b/src/http/server.h
@@ -0,0 +1,143 @@
+#pragma once
+
+/** \file
+ * Defines the HTTP server of the serving path: listener, kept connections and responses.
+ */
+
+#include "core/clock.h"
+#include "http/message.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <absl/status/status.h>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <unordered_set>
+
+namespace jujube::http {
+
+class ServerConnection;
+
+/** What a client may send, and how long it may take. */
+struct ServerLimits
+{
+    uint32_t maxHeadBytes = 16 * 1024;
+    uint64_t maxBodyBytes = 4UL << 20U;
+    core::Milliseconds headTimeout{3'000};
+    core::Milliseconds idleTimeout{15'000};
+};
+
+/** The way back for one request. Keeps its connection alive; all calls after the end do nothing. */
+class Responder
+{
+public:
+    explicit Responder(std::shared_ptr<ServerConnection> connection, uint64_t exchange);
+
+    /** Sends a whole response. */
+    void send(const Head &head, std::string_view body) const;
+    /** Starts a response whose body follows in pieces. */
+    void begin(const Head &head, Framing framing, uint64_t length) const;
+    void write(std::string_view data) const;
+    /** Ends the body as complete. */
+    void finish() const;
+    /** Ends the connection so that the body does not look complete. */
+    void abort() const;
+    /** Called once if the client leaves before the response is finished. */
+    void onClientGone(std::function<void()> callback) const;
+    /** Whether the request came on a connection that had carried another one before. */
+    bool keptConnection() const;
+
+private:
+    ServerConnection *current() const;
+
+    std::shared_ptr<ServerConnection> m_connection;
+    uint64_t m_exchange = 0;
+};
+
+/** Accepts connections and hands over whole requests, one at a time for each connection. */
+class Server
+{
+public:
+    using Handler = std::function<void(Request, Responder)>;
+
+    Server(boost::asio::io_context &io, Handler handler);
+    ~Server();
+
+    /** Listens on "address:port". */
+    absl::Status listen(const std::string &address);
+    /** Further connections are not accepted any more. */
+    void stopListening();
+    /** Answers from now on end their connection. */
+    void closeAfterAnswers() { m_closing = true; }
+    /** Closes connections that carry no request. */
+    void closeIdle();
+    void setLimits(ServerLimits limits) { m_limits = limits; }
+    size_t connectionCount() const { return m_connections.size(); }
+    size_t busyCount() const;
+
+private:
+    friend class ServerConnection;
+    void accept();
+    void sweep();
+
+    boost::asio::io_context &m_io;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_retryAccept;
+    boost::asio::steady_timer m_sweep;
+    Handler m_handler;
+    ServerLimits m_limits;
+    std::unordered_set<std::shared_ptr<ServerConnection>> m_connections;
+    bool m_closing = false;
+};
+
+/** One connection of a client. Used through Server and Responder only. */
+class ServerConnection : public std::enable_shared_from_this<ServerConnection>
+{
+public:
+    ServerConnection(Server &server, boost::asio::ip::tcp::socket socket);
+
+    void start();
+    void close();
+    bool busy() const { return m_busy; }
+    bool idle() const;
+    /** Enforces the head and idle time-outs. */
+    void checkTimeouts(core::TimePoint now);
+
+private:
+    friend class Responder;
+
+    void read();
+    void received();
+    void dispatch();
+    void refuse(uint32_t status);
+    void respond(const Head &head, Framing framing, uint64_t length);
+    void enqueue(std::string_view data);
+    void flush();
+    void finishResponse();
+    void lost();
+
+    Server &m_server;
+    boost::asio::ip::tcp::socket m_socket;
+    std::string m_in;
+    std::string m_out;     ///< Waits for the write in progress.
+    std::string m_writing; ///< Being written.
+    std::array<char, 8192> m_chunk{};
+    std::unique_ptr<RequestParser> m_parser;
+    std::function<void()> m_onGone;
+    core::TimePoint m_since{}; ///< Start of the present head, body or idle time.
+    uint64_t m_exchange = 0;   ///< Counts requests, so that a late call of an old one is told apart.
+    Framing m_framing = Framing::Length;
+    bool m_busy = false; ///< A request was handed over and its response is not finished.
+    bool m_reading = false;
+    bool m_paused = false; ///< The client sent far ahead; reading waits for the response.
+    bool m_headResponse = false;
+    bool m_keep = true;
+    bool m_closeWhenFlushed = false;
+    bool m_closed = false;
+};
+
+} // namespace jujube::http
--- /dev/null
+++ b/src/policy/partcache.h
@@ -0,0 +1,54 @@
+#pragma once
+
+/** \file
+ * Defines the estimate of which prompt parts an engine holds in its cache.
+ */
+
+#include "core/clock.h"
+
+#include <cstdint>
+#include <list>
+#include <unordered_map>
+#include <vector>
+
+namespace jujube::policy {
+
+/** A part of a prompt as a link of a chain: equal links mean equal prompts up to that part. */
+struct ChainLink
+{
+    uint64_t hash = 0;
+    uint32_t tokens = 0;
+};
+
+/** Appends a part to a chain. */
+void appendLink(std::vector<ChainLink> &chain, uint64_t partId, uint32_t tokens);
+
+/** Remembers what one engine was sent, least recently used parts first to leave.
+ *
+ * An engine reads a part again unless it holds that part and all parts before it. A wrong estimate
+ * costs one misprediction.
+ */
+class PartCache
+{
+public:
+    explicit PartCache(uint64_t maxTokens) : m_maxTokens(maxTokens) { }
+
+    void record(const std::vector<ChainLink> &chain);
+    /** Tokens at the start of the prompt that the engine is expected to hold. */
+    uint32_t cachedTokens(const std::vector<ChainLink> &chain) const;
+    void clear();
+
+private:
+    struct Part
+    {
+        uint32_t tokens = 0;
+        std::list<uint64_t>::iterator byUse;
+    };
+
+    uint64_t m_maxTokens;
+    uint64_t m_tokens = 0;
+    std::list<uint64_t> m_byUse; ///< Most recently used first.
+    std::unordered_map<uint64_t, Part> m_parts;
+};
+
+} // namespace jujube::policy
--- /dev/null
+++ b/src/serving/duties.cpp
@@ -0,0 +1,246 @@
+#include "serving/duties.h"
+
+#include "core/eventlog.h"
+#include "core/metrics.h"
+#include "core/text.h"
+#include "platform/dutycodec.h"
+#include "platform/requestcodec.h"
+#include "wire/json.h"
+
+#include <algorithm>
+
+namespace jujube::serving {
+
+namespace {
+
+using core::Milliseconds;
+using core::TimePoint;
+
+// After the end of a window, until the last datagrams with its counts have arrived.
+constexpr Milliseconds SealDelay{1'500};
+// Windows that are looked after: reports are due within two windows after the end.
+constexpr uint64_t WindowsBack = 3;
+// Sealed figures are kept this long for a successor that has to repeat a report.
+constexpr uint64_t WindowsKept = 8;
+constexpr Milliseconds ReportTimeout{1'500};
+constexpr Milliseconds OrderTimeout{1'000};
+constexpr uint32_t Ok = 200;
+constexpr uint32_t Accepted = 202;
+constexpr uint32_t Conflict = 409;
+// An engine whose order was taken gets no work until its entry shows the new stage, or this long.
+constexpr Milliseconds ChangeAllowance{1'500};
+
+std::string windowKey(uint64_t window)
+{
+    return core::concat(UsageDuty::Prefix, window);
+}
+
+} // namespace
+
+std::string encodeCounts(const TeamCounts &counts)
+{
+    QJsonObject object;
+    for (const auto &[team, n] : counts)
+        object.insert(wire::qstring(team), static_cast<qint64>(n));
+    return wire::toText(object);
+}
+
+absl::StatusOr<TeamCounts> decodeCounts(const std::string &text)
+{
+    const auto object = wire::parseObject(text);
+    if (!object.ok())
+        return object.status();
+    TeamCounts counts;
+    for (auto it = object->begin(); it != object->end(); ++it)
+        counts[it.key().toStdString()] = static_cast<uint64_t>(it.value().toDouble());
+    return counts;
+}
+
+UsageDuty::UsageDuty(DutyServices &services, const NodeSettings &settings)
+    : m_services(services), m_settings(settings)
+{
+}
+
+void UsageDuty::tick()
+{
+    if (!m_settings.reportsUsage || !m_services.leadership.held())
+        return;
+    const Milliseconds wall = core::wallTime();
+    const uint64_t current = m_services.usage.windowAt(wall);
+    for (uint64_t window = current - WindowsBack; window < current; ++window) {
+        if (wall < m_services.usage.endOf(window) + SealDelay || m_reported.contains(window)
+            || m_underWay.contains(window))
+            continue;
+        m_underWay.insert(window);
+        seal(window);
+    }
+    m_reported.erase(m_reported.begin(), m_reported.lower_bound(current - WindowsKept));
+}
+
+void UsageDuty::seal(uint64_t window)
+{
+    if (const StoreItem *sealed = m_services.mirrored(windowKey(window))) {
+        const auto counts = decodeCounts(sealed->value);
+        if (counts.ok())
+            report(window, *counts);
+        else
+            core::Event("usage.seal.invalid").with("window", window);
+        return;
+    }
+    const TeamCounts counts = m_services.usage.total(window);
+    if (counts.empty()) {
+        done(window); // Nothing began: there is nothing to bill.
+        return;
+    }
+    StoreCommit commit;
+    commit.expected.emplace_back(windowKey(window), 0);
+    commit.writes.push_back({windowKey(window), encodeCounts(counts), 0});
+    commit.deletes.push_back(windowKey(window - WindowsKept));
+    m_services.store.commit(
+        commit, [this, window, counts](const absl::StatusOr<uint64_t> &revision) {
+            if (revision.ok()) {
+                report(window, counts);
+                return;
+            }
+            // Lost to an earlier seal, or unknown: the mirror will tell what is sealed.
+            core::Event("usage.seal.failed")
+                .with("window", window)
+                .with("why", revision.status().message());
+            m_underWay.erase(window);
+        });
+}
+
+void UsageDuty::report(uint64_t window, const TeamCounts &counts)
+{
+    if (!m_services.leadership.held()) {
+        m_underWay.erase(window);
+        return;
+    }
+    const platform::DutyHolder holder{m_settings.name, m_services.leadership.fencingToken()};
+    m_services.caller.call(
+        m_settings.platformAddress, platform::usageCall(holder, window, counts), ReportTimeout,
+        [this, window](const http::CallResult &result) {
+            const uint32_t status = result.response.ok() ? result.response->head.status : 0;
+            core::Event("usage.reported")
+                .with("window", window)
+                .with("token", m_services.leadership.fencingToken())
+                .with("status", status);
+            if (status == Ok || status == Conflict)
+                done(window);
+            else
+                m_underWay.erase(window);
+        });
+}
+
+void UsageDuty::done(uint64_t window)
+{
+    m_underWay.erase(window);
+    m_reported.insert(window);
+}
+
+StageDuty::StageDuty(DutyServices &services, const NodeSettings &settings)
+    : m_services(services), m_settings(settings)
+{
+}
+
+void StageDuty::tick()
+{
+    if (!m_services.leadership.held())
+        return;
+    const auto config = m_services.config();
+    if (!config)
+        return;
+    const TimePoint now = core::BootClock::now();
+    for (const auto &[name, service] : config->services) {
+        if (!service.engine)
+            continue;
+        std::vector<policy::StageView> views;
+        policy::StageDemand demand;
+        demand.slots = std::max(1U, service.engine->slots);
+        demand.promptTokensPerSecond = m_services.promptTokensPerSecond();
+        for (const EndpointPtr &it : m_services.endpoints.ofService(name)) {
+            if (it->record.stage == Stage::None)
+                continue;
+            policy::StageView view;
+            view.id = it->record.id;
+            view.domain = it->record.domain;
+            view.prefill = it->prefills();
+            view.running = it->own.running + it->peers.running;
+            view.available = it->acceptsWork() && now >= it->changingUntil
+                && it->health.state(now) == policy::OutlierDetector::State::Healthy;
+            if (!view.prefill)
+                demand.streams += view.running;
+            views.push_back(std::move(view));
+        }
+        const auto changes
+            = m_planners.try_emplace(name, policy::StagePlannerSettings()).first->second.plan(
+                views, demand, now);
+        for (const policy::StageChange &change : changes) {
+            core::Event("stage.planned")
+                .with("endpoint", change.id)
+                .with("prefill", change.prefill)
+                .with("prompt_tokens_per_s", demand.promptTokensPerSecond)
+                .with("streams", demand.streams);
+            if (const EndpointPtr engine = m_services.endpoints.find(change.id))
+                order(engine, change.prefill);
+        }
+    }
+}
+
+// The number of orders that the engine has accepted is part of the order, so that one that is
+// carried out late, after newer ones, is refused by the engine.
+void StageDuty::order(const EndpointPtr &engine, bool prefill)
+{
+    m_services.caller.call(
+        engine->record.address, platform::reportCall(engine->record.id), OrderTimeout,
+        [this, engine, prefill](const http::CallResult &result) {
+            if (!result.response.ok()) {
+                core::Event("stage.report.failed")
+                    .with("endpoint", engine->record.id)
+                    .with("why", result.response.status().message());
+                return;
+            }
+            const auto report = platform::decodeReport(*result.response);
+            if (!report.ok() || report->changing) {
+                core::Event("stage.report.unusable")
+                    .with("endpoint", engine->record.id)
+                    .with("changing", report.ok());
+                return;
+            }
+            send(engine, prefill, report->ordersAccepted);
+        });
+}
+
+void StageDuty::send(const EndpointPtr &engine, bool prefill, uint64_t ordersBefore)
+{
+    if (!m_services.leadership.held() || engine->gone)
+        return;
+    platform::StageOrder order;
+    order.endpointId = engine->record.id;
+    order.stage = prefill ? Stage::Prefill : Stage::Decode;
+    order.holder = m_settings.name;
+    order.fencingToken = m_services.leadership.fencingToken();
+    order.ordersBefore = ordersBefore;
+    const auto config = m_services.config();
+    const ServiceFacts *service = nullptr;
+    if (const auto it = config->services.find(engine->record.service); it != config->services.end())
+        service = &it->second;
+    const Milliseconds change = service && service->engine ? service->engine->stageChange
+                                                           : Milliseconds(0);
+    m_services.caller.call(
+        engine->record.address, platform::stageOrderCall(order), OrderTimeout,
+        [engine, prefill, change, token = order.fencingToken](const http::CallResult &result) {
+            const uint32_t status = result.response.ok() ? result.response->head.status : 0;
+            core::Event("stage.ordered")
+                .with("endpoint", engine->record.id)
+                .with("prefill", prefill)
+                .with("token", token)
+                .with("status", status);
+            core::countMetric("jujube_stage_orders_total",
+                              core::concat("status=\"", status, "\""));
+            if (status == Accepted)
+                engine->changingUntil = core::BootClock::now() + change + ChangeAllowance;
+        });
+}
+
+} // namespace jujube::serving
--- /dev/null
+++ b/src/serving/duties.h
@@ -0,0 +1,80 @@
+#pragma once
+
+/** \file
+ * Defines what the leading gateway does for the deployment: usage reports and engine stages.
+ */
+
+#include "http/caller.h"
+#include "policy/stageplanner.h"
+#include "serving/endpoints.h"
+#include "serving/leadership.h"
+#include "serving/nodesettings.h"
+#include "serving/usagecounts.h"
+
+#include <functional>
+#include <memory>
+#include <set>
+
+namespace jujube::serving {
+
+/** What the duties read of the gateway. */
+struct DutyServices
+{
+    boost::asio::io_context &io;
+    http::Caller &caller;
+    StoreClient &store;
+    Leadership &leadership;
+    EndpointTable &endpoints;
+    UsageCounts &usage;
+    std::function<std::shared_ptr<const FleetConfig>()> config;
+    std::function<double()> promptTokensPerSecond; ///< Over all gateways.
+    std::function<const StoreItem *(const std::string &key)> mirrored;
+};
+
+/** Reports usage once for each window.
+ *
+ * The figures of a window are fixed in the store before they are first sent, so that every later
+ * sender, whoever leads then, sends the same ones.
+ */
+class UsageDuty
+{
+public:
+    UsageDuty(DutyServices &services, const NodeSettings &settings);
+
+    /** Looks whether a window is due. Call several times a second. */
+    void tick();
+    static constexpr const char *Prefix = "jujube/usage/";
+
+private:
+    void seal(uint64_t window);
+    void report(uint64_t window, const TeamCounts &counts);
+    void done(uint64_t window);
+
+    DutyServices &m_services;
+    const NodeSettings &m_settings;
+    std::set<uint64_t> m_underWay;
+    std::set<uint64_t> m_reported;
+};
+
+/** Orders the engines of each service into the planned stages. */
+class StageDuty
+{
+public:
+    StageDuty(DutyServices &services, const NodeSettings &settings);
+
+    void tick();
+
+private:
+    void order(const EndpointPtr &engine, bool prefill);
+    void send(const EndpointPtr &engine, bool prefill, uint64_t ordersBefore);
+
+    DutyServices &m_services;
+    const NodeSettings &m_settings;
+    std::map<std::string, policy::StagePlanner> m_planners; ///< By service.
+};
+
+/** Counts as text in the store. */
+std::string encodeCounts(const TeamCounts &counts);
+absl::StatusOr<TeamCounts> decodeCounts(const std::string &text);
+
+} // namespace jujube::serving
--- /dev/null
+++ b/src/serving/endpoints.cpp
@@ -0,0 +1,139 @@
+#include "serving/endpoints.h"
+
+#include "core/eventlog.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace jujube::serving {
+
+namespace {
+
+// Weight of a new observation: a slow endpoint is recognized after a handful of requests.
+constexpr double SlownessStep = 0.15;
+constexpr double LeastSlowness = 0.7;
+constexpr double MostSlowness = 8;
+// Durations below this are dominated by the network and say nothing of the endpoint.
+constexpr double LeastExpectedMs = 20;
+
+} // namespace
+
+uint64_t endpointHash(std::string_view id)
+{
+    return XXH3_64bits(id.data(), id.size());
+}
+
+Endpoint::Endpoint(EndpointRecord entry, uint64_t cacheTokens)
+    : record(std::move(entry)), hash(endpointHash(record.id)),
+      parts(cacheTokens)
+{
+}
+
+void Endpoint::pause(core::TimePoint now, core::Milliseconds time)
+{
+    changingUntil = std::max(changingUntil, now + time);
+}
+
+void EndpointTable::update(const EndpointRecord &record, uint64_t cacheTokens)
+{
+    const auto it = m_byId.find(record.id);
+    if (it != m_byId.end()) {
+        const EndpointPtr &known = it->second;
+        if (known->record.revision >= record.revision)
+            return;
+        const bool same = known->record.bornMs == record.bornMs
+            && known->record.address == record.address && known->record.service == record.service;
+        if (same) {
+            if (known->record.state != record.state || known->record.stage != record.stage) {
+                core::Event("endpoint.changed")
+                    .with("endpoint", record.id)
+                    .with("draining", record.state == EndpointState::Draining)
+                    .with("stage", stageName(record.stage))
+                    .with("revision", record.revision);
+            }
+            if (known->record.stage != record.stage)
+                known->changingUntil = {};
+            known->record = record;
+            return;
+        }
+        remove(record.id);
+    }
+    const auto endpoint = std::make_shared<Endpoint>(record, cacheTokens);
+    m_byId.emplace(record.id, endpoint);
+    m_byService[record.service].push_back(endpoint);
+    core::Event("endpoint.added")
+        .with("endpoint", record.id)
+        .with("service", record.service)
+        .with("address", record.address)
+        .with("stage", stageName(record.stage))
+        .with("revision", record.revision);
+}
+
+void EndpointTable::remove(const std::string &id)
+{
+    const auto it = m_byId.find(id);
+    if (it == m_byId.end())
+        return;
+    it->second->gone = true;
+    core::Event("endpoint.removed").with("endpoint", id);
+    unlist(*it->second);
+    m_byId.erase(it);
+}
+
+void EndpointTable::unlist(const Endpoint &endpoint)
+{
+    std::erase_if(m_byService[endpoint.record.service],
+                  [&](const EndpointPtr &it) { return it.get() == &endpoint; });
+}
+
+EndpointPtr EndpointTable::find(const std::string &id) const
+{
+    const auto it = m_byId.find(id);
+    return it == m_byId.end() ? nullptr : it->second;
+}
+
+EndpointPtr EndpointTable::findByHash(uint64_t hash) const
+{
+    for (const auto &[id, endpoint] : m_byId) {
+        if (endpoint->hash == hash)
+            return endpoint;
+    }
+    return nullptr;
+}
+
+const std::vector<EndpointPtr> &EndpointTable::ofService(const std::string &service) const
+{
+    static const std::vector<EndpointPtr> None;
+    const auto it = m_byService.find(service);
+    return it == m_byService.end() ? None : it->second;
+}
+
+policy::PlacementView viewOf(const Endpoint &endpoint, const std::vector<policy::ChainLink> &prompt,
+                             core::TimePoint now)
+{
+    policy::PlacementView view;
+    view.id = endpoint.record.id;
+    view.domain = endpoint.record.domain;
+    view.slots = endpoint.record.slots;
+    view.running = endpoint.own.running + endpoint.peers.running;
+    view.backlogTokens = endpoint.own.backlogTokens + endpoint.peers.backlogTokens;
+    view.cachedTokens = endpoint.parts.cachedTokens(prompt);
+    view.slowness = endpoint.slowness;
+    const auto state = endpoint.health.state(now);
+    view.probe = state == policy::OutlierDetector::State::ProbeDue;
+    view.usable = endpoint.acceptsWork() && now >= endpoint.changingUntil
+        && (state == policy::OutlierDetector::State::Healthy || view.probe);
+    return view;
+}
+
+void noteDuration(Endpoint &endpoint, core::Milliseconds observed, core::Milliseconds expected)
+{
+    if (static_cast<double>(expected.count()) < LeastExpectedMs)
+        return;
+    const double ratio
+        = static_cast<double>(observed.count()) / static_cast<double>(expected.count());
+    endpoint.slowness += SlownessStep
+        * (std::clamp(ratio, LeastSlowness, MostSlowness) - endpoint.slowness);
+}
+
+} // namespace jujube::serving
--- /dev/null
+++ b/src/serving/endpoints.h
@@ -0,0 +1,80 @@
+#pragma once
+
+/** \file
+ * Defines the endpoints an entry knows, with their load as far as it is known.
+ */
+
+#include "policy/outlierdetector.h"
+#include "policy/partcache.h"
+#include "policy/placement.h"
+#include "serving/fleetconfig.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace jujube::serving {
+
+/** One entry's load on one endpoint, as entries tell each other. */
+struct EndpointShare
+{
+    uint32_t running = 0;
+    uint32_t backlogTokens = 0;
+};
+
+/** The short name of an endpoint in messages between gateways. */
+uint64_t endpointHash(std::string_view id);
+
+/** One run of an endpoint. Requests hold it by shared pointer; it may be gone from the table. */
+struct Endpoint
+{
+    Endpoint(EndpointRecord entry, uint64_t cacheTokens);
+
+    bool acceptsWork() const { return !gone && record.state == EndpointState::Ready; }
+    /** Keeps work away for a moment, after a refusal or while the stage changes. */
+    void pause(core::TimePoint now, core::Milliseconds time);
+    bool prefills() const { return record.stage == Stage::Prefill; }
+
+    EndpointRecord record;
+    uint64_t hash = 0; ///< Of the id, as gateways name it to each other.
+    EndpointShare own;
+    EndpointShare peers; ///< Sum over the other entries.
+    policy::OutlierDetector health;
+    policy::PartCache parts;
+    double slowness = 1;
+    uint32_t connections = 0; ///< Of this entry, in use.
+    bool gone = false;
+    core::TimePoint changingUntil{}; ///< An order to change its stage is being carried out.
+};
+
+using EndpointPtr = std::shared_ptr<Endpoint>;
+
+/** All endpoints by service. */
+class EndpointTable
+{
+public:
+    /** Adds an endpoint or changes what is known of it. A restart makes it a new one. */
+    void update(const EndpointRecord &record, uint64_t cacheTokens);
+    void remove(const std::string &id);
+    EndpointPtr find(const std::string &id) const;
+    EndpointPtr findByHash(uint64_t hash) const;
+    const std::vector<EndpointPtr> &ofService(const std::string &service) const;
+    const std::map<std::string, EndpointPtr> &all() const { return m_byId; }
+
+private:
+    void unlist(const Endpoint &endpoint);
+
+    std::map<std::string, EndpointPtr> m_byId;
+    std::unordered_map<std::string, std::vector<EndpointPtr>> m_byService;
+};
+
+/** The view of an endpoint for a placement. */
+policy::PlacementView viewOf(const Endpoint &endpoint,
+                             const std::vector<policy::ChainLink> &prompt, core::TimePoint now);
+
+/** Moves the slowness of an endpoint towards observed / expected. */
+void noteDuration(Endpoint &endpoint, core::Milliseconds observed, core::Milliseconds expected);
+
+} // namespace jujube::serving
--- /dev/null
+++ b/src/serving/eventframes.h
@@ -0,0 +1,38 @@
+#pragma once
+
+/** \file
+ * Defines the cutting of an event stream into whole events.
+ */
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace jujube::serving {
+
+/** Collects the bytes of an event stream and gives them back in whole events.
+ *
+ * An endpoint may stop in the middle of an event; what was not whole is never shown to a client, so
+ * another endpoint can go on after the last whole one.
+ */
+class EventFrames
+{
+public:
+    /** Takes bytes and returns all whole events so far that were not returned yet. */
+    std::string add(std::string_view bytes);
+    /** Id of the last whole event; empty if none had one. */
+    const std::string &lastId() const { return m_lastId; }
+    bool partial() const { return !m_rest.empty(); }
+    /** Drops what is not whole, before another endpoint goes on. */
+    void dropPartial() { m_rest.clear(); }
+    uint64_t eventCount() const { return m_events; }
+
+private:
+    void noteEvent(std::string_view event);
+
+    std::string m_rest;
+    std::string m_lastId;
+    uint64_t m_events = 0;
+};
+
+} // namespace jujube::serving
--- /dev/null
+++ b/src/serving/fleetconfig.cpp
@@ -0,0 +1,38 @@
+#include "serving/fleetconfig.h"
+
+namespace jujube::serving {
+
+const Route *FleetConfig::findRoute(std::string_view host, std::string_view path) const
+{
+    const auto it = routesByHost.find(host);
+    if (it == routesByHost.end())
+        return nullptr;
+    for (const Route &route : it->second) {
+        if (path.starts_with(route.prefix))
+            return &route;
+    }
+    return nullptr;
+}
+
+const TeamFacts *FleetConfig::findTeam(std::string_view key) const
+{
+    const auto it = teamByKey.find(std::string(key));
+    return it == teamByKey.end() ? nullptr : &teams[it->second];
+}
+
+std::string_view stageName(Stage stage)
+{
+    switch (stage) {
+    case Stage::None:
+        return "none";
+    case Stage::Mixed:
+        return "mixed";
+    case Stage::Prefill:
+        return "prefill";
+    case Stage::Decode:
+        return "decode";
+    }
+    return "none";
+}
+
+} // namespace jujube::serving
--- /dev/null
+++ b/src/serving/gateway.cpp
@@ -0,0 +1,452 @@
+#include "serving/gateway.h"
+
+#include "core/eventlog.h"
+#include "core/metrics.h"
+#include "core/text.h"
+#include "platform/fleetcodec.h"
+#include "platform/requestcodec.h"
+
+#include <algorithm>
+
+namespace jujube::serving {
+
+namespace {
+
+using core::Milliseconds;
+using core::TimePoint;
+using ErrorCode = boost::system::error_code;
+
+constexpr const char *GatewayPrefix = "jujube/gateway/";
+constexpr uint16_t MetricsPort = 9464; // As stated in deploy/system.toml.
+constexpr Milliseconds TickInterval{200};
+constexpr Milliseconds PromptRateTime{2'000}; ///< Shorter than the swings of the mix seen so far.
+// The balancer takes a process out after two failed questions a second apart.
+constexpr Milliseconds LeaveRotation{3'200};
+constexpr Milliseconds DrainStep{100};
+constexpr Milliseconds KillMargin{500}; ///< Before the platform's SIGKILL.
+// A peer that stays ahead this long has heard something that this gateway's watch has not.
+constexpr Milliseconds BehindLimit{400};
+constexpr Milliseconds NoConfigRetry{1'000};
+constexpr uint64_t DefaultCacheTokens = 500'000; ///< For engines whose memory is not stated.
+constexpr double CacheShare = 0.7; ///< Of an engine's memory; running requests take the rest.
+constexpr uint64_t WindowsTold = 2; ///< Usage windows in each datagram, besides the current one.
+constexpr uint32_t Ok = 200;
+constexpr uint32_t Unavailable = 503;
+constexpr uint32_t BadRequest = 400;
+constexpr uint32_t Unauthorized = 401;
+constexpr uint32_t NotFound = 404;
+
+} // namespace
+
+Gateway::Gateway(boost::asio::io_context &io, NodeSettings settings)
+    : m_io(io), m_settings(std::move(settings)), m_random(std::random_device()()),
+      m_run(m_random()), m_caller(io), m_pool(io), m_store(m_caller, m_settings.storeAddress),
+      m_usage(m_settings.usageWindow), m_promptTokens(PromptRateTime),
+      m_leadership(io, m_store, m_random, m_settings.name,
+                   std::max(m_settings.leaseTime, m_settings.minLeaseTime)),
+      m_peers(io, m_caller, m_endpoints,
+              {[this]() { return composeNews(); }, [this]() { return mirroredState(); },
+               [this](const News &news) { onNews(news); },
+               [this](const StorePage &state) { onPeerState(state); }}),
+      m_dutyServices{io,
+                     m_caller,
+                     m_store,
+                     m_leadership,
+                     m_endpoints,
+                     m_usage,
+                     [this]() { return m_config.load(); },
+                     [this]() {
+                         return m_promptTokens.rate(core::BootClock::now())
+                             + m_peers.peersPromptTokens();
+                     },
+                     [this](const std::string &key) -> const StoreItem * {
+                         const auto it = m_mirror->items().find(key);
+                         return it == m_mirror->items().end() ? nullptr : &it->second;
+                     }},
+      m_usageDuty(m_dutyServices, m_settings), m_stageDuty(m_dutyServices, m_settings),
+      m_sessionServices{io,
+                        m_endpoints,
+                        m_pool,
+                        m_caller,
+                        m_usage,
+                        m_random,
+                        m_placement,
+                        m_settings.domain,
+                        [this](const std::string &service) -> policy::SendBudget & {
+                            const policy::SendBudgetSettings budget{
+                                m_settings.retryRatio, m_settings.retryWindow,
+                                m_settings.retrySlack};
+                            return m_budgets.try_emplace(service, budget).first->second;
+                        },
+                        [this]() { return m_peers.gatewayCount(core::BootClock::now()); },
+                        [this](double tokens) {
+                            m_promptTokens.note(tokens, core::BootClock::now());
+                        },
+                        []() {}},
+      m_config(nullptr),
+      m_clientServer(io,
+                     [this](http::Request request, http::Responder responder) {
+                         onRequest(std::move(request), std::move(responder));
+                     }),
+      m_readyServer(io,
+                    [this](const http::Request &request, const http::Responder &responder) {
+                        http::Head head;
+                        head.status = !platform::isReadinessCall(request.head) ? NotFound
+                            : ready()                                          ? Ok
+                                                                               : Unavailable;
+                        responder.send(head, {});
+                    }),
+      m_metricsServer(io,
+                      [](const http::Request &request, const http::Responder &responder) {
+                          http::Head head;
+                          head.status = Ok;
+                          head.fields.add("Content-Type", "text/plain; version=0.0.4");
+                          responder.send(head, core::renderMetrics());
+                      }),
+      m_tickTimer(io), m_drainTimer(io)
+{
+    m_mirror = StoreMirror::create(io, m_store, "",
+                                   {[this](const StoreItem &item) { onItem(item); }, []() {}});
+}
+
+absl::Status Gateway::start()
+{
+    if (absl::Status status = m_peers.start(m_settings, m_run); !status.ok())
+        return status;
+    if (absl::Status status = m_readyServer.listen(m_settings.readyAddress); !status.ok())
+        return status;
+    if (absl::Status status = m_clientServer.listen(m_settings.clientAddress); !status.ok())
+        return status;
+    if (absl::Status status
+        = m_metricsServer.listen(core::concat(m_settings.ip, ":", MetricsPort));
+        !status.ok())
+        return status;
+    m_mirror->start();
+    tick();
+    core::Event("gateway.started")
+        .with("run", m_run)
+        .with("domain", m_settings.domain)
+        .with("clients", m_settings.clientAddress)
+        .with("store", m_settings.storeAddress);
+    return absl::OkStatus();
+}
+
+void Gateway::reload(const NodeSettings &settings)
+{
+    m_settings.drainGrace = settings.drainGrace;
+    m_settings.usageDue = settings.usageDue;
+    m_settings.retryRatio = settings.retryRatio;
+    m_settings.retrySlack = settings.retrySlack;
+    m_budgets.clear();
+    core::Event("gateway.reloaded").with("retry_slack", settings.retrySlack);
+}
+
+void Gateway::onItem(const StoreItem &item)
+{
+    if (item.key == platform::ConfigKey)
+        onConfig(item);
+    else if (item.key.starts_with(platform::EndpointPrefix))
+        onEndpoint(item);
+    else if (item.key.starts_with(GatewayPrefix))
+        onPeer(item);
+}
+
+void Gateway::onConfig(const StoreItem &item)
+{
+    if (item.deleted)
+        return;
+    const auto config = platform::decodeConfig(item.value, item.revision);
+    if (!config.ok()) {
+        core::Event("config.invalid")
+            .with("revision", item.revision)
+            .with("why", config.status().message());
+        return;
+    }
+    const auto current = m_config.load();
+    if (current && current->version >= (*config)->version)
+        return;
+    m_config.store(*config);
+    const RequestLimits &limits = (*config)->limits;
+    m_clientServer.setLimits(
+        {limits.maxHeadBytes, limits.maxBodyBytes, limits.headTimeout, limits.idleTimeout});
+    core::Event("config.applied")
+        .with("version", (*config)->version)
+        .with("revision", item.revision)
+        .with("before", current ? current->version : 0);
+}
+
+uint64_t Gateway::cacheTokens(const std::string &service) const
+{
+    const auto config = m_config.load();
+    if (!config)
+        return DefaultCacheTokens;
+    const auto it = config->services.find(service);
+    if (it == config->services.end() || !it->second.engine || it->second.engine->cacheTokens == 0)
+        return DefaultCacheTokens;
+    return static_cast<uint64_t>(CacheShare * static_cast<double>(it->second.engine->cacheTokens));
+}
+
+void Gateway::onEndpoint(const StoreItem &item)
+{
+    const std::string id = item.key.substr(std::string_view(platform::EndpointPrefix).size());
+    if (item.deleted) {
+        m_endpoints.remove(id);
+        return;
+    }
+    const auto record = platform::decodeEndpoint(item.key, item.value, item.revision);
+    if (!record.ok()) {
+        core::Event("endpoint.ignored")
+            .with("key", item.key)
+            .with("revision", item.revision)
+            .with("why", record.status().message());
+        m_endpoints.remove(id);
+        return;
+    }
+    m_endpoints.update(*record, cacheTokens(record->service));
+}
+
+void Gateway::onPeer(const StoreItem &item)
+{
+    const std::string name = item.key.substr(std::string_view(GatewayPrefix).size());
+    if (item.deleted)
+        m_peers.removePeer(name);
+    else
+        m_peers.addPeer(name, item.value);
+}
+
+void Gateway::registerSelf()
+{
+    const std::string key = GatewayPrefix + m_settings.name;
+    const auto it = m_mirror->items().find(key);
+    if (it != m_mirror->items().end() && it->second.value == m_peers.address()) {
+        m_registered = true;
+        return;
+    }
+    m_registering = true;
+    StoreCommit commit;
+    commit.writes.push_back({key, m_peers.address(), 0});
+    m_store.commit(commit, [this](const absl::StatusOr<uint64_t> &revision) {
+        m_registering = false;
+        m_registered = revision.ok();
+        core::Event("gateway.registered")
+            .with("ok", revision.ok())
+            .with("why", revision.status().message());
+    });
+}
+
+bool Gateway::ready() const
+{
+    return !m_draining && m_config.load() && !m_endpoints.all().empty();
+}
+
+void Gateway::refuse(const http::Responder &responder, const http::Head &request, uint32_t status,
+                     const std::string &why, Milliseconds retryAfter)
+{
+    const std::string id(request.fields.find("Request-Id").value_or(""));
+    const auto config = m_config.load();
+    core::Event("request.refused")
+        .with("request", id)
+        .with("status", status)
+        .with("why", why)
+        .with("config", config ? config->version : 0);
+    core::countMetric("jujube_refused_total", core::concat("status=\"", status, "\""));
+    responder.send(platform::ownAnswer(status, id, retryAfter), {});
+}
+
+void Gateway::onRequest(http::Request request, http::Responder responder)
+{
+    const auto config = m_config.load();
+    if (!config) {
+        refuse(responder, request.head, Unavailable, "no configuration yet", NoConfigRetry);
+        return;
+    }
+    auto facts = platform::decodeRequest(request.head);
+    if (!facts.ok()) {
+        refuse(responder, request.head, BadRequest, std::string(facts.status().message()));
+        return;
+    }
+    const Route *route = config->findRoute(facts->host, facts->path);
+    if (!route) {
+        refuse(responder, request.head, NotFound, "no route for " + facts->host + facts->path);
+        return;
+    }
+    AdmittedRequest admitted;
+    admitted.rank = route->rank;
+    if (config->keyed) {
+        const TeamFacts *team = facts->key.empty() ? nullptr : config->findTeam(facts->key);
+        if (!team && !route->open) {
+            refuse(responder, request.head, Unauthorized, "unknown key");
+            return;
+        }
+        if (team) {
+            admitted.team = team->name;
+            admitted.rank = team->rank.value_or(route->rank);
+        }
+    }
+    admitted.message = std::move(request);
+    admitted.facts = std::move(*facts);
+    admitted.config = config;
+    admitted.route = route;
+    admitted.service = drawService(*route);
+    Session::create(m_sessionServices, std::move(admitted), std::move(responder))->start();
+}
+
+std::string Gateway::drawService(const Route &route)
+{
+    double sum = 0;
+    for (const SplitTarget &it : route.targets)
+        sum += it.weight;
+    std::uniform_real_distribution<double> draw(0, sum);
+    double point = draw(m_random);
+    for (const SplitTarget &it : route.targets) {
+        point -= it.weight;
+        if (point < 0 && it.weight > 0)
+            return it.service;
+    }
+    return route.targets.front().service;
+}
+
+News Gateway::composeNews()
+{
+    const TimePoint now = core::BootClock::now();
+    News news;
+    news.name = m_settings.name;
+    news.run = m_run;
+    news.sequence = ++m_newsSequence;
+    const auto config = m_config.load();
+    news.configVersion = config ? config->version : 0;
+    news.storeRevision = m_mirror->revision();
+    news.promptTokensPerSecond = m_promptTokens.rate(now);
+    for (const auto &[id, endpoint] : m_endpoints.all()) {
+        const bool changing = now < endpoint->changingUntil && m_leadership.held();
+        if (endpoint->own.running > 0 || changing)
+            news.shares.push_back({endpoint->hash, endpoint->own, changing});
+    }
+    addWindows(news);
+    return news;
+}
+
+void Gateway::addWindows(News &news)
+{
+    const uint64_t current = m_usage.windowAt(core::wallTime());
+    for (const auto &[window, counts] : m_usage.own()) {
+        if (window + WindowsTold >= current)
+            news.windows.push_back({m_run, window, counts});
+    }
+    // What a gateway that is gone had told lives on in the news of those that heard it.
+    for (const auto &[window, runs] : m_usage.others()) {
+        if (window + WindowsTold < current)
+            continue;
+        for (const auto &[run, counts] : runs) {
+            if (!m_peers.runAlive(run))
+                news.windows.push_back({run, window, counts});
+        }
+    }
+    constexpr uint64_t WindowsRemembered = 6; // More than the leader looks back.
+    m_usage.forgetBefore(current - WindowsRemembered);
+}
+
+StorePage Gateway::mirroredState() const
+{
+    StorePage state;
+    state.revision = m_mirror->revision();
+    for (const auto &[key, item] : m_mirror->items())
+        state.items.push_back(item);
+    return state;
+}
+
+void Gateway::onPeerState(const StorePage &state)
+{
+    m_mirror->absorb(state);
+}
+
+void Gateway::onNews(const News &news)
+{
+    for (const NewsWindow &it : news.windows) {
+        if (it.run != m_run)
+            m_usage.merge(it.run, it.window, it.counts);
+    }
+    for (const NewsShare &share : news.shares) {
+        if (!share.changing)
+            continue;
+        const EndpointPtr endpoint = m_endpoints.findByHash(share.endpoint);
+        if (endpoint)
+            endpoint->pause(core::BootClock::now(), TickInterval);
+    }
+}
+
+// A gateway that the store does not serve learns from its neighbours what it missed.
+void Gateway::followPeers(TimePoint now)
+{
+    const uint64_t newest = m_peers.newestRevision();
+    if (newest <= m_mirror->revision()) {
+        m_behindSince = {};
+        return;
+    }
+    if (m_behindSince == TimePoint{})
+        m_behindSince = now;
+    if (now - m_behindSince < BehindLimit)
+        return;
+    m_behindSince = now;
+    if (m_mirror->reachable())
+        m_mirror->hurry();
+    m_peers.fetchState(m_mirror->revision());
+}
+
+void Gateway::tick()
+{
+    m_tickTimer.expires_after(TickInterval);
+    m_tickTimer.async_wait([this](const ErrorCode &ec) {
+        if (ec)
+            return;
+        const TimePoint now = core::BootClock::now();
+        followPeers(now);
+        if (m_mirror->complete() && m_mirror->reachable() && !m_draining) {
+            if (!m_registered && !m_registering)
+                registerSelf();
+            if (!m_mirror->items().contains(Leadership::Key))
+                m_leadership.keyFree();
+        }
+        m_usageDuty.tick();
+        m_stageDuty.tick();
+        core::flushEventLog();
+        tick();
+    });
+}
+
+void Gateway::drain(std::function<void()> done)
+{
+    if (std::exchange(m_draining, true))
+        return;
+    core::Event("gateway.draining").with("busy", m_clientServer.busyCount());
+    m_drainSince = core::BootClock::now();
+    m_drained = std::move(done);
+    m_clientServer.closeAfterAnswers();
+    drainStep();
+}
+
+// New connections keep coming until the balancer has noticed; after that the process ends as soon
+// as the last request has its answer.
+void Gateway::drainStep()
+{
+    m_drainTimer.expires_after(DrainStep);
+    m_drainTimer.async_wait([this](const ErrorCode &ec) {
+        if (ec)
+            return;
+        const auto since = core::BootClock::now() - m_drainSince;
+        if (since >= LeaveRotation) {
+            m_clientServer.stopListening();
+            m_clientServer.closeIdle();
+        }
+        const bool empty = since >= LeaveRotation && m_clientServer.busyCount() == 0;
+        if (!empty && since < m_settings.drainGrace - KillMargin) {
+            drainStep();
+            return;
+        }
+        core::Event("gateway.stopped").with("busy", m_clientServer.busyCount());
+        m_leadership.stop();
+        m_drained();
+    });
+}
+
+} // namespace jujube::serving
--- /dev/null
+++ b/src/serving/main.cpp
@@ -0,0 +1,85 @@
+/** \file
+ * The gateway's program: settings, signals and the event loop.
+ */
+
+#include "core/eventlog.h"
+#include "platform/settings.h"
+#include "serving/gateway.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+DEFINE_string(settings, "",
+              "path of the settings file; by default the one that the platform's variable names");
+DEFINE_bool(check, false, "check the settings file and end");
+
+namespace {
+
+constexpr int ExitFailure = 1;
+constexpr int ExitUsage = 2;
+
+std::string settingsPath()
+{
+    if (!FLAGS_settings.empty())
+        return FLAGS_settings;
+    const char *path = std::getenv(jujube::platform::SettingsVariable);
+    return path ? path : "";
+}
+
+// Waits for signals until the process ends.
+void handleSignals(boost::asio::signal_set &signals, jujube::serving::Gateway &gateway,
+                   boost::asio::io_context &io)
+{
+    signals.async_wait([&](const boost::system::error_code &ec, int signal) {
+        if (ec)
+            return;
+        if (signal == SIGHUP) {
+            const auto settings = jujube::platform::loadSettings(settingsPath());
+            if (settings.ok())
+                gateway.reload(*settings);
+            else
+                jujube::core::Event("gateway.reload.failed")
+                    .with("why", settings.status().message());
+        } else {
+            gateway.drain([&io]() { io.stop(); });
+        }
+        handleSignals(signals, gateway, io);
+    });
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    gflags::SetUsageMessage("serves clients in front of the fleet's endpoints");
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    const auto settings = jujube::platform::loadSettings(settingsPath());
+    if (!settings.ok()) {
+        std::cerr << "jujube-gateway: " << settings.status().message() << '\n';
+        return ExitUsage;
+    }
+    if (FLAGS_check) {
+        std::cout << "the settings of " << settings->name << " are valid\n";
+        return 0;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    constexpr size_t KeptEvents = 500; // The platform keeps the output; the rest is for the metrics.
+    jujube::core::startEventLog(settings->name, {jujube::core::LogTarget::Output, KeptEvents});
+    boost::asio::io_context io(1);
+    jujube::serving::Gateway gateway(io, *settings);
+    boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
+    handleSignals(signals, gateway, io);
+    if (const absl::Status status = gateway.start(); !status.ok()) {
+        jujube::core::Event("gateway.failed").with("why", status.message());
+        std::cerr << "jujube-gateway: " << status.message() << '\n';
+        return ExitFailure;
+    }
+    io.run();
+    jujube::core::flushEventLog();
+    // Connections and timers are left to the kernel: nothing they hold must last.
+    std::_Exit(0);
+}
--- /dev/null
+++ b/src/serving/news.cpp
@@ -0,0 +1,132 @@
+#include "serving/news.h"
+
+#include "wire/generated/news.capnp.h"
+
+#include <capnp/message.h>
+#include <capnp/serialize-packed.h>
+#include <kj/exception.h>
+#include <kj/io.h>
+
+namespace jujube::serving {
+
+namespace {
+
+namespace schema = wire::schema;
+
+std::string packed(capnp::MessageBuilder &message)
+{
+    kj::VectorOutputStream out;
+    capnp::writePackedMessage(out, message);
+    const auto bytes = out.getArray();
+    return {reinterpret_cast<const char *>(bytes.begin()), bytes.size()};
+}
+
+kj::ArrayPtr<const kj::byte> bytesOf(std::string_view text)
+{
+    return kj::arrayPtr(reinterpret_cast<const kj::byte *>(text.data()), text.size());
+}
+
+News readNews(const schema::GatewayNews::Reader &reader)
+{
+    News news;
+    news.name = reader.getName().cStr();
+    news.run = reader.getRun();
+    news.sequence = reader.getSequence();
+    news.configVersion = reader.getConfigVersion();
+    news.storeRevision = reader.getStoreRevision();
+    news.promptTokensPerSecond = reader.getPromptTokensPerSecond();
+    for (const auto it : reader.getShares())
+        news.shares.push_back(
+            {it.getEndpoint(), {it.getRunning(), it.getBacklogTokens()}, it.getChanging()});
+    for (const auto it : reader.getWindows()) {
+        NewsWindow &window = news.windows.emplace_back();
+        window.run = it.getRun();
+        window.window = it.getWindow();
+        for (const auto count : it.getCounts())
+            window.counts[count.getTeam().cStr()] = count.getCount();
+    }
+    return news;
+}
+
+} // namespace
+
+std::string encodeNews(const News &news)
+{
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<schema::GatewayNews>();
+    root.setName(news.name.c_str());
+    root.setRun(news.run);
+    root.setSequence(news.sequence);
+    root.setConfigVersion(news.configVersion);
+    root.setStoreRevision(news.storeRevision);
+    root.setPromptTokensPerSecond(static_cast<float>(news.promptTokensPerSecond));
+    auto shares = root.initShares(static_cast<uint32_t>(news.shares.size()));
+    for (uint32_t i = 0; i < shares.size(); ++i) {
+        shares[i].setEndpoint(news.shares[i].endpoint);
+        shares[i].setRunning(static_cast<uint16_t>(news.shares[i].load.running));
+        shares[i].setBacklogTokens(news.shares[i].load.backlogTokens);
+        shares[i].setChanging(news.shares[i].changing);
+    }
+    auto windows = root.initWindows(static_cast<uint32_t>(news.windows.size()));
+    for (uint32_t i = 0; i < windows.size(); ++i) {
+        const NewsWindow &window = news.windows[i];
+        windows[i].setRun(window.run);
+        windows[i].setWindow(window.window);
+        auto counts = windows[i].initCounts(static_cast<uint32_t>(window.counts.size()));
+        uint32_t n = 0;
+        for (const auto &[team, count] : window.counts) {
+            counts[n].setTeam(team.c_str());
+            counts[n].setCount(static_cast<uint32_t>(count));
+            ++n;
+        }
+    }
+    return packed(message);
+}
+
+absl::StatusOr<News> decodeNews(std::string_view bytes)
+{
+    try {
+        kj::ArrayInputStream in(bytesOf(bytes));
+        capnp::PackedMessageReader message(in);
+        return readNews(message.getRoot<schema::GatewayNews>());
+    } catch (const kj::Exception &ex) {
+        return absl::InvalidArgumentError(ex.getDescription().cStr());
+    }
+}
+
+std::string encodeState(const StorePage &state)
+{
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<schema::GatewayState>();
+    root.setRevision(state.revision);
+    auto items = root.initItems(static_cast<uint32_t>(state.items.size()));
+    for (uint32_t i = 0; i < items.size(); ++i) {
+        items[i].setKey(state.items[i].key.c_str());
+        items[i].setValue(bytesOf(state.items[i].value));
+        items[i].setRevision(state.items[i].revision);
+    }
+    return packed(message);
+}
+
+absl::StatusOr<StorePage> decodeState(std::string_view bytes)
+{
+    try {
+        kj::ArrayInputStream in(bytesOf(bytes));
+        capnp::PackedMessageReader message(in);
+        const auto root = message.getRoot<schema::GatewayState>();
+        StorePage state;
+        state.revision = root.getRevision();
+        for (const auto it : root.getItems()) {
+            const auto value = it.getValue();
+            state.items.push_back({it.getKey().cStr(),
+                                   {reinterpret_cast<const char *>(value.begin()), value.size()},
+                                   it.getRevision(),
+                                   false});
+        }
+        return state;
+    } catch (const kj::Exception &ex) {
+        return absl::InvalidArgumentError(ex.getDescription().cStr());
+    }
+}
+
+} // namespace jujube::serving
--- /dev/null
+++ b/src/serving/news.h
@@ -0,0 +1,51 @@
+#pragma once
+
+/** \file
+ * Defines what gateways tell each other, and its form on the wire.
+ */
+
+#include "serving/endpoints.h"
+#include "serving/storetypes.h"
+#include "serving/usagecounts.h"
+
+#include <absl/status/statusor.h>
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jujube::serving {
+
+struct NewsShare
+{
+    uint64_t endpoint = 0; ///< Hash of the endpoint's id.
+    EndpointShare load;
+    bool changing = false; ///< Its stage is being changed by the sender's order.
+};
+
+struct NewsWindow
+{
+    uint64_t run = 0;
+    uint64_t window = 0;
+    TeamCounts counts;
+};
+
+struct News
+{
+    std::string name;
+    uint64_t run = 0; ///< Incarnation of the sender.
+    uint64_t sequence = 0;
+    uint64_t configVersion = 0;
+    uint64_t storeRevision = 0;
+    double promptTokensPerSecond = 0;
+    std::vector<NewsShare> shares;
+    std::vector<NewsWindow> windows;
+};
+
+std::string encodeNews(const News &news);
+absl::StatusOr<News> decodeNews(std::string_view bytes);
+/** The mirrored part of the store, for a gateway that cannot reach the store itself. */
+std::string encodeState(const StorePage &state);
+absl::StatusOr<StorePage> decodeState(std::string_view bytes);
+
+} // namespace jujube::serving
--- /dev/null
+++ b/src/serving/peermesh.cpp
@@ -0,0 +1,265 @@
+#include "serving/peermesh.h"
+
+#include "core/eventlog.h"
+#include "core/metrics.h"
+#include "core/text.h"
+
+#include <boost/asio/ip/address.hpp>
+
+#include <algorithm>
+
+namespace jujube::serving {
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::udp;
+using core::Milliseconds;
+using core::TimePoint;
+using ErrorCode = boost::system::error_code;
+
+// Load that is older than this has changed; more often costs more processor time than it saves.
+constexpr Milliseconds NewsInterval{100};
+// A peer that misses this many in a row is stopped, cut off or frozen: its load is not counted.
+constexpr Milliseconds PeerSilence{1'500};
+// Datagrams come in bunches; adding up the loads for each would cost more than it tells.
+constexpr Milliseconds SumInterval{20};
+constexpr Milliseconds FetchInterval{400};
+// Longer than the window that budgets of repeated sends are judged over.
+constexpr Milliseconds BudgetMemory{15'000};
+constexpr Milliseconds FetchTimeout{800};
+constexpr uint32_t Ok = 200;
+constexpr uint32_t NotFound = 404;
+constexpr const char *StatePath = "/state";
+
+} // namespace
+
+PeerMesh::PeerMesh(asio::io_context &io, http::Caller &caller, EndpointTable &endpoints,
+                   Handler handler)
+    : m_io(io), m_caller(caller), m_endpoints(endpoints), m_handler(std::move(handler)),
+      m_socket(io), m_timer(io)
+{
+}
+
+absl::Status PeerMesh::start(const NodeSettings &settings, uint64_t run)
+{
+    m_name = settings.name;
+    m_run = run;
+    m_address = core::concat(settings.ip, ":", settings.firstInternalPort);
+    ErrorCode ec;
+    const auto ip = asio::ip::make_address(settings.ip, ec);
+    if (!ec)
+        m_socket.open(udp::v4(), ec);
+    if (!ec)
+        m_socket.bind(udp::endpoint(ip, settings.firstInternalPort), ec);
+    if (ec)
+        return absl::UnavailableError(
+            core::concat("cannot bind datagrams to ", m_address, ": ", ec.message()));
+    m_server = std::make_unique<http::Server>(
+        m_io, [this](const http::Request &request, const http::Responder &responder) {
+            http::Head head;
+            head.status = request.head.target == StatePath ? Ok : NotFound;
+            responder.send(head,
+                           head.status == Ok ? encodeState(m_handler.state()) : std::string());
+        });
+    if (const absl::Status status = m_server->listen(m_address); !status.ok())
+        return status;
+    receive();
+    tick();
+    return absl::OkStatus();
+}
+
+void PeerMesh::addPeer(const std::string &name, const std::string &address)
+{
+    if (name == m_name)
+        return;
+    Peer &peer = m_peers[name];
+    if (peer.address == address)
+        return;
+    const size_t colon = address.rfind(':');
+    ErrorCode ec;
+    const auto ip = asio::ip::make_address(address.substr(0, colon), ec);
+    const int port = colon == std::string::npos ? 0 : std::atoi(address.c_str() + colon + 1);
+    if (ec || port <= 0) {
+        core::Event("peer.ignored").with("peer", name).with("address", address);
+        m_peers.erase(name);
+        return;
+    }
+    peer.address = address;
+    peer.target = udp::endpoint(ip, static_cast<uint16_t>(port));
+    core::Event("peer.known").with("peer", name).with("address", address);
+}
+
+void PeerMesh::removePeer(const std::string &name)
+{
+    m_peers.erase(name);
+}
+
+void PeerMesh::receive()
+{
+    m_socket.async_receive_from(asio::buffer(m_buf), m_sender, [this](const ErrorCode &ec, size_t n) {
+        if (ec == asio::error::operation_aborted)
+            return;
+        if (!ec)
+            received({m_buf.data(), n});
+        receive();
+    });
+}
+
+void PeerMesh::received(std::string_view bytes)
+{
+    auto news = decodeNews(bytes);
+    if (!news.ok()) {
+        core::Event("peer.news.invalid").with("why", news.status().message());
+        return;
+    }
+    if (news->name == m_name)
+        return;
+    const std::string sender
+        = core::concat(m_sender.address().to_string(), ":", m_sender.port());
+    // A process that has just started is told of its peers by their datagrams.
+    addPeer(news->name, sender);
+    const auto it = m_peers.find(news->name);
+    if (it == m_peers.end())
+        return;
+    Peer &peer = it->second;
+    if (peer.news.run == news->run && peer.news.sequence >= news->sequence)
+        return;
+    const TimePoint now = core::BootClock::now();
+    if (!std::exchange(peer.alive, true))
+        core::Event("peer.heard").with("peer", news->name).with("run", news->run);
+    peer.news = std::move(*news);
+    peer.heardAt = now;
+    if (now - m_summedAt >= SumInterval)
+        sumShares(now);
+    m_handler.onNews(peer.news);
+}
+
+// Sums are made anew rather than kept by difference: endpoints come and go between two datagrams.
+void PeerMesh::sumShares(TimePoint now)
+{
+    m_summedAt = now;
+    std::unordered_map<uint64_t, Endpoint *> byHash;
+    for (const auto &[id, endpoint] : m_endpoints.all()) {
+        endpoint->peers = {};
+        byHash.emplace(endpoint->hash, endpoint.get());
+    }
+    for (const auto &[name, peer] : m_peers) {
+        if (!peer.alive)
+            continue;
+        for (const NewsShare &share : peer.news.shares) {
+            const auto it = byHash.find(share.endpoint);
+            if (it == byHash.end())
+                continue;
+            it->second->peers.running += share.load.running;
+            it->second->peers.backlogTokens += share.load.backlogTokens;
+        }
+    }
+}
+
+void PeerMesh::tick()
+{
+    m_timer.expires_after(NewsInterval);
+    m_timer.async_wait([this](const ErrorCode &ec) {
+        if (ec)
+            return;
+        const TimePoint now = core::BootClock::now();
+        for (auto &[name, peer] : m_peers) {
+            if (peer.alive && now - peer.heardAt > PeerSilence) {
+                core::Event("peer.silent").with("peer", name);
+                peer.alive = false;
+            }
+        }
+        sumShares(now);
+        const std::string bytes = encodeNews(m_handler.compose());
+        for (auto &[name, peer] : m_peers) {
+            ErrorCode sendError;
+            m_socket.send_to(asio::buffer(bytes), peer.target, 0, sendError);
+            if (sendError)
+                core::countMetric("jujube_peer_send_errors_total");
+        }
+        tick();
+    });
+}
+
+uint32_t PeerMesh::aliveCount() const
+{
+    return 1
+        + static_cast<uint32_t>(std::count_if(m_peers.begin(), m_peers.end(),
+                                              [](const auto &it) { return it.second.alive; }));
+}
+
+uint64_t PeerMesh::newestRevision() const
+{
+    uint64_t newest = 0;
+    for (const auto &[name, peer] : m_peers) {
+        if (peer.alive)
+            newest = std::max(newest, peer.news.storeRevision);
+    }
+    return newest;
+}
+
+double PeerMesh::peersPromptTokens() const
+{
+    double sum = 0;
+    for (const auto &[name, peer] : m_peers) {
+        if (peer.alive)
+            sum += peer.news.promptTokensPerSecond;
+    }
+    return sum;
+}
+
+uint32_t PeerMesh::gatewayCount(TimePoint now) const
+{
+    return 1
+        + static_cast<uint32_t>(std::count_if(m_peers.begin(), m_peers.end(), [now](const auto &it) {
+               return it.second.heardAt != TimePoint{} && now - it.second.heardAt < BudgetMemory;
+           }));
+}
+
+bool PeerMesh::runAlive(uint64_t run) const
+{
+    return std::any_of(m_peers.begin(), m_peers.end(), [run](const auto &it) {
+        return it.second.alive && it.second.news.run == run;
+    });
+}
+
+void PeerMesh::fetchState(uint64_t newerThan)
+{
+    const TimePoint now = core::BootClock::now();
+    if (now - m_lastFetch < FetchInterval)
+        return;
+    const Peer *best = nullptr;
+    for (const auto &[name, peer] : m_peers) {
+        if (peer.alive && peer.news.storeRevision > newerThan
+            && (!best || peer.news.storeRevision > best->news.storeRevision))
+            best = &peer;
+    }
+    if (!best)
+        return;
+    m_lastFetch = now;
+    http::Request request;
+    request.head.method = "GET";
+    request.head.target = StatePath;
+    const std::string address = best->address;
+    m_caller.call(address, std::move(request), FetchTimeout,
+                  [this, address](const http::CallResult &result) {
+                      if (!result.response.ok()) {
+                          core::Event("peer.state.failed")
+                              .with("address", address)
+                              .with("why", result.response.status().message());
+                          return;
+                      }
+                      const auto state = decodeState(result.response->body);
+                      if (!state.ok()) {
+                          core::Event("peer.state.invalid").with("address", address);
+                          return;
+                      }
+                      core::Event("peer.state.taken")
+                          .with("address", address)
+                          .with("revision", state->revision);
+                      m_handler.onState(*state);
+                  });
+}
+
+} // namespace jujube::serving
--- /dev/null
+++ b/src/serving/peermesh.h
@@ -0,0 +1,89 @@
+#pragma once
+
+/** \file
+ * Defines the exchange of news between the gateways of a deployment.
+ */
+
+#include "http/caller.h"
+#include "http/server.h"
+#include "serving/news.h"
+#include "serving/nodesettings.h"
+
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+
+namespace jujube::serving {
+
+/** Sends this gateway's news to all others ten times a second and keeps theirs.
+ *
+ * Datagrams carry the whole state each time, so a lost one is made good by the next.
+ */
+class PeerMesh
+{
+public:
+    struct Handler
+    {
+        std::function<News()> compose;                ///< This gateway's news, to be sent now.
+        std::function<StorePage()> state;             ///< What the store's mirror holds.
+        std::function<void(const News &)> onNews;
+        /** State of a peer that knows more, asked for by fetchState(). */
+        std::function<void(const StorePage &)> onState;
+    };
+
+    PeerMesh(boost::asio::io_context &io, http::Caller &caller, EndpointTable &endpoints,
+             Handler handler);
+
+    absl::Status start(const NodeSettings &settings, uint64_t run);
+    /** Adds a peer by its "address:port"; one that is known already stays. */
+    void addPeer(const std::string &name, const std::string &address);
+    void removePeer(const std::string &name);
+    /** Gateways that were heard of lately, this one included. */
+    uint32_t aliveCount() const;
+    /** Gateways that may have spent from the budgets of the last seconds. */
+    uint32_t gatewayCount(core::TimePoint now) const;
+    /** Whether a run of a gateway is one of the live peers. */
+    bool runAlive(uint64_t run) const;
+    /** Asks the peer with the newest state for it. */
+    void fetchState(uint64_t newerThan);
+    /** Highest store revision a live peer has told of. */
+    uint64_t newestRevision() const;
+    double peersPromptTokens() const;
+    const std::string &address() const { return m_address; }
+
+private:
+    struct Peer
+    {
+        std::string address;
+        boost::asio::ip::udp::endpoint target;
+        News news;
+        core::TimePoint heardAt{};
+        bool alive = false; ///< Heard of within the last moments.
+    };
+
+    void receive();
+    void received(std::string_view bytes);
+    void tick();
+    void sumShares(core::TimePoint now);
+
+    boost::asio::io_context &m_io;
+    http::Caller &m_caller;
+    EndpointTable &m_endpoints;
+    Handler m_handler;
+    boost::asio::ip::udp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+    std::unique_ptr<http::Server> m_server;
+    std::map<std::string, Peer> m_peers;
+    boost::asio::ip::udp::endpoint m_sender;
+    std::array<char, 65536> m_buf{};
+    std::string m_name;
+    std::string m_address;
+    uint64_t m_run = 0;
+    core::TimePoint m_lastFetch{};
+    core::TimePoint m_summedAt{};
+};
+
+} // namespace jujube::serving
--- /dev/null
+++ b/src/serving/session.cpp
@@ -0,0 +1,590 @@
+#include "serving/session.h"
+
+#include "core/eventlog.h"
+#include "core/metrics.h"
+#include "core/text.h"
+#include "platform/requestcodec.h"
+
+#include <algorithm>
+#include <array>
+
+namespace jujube::serving {
+
+namespace {
+
+using core::Milliseconds;
+using core::TimePoint;
+using ErrorCode = boost::system::error_code;
+
+constexpr uint32_t NotRun = 503;     ///< A promise: the request has not run and will not.
+constexpr uint32_t Failed = 502;     ///< Promises nothing.
+constexpr uint32_t TimedOut = 504;   ///< Promises nothing.
+constexpr uint32_t FirstSuccess = 200;
+constexpr uint32_t FirstRedirect = 300;
+constexpr uint32_t FirstServerError = 500;
+// A connection inside a region takes a few ms; a VM that lost its power does not answer at all.
+constexpr Milliseconds ConnectTimeout{350};
+// A prompt may be read again elsewhere, so a silent engine is not waited for much longer than the
+// prediction: it is off by the work of other gateways that the last datagrams did not tell.
+constexpr Milliseconds PrefillSlack{1'500};
+constexpr int PrefillPatience = 3;
+// Connection attempts that fail reach nobody and are free, but not without end.
+constexpr uint32_t MaxSends = 8;
+constexpr uint32_t MaxPrefills = 3;
+// Refused callers return spread over this time, so that they do not come back as one burst.
+constexpr Milliseconds ComeBackLeast{400};
+constexpr Milliseconds ComeBackSpread{1'200};
+constexpr uint32_t FirstEnginePriority = 3; ///< Leaves room above for work that was begun.
+constexpr uint32_t LastEnginePriority = 9;
+constexpr size_t MaxBufferedAnswer = 16UL << 20U;
+constexpr Milliseconds HandleReleaseTimeout{1'000};
+// An endpoint that refuses is full or changing: others are asked for a moment.
+constexpr Milliseconds RefusalPause{150};
+constexpr Milliseconds ReadOverhead{15}; ///< Of a prefill call besides the reading.
+
+// Statuses that promise that a request has not run. Only what states it plainly is believed.
+bool promisesNotRun(uint32_t status)
+{
+    constexpr std::array<uint32_t, 4> Statuses{408, 421, 429, 503};
+    return std::find(Statuses.begin(), Statuses.end(), status) != Statuses.end();
+}
+
+} // namespace
+
+std::shared_ptr<Session> Session::create(SessionServices &services, AdmittedRequest request,
+                                         http::Responder responder)
+{
+    return std::shared_ptr<Session>(
+        new Session(services, std::move(request), std::move(responder)));
+}
+
+Session::Session(SessionServices &services, AdmittedRequest request, http::Responder responder)
+    : m_services(services), m_request(std::move(request)), m_responder(std::move(responder)),
+      m_deadlineTimer(services.io), m_prefillTimer(services.io), m_arrived(core::BootClock::now())
+{
+    const Route &route = *m_request.route;
+    Milliseconds limit = route.timeout.count() > 0 ? route.timeout : Milliseconds(60'000);
+    if (m_request.facts.timeLeft)
+        limit = std::min(limit, *m_request.facts.timeLeft);
+    m_deadline = m_arrived + limit;
+    for (const PromptPart &part : m_request.facts.parts)
+        policy::appendLink(m_chain, part.id, part.tokens);
+    m_prompt.tokens = m_request.facts.promptTokens;
+    // The last part is the request's own; the one before is the last that others share.
+    if (m_chain.size() > 1)
+        m_prompt.affinity = m_chain[m_chain.size() - 2].hash;
+}
+
+Session::~Session()
+{
+    release(false);
+}
+
+void Session::start()
+{
+    const auto weak = weak_from_this();
+    m_responder.onClientGone([weak]() {
+        if (const auto self = weak.lock())
+            self->clientGone();
+    });
+    m_deadlineTimer.expires_at(std::chrono::steady_clock::now()
+                               + (m_deadline - core::BootClock::now()));
+    const auto self = shared_from_this();
+    m_deadlineTimer.async_wait([self](const ErrorCode &ec) {
+        if (!ec)
+            self->timedOut();
+    });
+    m_services.budget(m_request.service).noteRequest(m_arrived);
+    next();
+}
+
+// Decides what the request needs next: its prompt read, or an endpoint to run it.
+void Session::next()
+{
+    if (m_finished)
+        return;
+    if (timeLeft().count() <= 0) {
+        timedOut();
+        return;
+    }
+    if (wantsPrefill() && sendPrefill())
+        return;
+    sendRun();
+}
+
+bool Session::wantsPrefill() const
+{
+    return m_request.route->promptParts && !m_handleAt && !m_prefillTried && m_sends == 0
+        && m_request.facts.lastEvent.empty() && m_prompt.tokens > 0;
+}
+
+bool Session::sendPrefill()
+{
+    const TimePoint now = core::BootClock::now();
+    std::vector<EndpointPtr> engines;
+    std::vector<policy::PlacementView> views;
+    for (const EndpointPtr &it : m_services.endpoints.ofService(m_request.service)) {
+        if (!it->prefills() || m_avoid.contains(it->record.id))
+            continue;
+        engines.push_back(it);
+        views.push_back(viewOf(*it, m_chain, now));
+    }
+    const auto choice
+        = policy::choosePrefill(views, m_prompt, m_services.placement, m_services.random);
+    if (!choice) {
+        m_prefillTried = true;
+        return false;
+    }
+    const EndpointPtr &engine = engines[choice->index];
+    if (views[choice->index].probe)
+        engine->health.startProbe(now);
+    engine->parts.record(m_chain);
+    m_services.notePromptTokens(choice->uncachedTokens);
+    m_sentTokens = choice->uncachedTokens;
+    m_predicted = choice->predicted;
+    SendFacts facts;
+    facts.prefillOnly = true;
+    send(Purpose::Prefill, engine, std::move(facts));
+    armPrefillTimer(choice->predicted);
+    return true;
+}
+
+void Session::armPrefillTimer(Milliseconds predicted)
+{
+    m_prefillTimer.expires_after(predicted * PrefillPatience + PrefillSlack);
+    const auto self = shared_from_this();
+    m_prefillTimer.async_wait([self, sentAt = m_sentAt](const ErrorCode &ec) {
+        if (ec || self->m_finished || self->m_purpose != Purpose::Prefill || !self->m_connection
+            || self->m_sentAt != sentAt)
+            return;
+        self->m_endpoint->health.noteFailure(core::BootClock::now());
+        self->prefillFailed("no answer in time");
+    });
+}
+
+EndpointPtr Session::chooseRunner()
+{
+    const TimePoint now = core::BootClock::now();
+    std::vector<EndpointPtr> endpoints;
+    std::vector<policy::PlacementView> views;
+    for (const EndpointPtr &it : m_services.endpoints.ofService(m_request.service)) {
+        if (it->prefills() || m_avoid.contains(it->record.id))
+            continue;
+        endpoints.push_back(it);
+        views.push_back(viewOf(*it, m_chain, now));
+    }
+    const std::string &domain = m_handleAt ? m_handleAt->record.domain : m_services.domain;
+    const auto index
+        = policy::chooseRunner(views, domain, m_services.placement, m_services.random);
+    if (!index)
+        return nullptr;
+    if (views[*index].probe)
+        endpoints[*index]->health.startProbe(now);
+    return endpoints[*index];
+}
+
+void Session::sendRun()
+{
+    const EndpointPtr endpoint = m_sends < MaxSends ? chooseRunner() : nullptr;
+    if (!endpoint) {
+        if (m_streaming)
+            finishStream(false);
+        else if (m_mayHaveRun)
+            fail(Failed, "it failed, and no other endpoint can take it");
+        else
+            fail(NotRun, "no endpoint can take it now", comeBack());
+        return;
+    }
+    ++m_sends;
+    ++m_runs;
+    SendFacts facts;
+    facts.resumeAfter = m_frames.lastId();
+    m_sentTokens = 0;
+    if (m_handleAt) {
+        facts.cacheSource = m_handleAt->record.address + "/" + m_handle.handle;
+    } else if (m_prompt.tokens > 0) {
+        m_sentTokens
+            = m_prompt.tokens - std::min(m_prompt.tokens, endpoint->parts.cachedTokens(m_chain));
+        m_services.notePromptTokens(m_sentTokens);
+    }
+    if (!m_chain.empty())
+        endpoint->parts.record(m_chain);
+    send(Purpose::Run, endpoint, std::move(facts));
+}
+
+void Session::send(Purpose purpose, const EndpointPtr &endpoint, SendFacts facts)
+{
+    m_purpose = purpose;
+    m_endpoint = endpoint;
+    m_sentAt = core::BootClock::now();
+    m_body.clear();
+    m_head = {};
+    m_answer = {};
+    ++endpoint->own.running;
+    endpoint->own.backlogTokens += m_sentTokens;
+    facts.endpointId = endpoint->record.id;
+    facts.timeLeft = timeLeft();
+    facts.team = m_request.team;
+    if (m_request.route->promptParts)
+        facts.priority = std::min(FirstEnginePriority + m_request.rank, LastEnginePriority);
+    const http::Head head = platform::encodeForEndpoint(m_request.message.head, facts);
+    core::Event("request.sent")
+        .with("request", m_request.facts.id)
+        .with("for", purpose == Purpose::Prefill ? "prefill" : "run")
+        .with("endpoint", endpoint->record.id)
+        .with("sends", m_sends)
+        .with("running", endpoint->own.running + endpoint->peers.running)
+        .with("backlog", endpoint->own.backlogTokens + endpoint->peers.backlogTokens)
+        .with("predicted_ms", m_predicted.count())
+        .with("left_ms", facts.timeLeft.count());
+    m_connection = m_services.pool.take(endpoint->record.address);
+    const auto self = shared_from_this();
+    http::ExchangeHandler handler;
+    handler.onHead = [self](const http::Head &answer) { return self->onHead(answer); };
+    handler.onBody = [self](std::string &body) { self->onBody(body); };
+    handler.onEnd = [self]() { self->onEnd(); };
+    handler.onFailure
+        = [self](http::Failure failure, const std::string &why) { self->onFailure(failure, why); };
+    m_connection->send(http::renderRequest(head, m_request.message.body), head.method == "HEAD",
+                       ConnectTimeout, std::move(handler));
+}
+
+// Ends the accounting of the send under way. Its connection goes back to the pool, or is closed,
+// which makes the endpoint stop.
+void Session::release(bool keepConnection)
+{
+    m_prefillTimer.cancel();
+    if (m_endpoint) {
+        --m_endpoint->own.running;
+        m_endpoint->own.backlogTokens -= std::exchange(m_sentTokens, 0);
+        m_endpoint = nullptr;
+    }
+    if (const auto connection = std::exchange(m_connection, nullptr)) {
+        if (keepConnection)
+            m_services.pool.put(connection);
+        else
+            connection->close();
+    }
+}
+
+bool Session::onHead(const http::Head &head)
+{
+    const AnswerFacts facts = platform::decodeAnswer(head);
+    if (facts.requestId && *facts.requestId != m_request.facts.id) {
+        core::Event("answer.foreign")
+            .with("request", m_request.facts.id)
+            .with("answer", *facts.requestId)
+            .with("endpoint", m_endpoint->record.id);
+        return false;
+    }
+    m_head = head;
+    m_answer = facts;
+    return true;
+}
+
+void Session::onBody(std::string &body)
+{
+    const bool success = m_head.status >= FirstSuccess && m_head.status < FirstRedirect;
+    if (m_purpose == Purpose::Run && m_request.route->kind == RouteKind::Stream && success
+        && m_answer.sealed) {
+        relayEvents(body);
+        return;
+    }
+    m_body += body;
+    body.clear();
+    if (m_body.size() > MaxBufferedAnswer)
+        onFailure(http::Failure::Malformed, "the answer is too large");
+}
+
+void Session::relayEvents(std::string &body)
+{
+    if (m_sentTokens > 0)
+        m_endpoint->own.backlogTokens -= std::exchange(m_sentTokens, 0);
+    noteBegun();
+    m_mayHaveRun = true;
+    if (m_request.route->resumable) {
+        const std::string events = m_frames.add(body);
+        body.clear();
+        if (events.empty())
+            return;
+        beginStream();
+        m_responder.write(events);
+        return;
+    }
+    beginStream();
+    m_responder.write(body);
+    body.clear();
+}
+
+// The head waits for the first bytes of the body: until then a failure can still be told as such.
+void Session::beginStream()
+{
+    if (std::exchange(m_streaming, true))
+        return;
+    m_responder.begin(platform::encodeForClient(m_head), http::Framing::Chunked, 0);
+    core::recordMetric("jujube_first_event_seconds", "", core::BootClock::now() - m_arrived);
+}
+
+void Session::onEnd()
+{
+    if (m_purpose == Purpose::Prefill)
+        prefillEnded();
+    else
+        answerEnded();
+}
+
+void Session::prefillEnded()
+{
+    if (m_head.status != FirstSuccess) {
+        prefillFailed(m_answer.notRun ? "refused" : "failed");
+        return;
+    }
+    auto handle = platform::decodeCacheHandle(m_body);
+    if (!handle.ok()) {
+        prefillFailed("the answer names no prompt");
+        return;
+    }
+    m_endpoint->health.noteSuccess();
+    const auto observed = std::chrono::duration_cast<Milliseconds>(core::BootClock::now() - m_sentAt);
+    noteDuration(*m_endpoint, observed, m_predicted + ReadOverhead);
+    m_handle = std::move(*handle);
+    m_handleAt = m_endpoint;
+    m_prefillTried = true;
+    release(true);
+    next();
+}
+
+void Session::prefillFailed(const std::string &why)
+{
+    core::Event("prefill.failed")
+        .with("request", m_request.facts.id)
+        .with("endpoint", m_endpoint->record.id)
+        .with("why", why);
+    m_avoid.insert(m_endpoint->record.id);
+    if (m_answer.notRun)
+        m_endpoint->pause(core::BootClock::now(), RefusalPause);
+    release(false);
+    // Reading elsewhere again counts as a repeated send, as running without a handle does not.
+    if (m_avoid.size() >= MaxPrefills || !spendExtra())
+        m_prefillTried = true;
+    next();
+}
+
+void Session::answerEnded()
+{
+    const bool success = m_head.status >= FirstSuccess && m_head.status < FirstRedirect;
+    if (m_streaming && success && m_answer.sealed) {
+        m_endpoint->health.noteSuccess();
+        release(true);
+        finishStream(!m_frames.partial());
+        return;
+    }
+    if (m_answer.notRun) {
+        runFailed(true, true, "refused by the endpoint");
+        return;
+    }
+    if ((success && !m_answer.sealed) || promisesNotRun(m_head.status)) {
+        runFailed(false, true, "the answer is not the endpoint's own or promises too much");
+        return;
+    }
+    if (m_head.status >= FirstServerError && m_request.route->kind == RouteKind::Idempotent
+        && mayRunAgain() && spendExtra()) {
+        noteBegun();
+        m_endpoint->health.noteSuccess();
+        m_avoid.insert(m_endpoint->record.id);
+        m_mayHaveRun = true;
+        release(true);
+        next();
+        return;
+    }
+    noteBegun();
+    m_endpoint->health.noteSuccess();
+    const auto duration = std::chrono::duration_cast<Milliseconds>(core::BootClock::now() - m_arrived);
+    core::recordMetric("jujube_answer_seconds", "", duration);
+    release(true);
+    m_responder.send(platform::encodeForClient(m_head), m_body);
+    finish("answered", m_head.status);
+}
+
+// Only the orderly end of an endpoint's answer ends the client's as complete.
+void Session::finishStream(bool whole)
+{
+    if (whole)
+        m_responder.finish();
+    else
+        m_responder.abort();
+    finish(whole ? "answered" : "broken", m_head.status);
+}
+
+void Session::onFailure(http::Failure failure, const std::string &why)
+{
+    if (m_purpose == Purpose::Prefill) {
+        m_endpoint->health.noteFailure(core::BootClock::now());
+        prefillFailed(why);
+        return;
+    }
+    runFailed(failure == http::Failure::NotSent, failure != http::Failure::NotSent, why);
+}
+
+// A run ended without an answer that can be given to the client.
+void Session::runFailed(bool notRun, bool sent, const std::string &why)
+{
+    core::Event("run.failed")
+        .with("request", m_request.facts.id)
+        .with("endpoint", m_endpoint->record.id)
+        .with("not_run", notRun)
+        .with("sent", sent)
+        .with("status", m_head.status)
+        .with("why", why);
+    m_avoid.insert(m_endpoint->record.id);
+    if (!notRun || !sent)
+        m_endpoint->health.noteFailure(core::BootClock::now());
+    else
+        m_endpoint->pause(core::BootClock::now(), RefusalPause);
+    release(false);
+    if (m_finished)
+        return;
+    if (m_detached) {
+        finish("client-left", 0);
+        return;
+    }
+    if (notRun) {
+        --m_runs;
+        // A prompt that was read may have been taken from its engine by the refused send.
+        if (sent)
+            m_handleAt = nullptr;
+        if (!sent || spendExtra())
+            next();
+        else if (m_streaming)
+            finishStream(false);
+        else if (m_mayHaveRun)
+            fail(Failed, "it failed, and was refused when it was sent again");
+        else
+            fail(NotRun, "refused, and the budget for sending it again is spent", comeBack());
+        return;
+    }
+    m_handleAt = nullptr;
+    m_mayHaveRun = true;
+    if (m_request.route->kind != RouteKind::Stream)
+        noteBegun();
+    if (m_request.route->repeatable() && mayRunAgain() && spendExtra()) {
+        m_frames.dropPartial();
+        next();
+    } else if (m_streaming) {
+        finishStream(false);
+    } else {
+        fail(Failed, why);
+    }
+}
+
+bool Session::mayRunAgain() const
+{
+    return m_runs < m_request.route->maxAttempts && timeLeft().count() > 0;
+}
+
+bool Session::spendExtra()
+{
+    const bool granted = m_services.budget(m_request.service)
+                             .trySpend(core::BootClock::now(), m_services.gateways());
+    if (!granted)
+        core::countMetric("jujube_retries_denied_total");
+    return granted;
+}
+
+void Session::noteBegun()
+{
+    if (!std::exchange(m_begun, true) && !m_request.team.empty())
+        m_services.usage.note(m_request.team, core::wallTime());
+}
+
+void Session::dropHandle()
+{
+    if (!m_handleAt || m_sends > 0)
+        return;
+    const EndpointPtr at = std::exchange(m_handleAt, nullptr);
+    m_services.caller.call(
+        at->record.address, platform::releaseHandleCall(m_handle.handle, at->record.id),
+        HandleReleaseTimeout, [handle = m_handle.handle](const http::CallResult &result) {
+            if (!result.response.ok())
+                core::Event("handle.release.failed")
+                    .with("handle", handle)
+                    .with("why", result.response.status().message());
+        });
+}
+
+void Session::fail(uint32_t status, const std::string &why, Milliseconds retryAfter)
+{
+    if (m_finished)
+        return;
+    core::Event("request.failed")
+        .with("request", m_request.facts.id)
+        .with("status", status)
+        .with("why", why)
+        .with("config", m_request.config->version)
+        .with("retry_after_ms", retryAfter.count());
+    m_responder.send(platform::ownAnswer(status, m_request.facts.id, retryAfter), {});
+    finish("failed", status);
+}
+
+void Session::finish(std::string_view outcome, uint32_t status)
+{
+    if (std::exchange(m_finished, true))
+        return;
+    dropHandle();
+    release(false);
+    m_deadlineTimer.cancel();
+    core::Event("request.end")
+        .with("request", m_request.facts.id)
+        .with("route", m_request.route->name)
+        .with("outcome", outcome)
+        .with("status", status)
+        .with("sends", m_sends)
+        .with("ms",
+              std::chrono::duration_cast<Milliseconds>(core::BootClock::now() - m_arrived).count());
+    core::countMetric("jujube_requests_total", core::concat("outcome=\"", outcome, "\""));
+    m_services.finished();
+}
+
+void Session::clientGone()
+{
+    if (m_finished)
+        return;
+    // Work that must not run twice is left to its end: breaking it off would leave the client with
+    // an effect that may or may not have happened.
+    if (m_connection && m_purpose == Purpose::Run
+        && m_request.route->kind == RouteKind::AtMostOnce) {
+        m_detached = true;
+        return;
+    }
+    release(false);
+    finish("client-left", 0);
+}
+
+void Session::timedOut()
+{
+    if (m_finished)
+        return;
+    const bool running = m_connection && m_purpose == Purpose::Run;
+    release(false);
+    if (m_streaming) {
+        m_responder.abort();
+        finish("timed-out", m_head.status);
+    } else if (running || m_mayHaveRun) {
+        fail(TimedOut, "no answer within the time limit");
+    } else {
+        fail(NotRun, "no endpoint took it within the time limit", comeBack());
+    }
+}
+
+Milliseconds Session::timeLeft() const
+{
+    return std::chrono::floor<Milliseconds>(m_deadline - core::BootClock::now());
+}
+
+Milliseconds Session::comeBack()
+{
+    std::uniform_int_distribution<int64_t> spread(0, ComeBackSpread.count());
+    return ComeBackLeast + Milliseconds(spread(m_services.random));
+}
+
+} // namespace jujube::serving
--- /dev/null
+++ b/src/serving/session.h
@@ -0,0 +1,141 @@
+#pragma once
+
+/** \file
+ * Defines the life of one client request in a gateway: placement, sends, relay and outcome.
+ */
+
+#include "http/caller.h"
+#include "http/server.h"
+#include "policy/placement.h"
+#include "policy/sendbudget.h"
+#include "serving/endpoints.h"
+#include "serving/eventframes.h"
+#include "serving/requesttypes.h"
+#include "serving/usagecounts.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <set>
+
+namespace jujube::serving {
+
+/** What the sessions of a gateway share. */
+struct SessionServices
+{
+    boost::asio::io_context &io;
+    EndpointTable &endpoints;
+    http::ConnectionPool &pool;
+    http::Caller &caller;
+    UsageCounts &usage;
+    std::mt19937_64 &random;
+    const policy::PlacementSettings &placement;
+    std::string domain; ///< Failure domain of this gateway.
+    std::function<policy::SendBudget &(const std::string &service)> budget;
+    std::function<uint32_t()> gateways;            ///< Alive, this one included.
+    std::function<void(double)> notePromptTokens;  ///< Prompt tokens that have to be read.
+    std::function<void()> finished;
+};
+
+/** A request that was admitted: known route, valid key. */
+struct AdmittedRequest
+{
+    http::Request message;
+    RequestFacts facts;
+    std::shared_ptr<const FleetConfig> config; ///< In force when it was admitted.
+    const Route *route = nullptr;              ///< Part of that configuration.
+    std::string service;
+    std::string team;
+    uint32_t rank = 5;
+};
+
+/** Runs one request to its final answer.
+ *
+ * At most one send is alive at a time. Work that may run only once is sent again only after a
+ * statement that it did not run; anything else ends with an answer that promises nothing.
+ */
+class Session : public std::enable_shared_from_this<Session>
+{
+public:
+    static std::shared_ptr<Session> create(SessionServices &services, AdmittedRequest request,
+                                           http::Responder responder);
+    ~Session();
+
+    void start();
+
+private:
+    Session(SessionServices &services, AdmittedRequest request, http::Responder responder);
+
+    /** What one send is for. */
+    enum class Purpose { Prefill, Run };
+
+    bool wantsPrefill() const;
+    void next();
+    bool sendPrefill();
+    void sendRun();
+    EndpointPtr chooseRunner();
+    void send(Purpose purpose, const EndpointPtr &endpoint, SendFacts facts);
+    void release(bool keepConnection);
+    void armPrefillTimer(core::Milliseconds predicted);
+
+    bool onHead(const http::Head &head);
+    void onBody(std::string &body);
+    void onEnd();
+    void onFailure(http::Failure failure, const std::string &why);
+    void prefillEnded();
+    void prefillFailed(const std::string &why);
+    void answerEnded();
+    void relayEvents(std::string &body);
+    void beginStream();
+    void runFailed(bool notRun, bool sent, const std::string &why);
+    void finishStream(bool whole);
+
+    bool spendExtra();
+    bool mayRunAgain() const;
+    void noteBegun();
+    void dropHandle();
+    void fail(uint32_t status, const std::string &why, core::Milliseconds retryAfter = {});
+    void finish(std::string_view outcome, uint32_t status);
+    void clientGone();
+    void timedOut();
+    core::Milliseconds timeLeft() const;
+    core::Milliseconds comeBack();
+
+    SessionServices &m_services;
+    AdmittedRequest m_request;
+    http::Responder m_responder;
+    boost::asio::steady_timer m_deadlineTimer;
+    boost::asio::steady_timer m_prefillTimer;
+    core::TimePoint m_arrived{};
+    core::TimePoint m_deadline{};
+    std::vector<policy::ChainLink> m_chain;
+    policy::PromptSize m_prompt;
+    std::set<std::string> m_avoid; ///< Endpoints that refused or failed this request.
+
+    // The send that is under way.
+    std::shared_ptr<http::ClientConnection> m_connection;
+    EndpointPtr m_endpoint;
+    Purpose m_purpose = Purpose::Run;
+    core::TimePoint m_sentAt{};
+    uint32_t m_sentTokens = 0; ///< Added to the endpoint's backlog by this send.
+    core::Milliseconds m_predicted{};
+    http::Head m_head;
+    AnswerFacts m_answer;
+    std::string m_body;
+
+    CacheHandle m_handle;
+    EndpointPtr m_handleAt; ///< Engine that keeps the prompt; null: nothing to hand over.
+    EventFrames m_frames;
+    uint32_t m_sends = 0;    ///< That count as arrivals at the service.
+    uint32_t m_runs = 0;     ///< Endpoints that ran it or may have.
+    bool m_prefillTried = false;
+    bool m_streaming = false; ///< The client has the head of a stream.
+    bool m_begun = false;     ///< Counted for usage.
+    bool m_mayHaveRun = false;
+    bool m_detached = false; ///< The client left; the send goes on only for its effect.
+    bool m_finished = false;
+};
+
+} // namespace jujube::serving
--- /dev/null
+++ b/src/serving/storeclient.h
@@ -0,0 +1,102 @@
+#pragma once
+
+/** \file
+ * Defines the client of the platform's store and the mirror that watches a part of it.
+ */
+
+#include "http/caller.h"
+#include "serving/storetypes.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace jujube::serving {
+
+/** Calls to the store. Each callback gets one result; Unknown or DeadlineExceeded: the change may
+ * have been made, or may be made later. */
+class StoreClient
+{
+public:
+    template <typename T> using Callback = std::function<void(absl::StatusOr<T>)>;
+
+    StoreClient(http::Caller &caller, std::string address);
+
+    void get(const std::string &key, Callback<StoreItem> done);
+    void list(const std::string &prefix, const std::string &afterKey, Callback<StorePage> done);
+    void watch(const std::string &prefix, uint64_t afterRevision, core::Milliseconds wait,
+               Callback<StorePage> done);
+    void commit(const StoreCommit &commit, Callback<uint64_t> done);
+    void grantLease(core::Milliseconds lifetime, Callback<uint64_t> done);
+    void renewLease(uint64_t lease, std::function<void(absl::Status)> done);
+
+private:
+    http::Caller &m_caller;
+    std::string m_address;
+};
+
+/** Keeps a copy of the items under one prefix.
+ *
+ * Starts with a listing and follows by watching from the listing's revision. Items change by
+ * revision only, so a late or repeated event never takes one back.
+ */
+class StoreMirror : public std::enable_shared_from_this<StoreMirror>
+{
+public:
+    struct Handler
+    {
+        std::function<void(const StoreItem &)> onItem; ///< Written, or removed (deleted is set).
+        std::function<void()> onComplete;              ///< After each full listing.
+    };
+
+    static std::shared_ptr<StoreMirror> create(boost::asio::io_context &io, StoreClient &client,
+                                               std::string prefix, Handler handler);
+
+    void start();
+    /** Ends the wait of the present watch early: a neighbour knows something newer. */
+    void hurry();
+    /** Takes over a neighbour's copy, as if the store had listed it. */
+    void absorb(const StorePage &state);
+    bool complete() const { return m_complete; }
+    uint64_t revision() const { return m_revision; }
+    /** Whether the last call was answered. */
+    bool reachable() const { return m_reachable; }
+    const std::map<std::string, StoreItem> &items() const { return m_items; }
+
+private:
+    StoreMirror(boost::asio::io_context &io, StoreClient &client, std::string prefix,
+                Handler handler);
+
+    void list(const std::string &afterKey);
+    void listed(const StorePage &page);
+    void watch();
+    void failed(const absl::Status &status);
+    void answered();
+    void apply(const StoreItem &item);
+    void removeMissing(const std::set<std::string> &present, uint64_t revision);
+    void removeAfterOutage();
+    void remove(const std::string &key, uint64_t revision);
+
+    boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_removal;
+    StoreClient &m_client;
+    std::string m_prefix;
+    Handler m_handler;
+    std::map<std::string, StoreItem> m_items;
+    std::set<std::string> m_seen;              ///< Keys of the listing under way.
+    std::map<std::string, uint64_t> m_pending; ///< Removals held back after an outage.
+    uint64_t m_revision = 0;
+    uint64_t m_listRevision = 0;
+    uint64_t m_round = 0; ///< Counts calls, so that the answer of an abandoned one is told apart.
+    core::TimePoint m_lastAnswer{};
+    core::TimePoint m_outageEnd{};
+    bool m_reachable = false;
+    bool m_complete = false;
+    bool m_watching = false;
+};
+
+} // namespace jujube::serving
--- a/src/platform/claimstore.cpp
+++ b/src/state/claimstore.cpp
@@ -1,9 +1,9 @@
-#include "platform/claimstore.h"
+#include "state/claimstore.h"
 
 #include "core/keyhash.h"
 #include "core/text.h"
 
-namespace jujube::platform {
+namespace jujube::state {
 
 namespace {
 
@@ -195,4 +195,4 @@
     return page;
 }
 
-} // namespace jujube::platform
+} // namespace jujube::state
--- a/src/platform/claimstore.h
+++ b/src/state/claimstore.h
@@ -4,7 +4,7 @@
  * Defines claims: the record that a caller's Idempotency-Key is taken, shared by all entries.
  */
 
-#include "platform/kvclient.h"
+#include "state/kvclient.h"
 
 #include <absl/status/statusor.h>
 
@@ -14,7 +14,7 @@
 #include <variant>
 #include <vector>
 
-namespace jujube::platform {
+namespace jujube::state {
 
 /** The claim is new: the request may run now, once. */
 struct ClaimGranted
@@ -110,4 +110,4 @@
     size_t m_background = 0;
 };
 
-} // namespace jujube::platform
+} // namespace jujube::state
--- a/src/platform/fleetclient.cpp
+++ b/src/state/fleetclient.cpp
@@ -1,11 +1,11 @@
-#include "platform/fleetclient.h"
+#include "state/fleetclient.h"
 
 #include "core/text.h"
 #include "wire/json.h"
 
 #include <QUrl>
 
-namespace jujube::platform {
+namespace jujube::state {
 
 namespace {
 
@@ -125,4 +125,4 @@
     co_return knownToPlatform(response);
 }
 
-} // namespace jujube::platform
+} // namespace jujube::state
--- a/src/platform/fleetclient.h
+++ b/src/state/fleetclient.h
@@ -4,10 +4,10 @@
  * Defines the client of the platform's interfaces for endpoints, VMs and usage reports.
  */
 
-#include "platform/plan.h"
+#include "state/plan.h"
 #include "wire/httpclient.h"
 
-namespace jujube::platform {
+namespace jujube::state {
 
 /** One VM of the platform's list, which lags behind the truth. */
 struct VmListing
@@ -50,4 +50,4 @@
     core::Milliseconds m_timeout;
 };
 
-} // namespace jujube::platform
+} // namespace jujube::state
--- a/src/platform/kvclient.cpp
+++ b/src/state/kvclient.cpp
@@ -1,9 +1,9 @@
-#include "platform/kvclient.h"
+#include "state/kvclient.h"
 #include "core/text.h"
 
 #include <QUrl>
 
-namespace jujube::platform {
+namespace jujube::state {
 
 namespace {
 
@@ -194,4 +194,4 @@
     co_return last;
 }
 
-} // namespace jujube::platform
+} // namespace jujube::state
--- a/src/platform/kvclient.h
+++ b/src/state/kvclient.h
@@ -13,7 +13,7 @@
 #include <string>
 #include <vector>
 
-namespace jujube::platform {
+namespace jujube::state {
 
 /** A key's value. Revision 0 means that the key does not exist. */
 struct KvEntry
@@ -88,4 +88,4 @@
     uint64_t m_calls = 0;
 };
 
-} // namespace jujube::platform
+} // namespace jujube::state
--- a/src/platform/leaseholder.cpp
+++ b/src/state/leaseholder.cpp
@@ -1,6 +1,6 @@
-#include "platform/leaseholder.h"
+#include "state/leaseholder.h"
 
-namespace jujube::platform {
+namespace jujube::state {
 
 LeaseHolder::LeaseHolder(wire::IoContext &io, KvClient &kv, std::string key, std::string holder,
                          core::Milliseconds ttl)
@@ -60,4 +60,4 @@
     co_await m_kv.revokeLease(lease);
 }
 
-} // namespace jujube::platform
+} // namespace jujube::state
--- a/src/platform/leaseholder.h
+++ b/src/state/leaseholder.h
@@ -4,9 +4,9 @@
  * Defines a lease on one key of the KV and the time until which its holder may act.
  */
 
-#include "platform/kvclient.h"
+#include "state/kvclient.h"
 
-namespace jujube::platform {
+namespace jujube::state {
 
 /** Holds one key under a KV lease.
  *
@@ -44,4 +44,4 @@
     core::TimePoint m_validUntil{};
 };
 
-} // namespace jujube::platform
+} // namespace jujube::state
--- a/src/platform/plan.cpp
+++ b/src/state/plan.cpp
@@ -1,9 +1,9 @@
-#include "platform/plan.h"
+#include "state/plan.h"
 
 #include "core/text.h"
 #include "wire/json.h"
 
-namespace jujube::platform {
+namespace jujube::state {
 
 namespace {
 
@@ -113,4 +113,4 @@
     return core::concat("fleet/plan/", scope);
 }
 
-} // namespace jujube::platform
+} // namespace jujube::state
--- a/src/platform/plan.h
+++ b/src/state/plan.h
@@ -14,7 +14,7 @@
 #include <string>
 #include <vector>
 
-namespace jujube::platform {
+namespace jujube::state {
 
 /** Number of an order. It grows with every controller (term) and every change (sequence). */
 struct OrderNumber
@@ -69,4 +69,4 @@
 
 std::string planKey(const std::string &scope);
 
-} // namespace jujube::platform
+} // namespace jujube::state
--- a/src/platform/registry.cpp
+++ b/src/state/registry.cpp
@@ -1,9 +1,9 @@
-#include "platform/registry.h"
+#include "state/registry.h"
 
 #include "core/text.h"
 #include "wire/json.h"
 
-namespace jujube::platform {
+namespace jujube::state {
 
 std::string AgentRecord::serialize() const
 {
@@ -66,4 +66,4 @@
     return core::concat(EntryPrefix, name);
 }
 
-} // namespace jujube::platform
+} // namespace jujube::state
--- a/src/platform/registry.h
+++ b/src/state/registry.h
@@ -5,13 +5,13 @@
  */
 
 #include "core/work.h"
-#include "platform/kvclient.h"
+#include "state/kvclient.h"
 
 #include <absl/status/statusor.h>
 
 #include <string>
 
-namespace jujube::platform {
+namespace jujube::state {
 
 /** An endpoint VM's agent as registered. One write at its start, one when it leaves. */
 struct AgentRecord
@@ -47,4 +47,4 @@
 std::string agentKey(const std::string &vm);
 std::string entryKey(const std::string &name);
 
-} // namespace jujube::platform
+} // namespace jujube::state
--- a/src/platform/usageledger.cpp
+++ b/src/state/usageledger.cpp
@@ -1,9 +1,9 @@
-#include "platform/usageledger.h"
+#include "state/usageledger.h"
 
 #include "core/text.h"
 #include "wire/json.h"
 
-namespace jujube::platform {
+namespace jujube::state {
 
 namespace {
 
@@ -155,4 +155,4 @@
     return result.serialize();
 }
 
-} // namespace jujube::platform
+} // namespace jujube::state
--- a/src/platform/usageledger.h
+++ b/src/state/usageledger.h
@@ -5,14 +5,14 @@
  */
 
 #include "core/work.h"
-#include "platform/kvclient.h"
+#include "state/kvclient.h"
 
 #include <compare>
 #include <map>
 #include <string>
 #include <vector>
 
-namespace jujube::platform {
+namespace jujube::state {
 
 /** Which end of a request counted it. */
 enum class UsageSide { Entry, Agent };
@@ -97,4 +97,4 @@
     std::map<uint64_t, Page> m_pages;
 };
 
-} // namespace jujube::platform
+} // namespace jujube::state
--- /dev/null
+++ b/src/wire/news.capnp
@@ -0,0 +1,33 @@
+# What gateways tell each other: load and usage several times a second in datagrams, and on request
+# the part of the store that they mirror.
+@0xd3b07384d113edec;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("jujube::wire::schema");
+
+# Load of one gateway on one endpoint.
+struct LoadShare {
+  endpoint @0 :UInt64;      # hash of the endpoint's id
+  running @1 :UInt16;
+  backlogTokens @2 :UInt32; # prompt tokens sent and not read yet
+  changing @3 :Bool;        # the sender has ordered a change of stage that is not done
+}
+
+struct TeamCount { team @0 :Text; count @1 :UInt32; }
+
+# Requests that began to run in one usage window, as counted by one run of a gateway.
+struct WindowCounts { run @0 :UInt64; window @1 :UInt64; counts @2 :List(TeamCount); }
+
+struct GatewayNews {
+  name @0 :Text;
+  run @1 :UInt64;            # incarnation of the sender
+  sequence @2 :UInt64;       # a datagram that was overtaken is ignored
+  configVersion @3 :UInt64;
+  storeRevision @4 :UInt64;  # newest revision the sender knows of
+  promptTokensPerSecond @5 :Float32;
+  shares @6 :List(LoadShare);
+  windows @7 :List(WindowCounts);
+}
+
+struct StateItem { key @0 :Text; value @1 :Data; revision @2 :UInt64; }
+struct GatewayState { items @0 :List(StateItem); revision @1 :UInt64; }
--- a/test/correctness/controller.cpp
+++ b/test/correctness/controller.cpp
@@ -5,7 +5,7 @@
 #include "control/controller.h"
 #include "core/keyhash.h"
 #include "fakes/platformstandin.h"
-#include "platform/registry.h"
+#include "state/registry.h"
 #include "support/loop.h"
 
 #include <criterion/criterion.h>
@@ -22,7 +22,7 @@
         : http(loop.io()),
           kv(http, address, 1s),
           fleet(http, address, 1s),
-          mirror(loop.io(), kv, platform::FleetPrefix, core::ConfigPrefix),
+          mirror(loop.io(), kv, state::FleetPrefix, core::ConfigPrefix),
           view(
               loop.io(), {name, "s"}, 16, [] { return wire::PingMessage(); },
               [](const core::Evidence &) {}),
@@ -34,8 +34,8 @@
     }
 
     wire::HttpClient http;
-    platform::KvClient kv;
-    platform::FleetClient fleet;
+    state::KvClient kv;
+    state::FleetClient fleet;
     entry::KvMirror mirror;
     entry::FleetView view;
     control::UsageReporter reporter;
@@ -49,21 +49,21 @@
     {
     }
 
-    platform::Plan plan()
+    state::Plan plan()
     {
-        return *platform::Plan::parse(loop.wait(a.kv.get(platform::planKey("main")))->value);
+        return *state::Plan::parse(loop.wait(a.kv.get(state::planKey("main")))->value);
     }
 
     void registerAgent(const std::string &vm)
     {
-        platform::AgentRecord record;
+        state::AgentRecord record;
         record.vm = vm;
         record.address = "127.0.0.1:9";
         record.domain = "d";
         record.model = "m";
         record.incarnation = 1;
         cr_assert(
-            loop.wait(a.kv.compareAndSwap(platform::agentKey(vm), 0, record.serialize())).ok());
+            loop.wait(a.kv.compareAndSwap(state::agentKey(vm), 0, record.serialize())).ok());
     }
 
     // Removes the lease's key, as a lapse does, while its holder still believes in it.
@@ -117,7 +117,7 @@
     fixture.loop.runFor(2s);
     cr_assert_not(fixture.a.controller.inCharge());
     cr_assert(fixture.b.controller.inCharge());
-    const platform::Plan plan = fixture.plan();
+    const state::Plan plan = fixture.plan();
     cr_assert_eq(plan.holder, "b");
     cr_assert_gt(plan.term, firstTerm);
     cr_assert_eq(plan.endpoints.at("vm-1").number.term, plan.term);
--- a/test/correctness/endpointgate.cpp
+++ b/test/correctness/endpointgate.cpp
@@ -23,7 +23,7 @@
         : server(std::move(handler)),
           http(loop.io()),
           kv(http, "127.0.0.1:9", 100ms),
-          ledger(kv, "main", platform::UsageSide::Agent, Incarnation),
+          ledger(kv, "main", state::UsageSide::Agent, Incarnation),
           engine(http, server.address()),
           gate(loop.io(), engine, ledger, settings(), Incarnation)
     {
@@ -66,8 +66,8 @@
     test::Loop loop;
     test::ScriptedServer server;
     wire::HttpClient http;
-    platform::KvClient kv;
-    platform::UsageLedger ledger;
+    state::KvClient kv;
+    state::UsageLedger ledger;
     agent::EngineClient engine;
     agent::EndpointGate gate;
 };
--- a/test/correctness/kvmirror.cpp
+++ b/test/correctness/kvmirror.cpp
@@ -16,7 +16,7 @@
 {
     test::Loop loop;
     wire::HttpClient http{loop.io()};
-    platform::KvClient kv{http, "127.0.0.1:9", 100ms};
+    state::KvClient kv{http, "127.0.0.1:9", 100ms};
     entry::KvMirror mirror{loop.io(), kv, "fleet/", "fleet/config/"};
 };
 
--- a/test/correctness/plan.cpp
+++ b/test/correctness/plan.cpp
@@ -2,13 +2,13 @@
  * Tests that order numbers grow with every change and every term, and survive storage.
  */
 
-#include "platform/plan.h"
+#include "state/plan.h"
 
 #include <criterion/criterion.h>
 
 using namespace jujube;
-using platform::OrderNumber;
-using platform::Plan;
+using state::OrderNumber;
+using state::Plan;
 
 Test(plan, an_endpoint_gets_a_new_number_only_when_it_changes)
 {
@@ -34,13 +34,13 @@
     plan.holder = "entry1";
     plan.writeNumber = 8;
     plan.setEndpoint("vm", core::Role::Prefill, core::EngineIntent::Withdrawn);
-    plan.fleetOrders.push_back({"remove-vm-1", platform::FleetAction::Remove, "domain-1", "vm",
-                                platform::FleetOrderState::Intended, 42});
+    plan.fleetOrders.push_back({"remove-vm-1", state::FleetAction::Remove, "domain-1", "vm",
+                                state::FleetOrderState::Intended, 42});
     const auto read = Plan::parse(plan.serialize());
     cr_assert(read.ok());
     cr_assert_eq(read->serialize(), plan.serialize());
     cr_assert(read->endpoints.at("vm").role == core::Role::Prefill);
-    cr_assert(read->fleetOrders.at(0).state == platform::FleetOrderState::Intended);
+    cr_assert(read->fleetOrders.at(0).state == state::FleetOrderState::Intended);
 }
 
 Test(plan, an_unreadable_value_is_an_error_and_not_an_empty_plan)
