--- a/test/correctness/platform.cpp
+++ b/test/correctness/platform.cpp
@@ -4,8 +4,8 @@
 
 #include "control/usagereporter.h"
 #include "fakes/platformstandin.h"
-#include "platform/claimstore.h"
-#include "platform/leaseholder.h"
+#include "state/claimstore.h"
+#include "state/leaseholder.h"
 #include "support/loop.h"
 
 #include <criterion/criterion.h>
@@ -30,8 +30,8 @@
     test::PlatformStandIn platform;
     std::string address;
     wire::HttpClient http;
-    platform::KvClient kv;
-    platform::FleetClient fleet;
+    state::KvClient kv;
+    state::FleetClient fleet;
 };
 
 // Never destroyed: detached coroutines refer to it until the test process ends.
@@ -40,9 +40,9 @@
     return *new Fixture;
 }
 
-bool granted(const absl::StatusOr<platform::ClaimResult> &result)
+bool granted(const absl::StatusOr<state::ClaimResult> &result)
 {
-    return result.ok() && std::holds_alternative<platform::ClaimGranted>(*result);
+    return result.ok() && std::holds_alternative<state::ClaimGranted>(*result);
 }
 
 } // namespace
@@ -52,7 +52,7 @@
     Fixture &fixture = newFixture();
     fixture.platform.setFault("kv_lose_answers", 1);
     const auto written = fixture.loop.wait(
-        fixture.kv.update("k", [](const platform::KvEntry &) { return std::string("mine"); }));
+        fixture.kv.update("k", [](const state::KvEntry &) { return std::string("mine"); }));
     cr_assert(written.ok(), "%s", written.status().ToString().c_str());
     cr_assert_eq(fixture.platform.countOf("kv.put"), 1U);
 }
@@ -60,8 +60,8 @@
 Test(lease, only_one_holder_at_a_time_and_the_next_after_it_lapsed)
 {
     Fixture &fixture = newFixture();
-    platform::LeaseHolder first(fixture.loop.io(), fixture.kv, "lock", "first", 400ms);
-    platform::LeaseHolder second(fixture.loop.io(), fixture.kv, "lock", "second", 400ms);
+    state::LeaseHolder first(fixture.loop.io(), fixture.kv, "lock", "first", 400ms);
+    state::LeaseHolder second(fixture.loop.io(), fixture.kv, "lock", "second", 400ms);
     cr_assert(fixture.loop.wait(first.tryAcquire()));
     cr_assert_not(fixture.loop.wait(second.tryAcquire()));
     cr_assert(fixture.loop.wait(first.renew()));
@@ -74,8 +74,8 @@
 Test(lease, a_released_lease_is_free_at_once)
 {
     Fixture &fixture = newFixture();
-    platform::LeaseHolder first(fixture.loop.io(), fixture.kv, "lock", "first", 60s);
-    platform::LeaseHolder second(fixture.loop.io(), fixture.kv, "lock", "second", 60s);
+    state::LeaseHolder first(fixture.loop.io(), fixture.kv, "lock", "first", 60s);
+    state::LeaseHolder second(fixture.loop.io(), fixture.kv, "lock", "second", 60s);
     cr_assert(fixture.loop.wait(first.tryAcquire()));
     fixture.loop.wait(first.release());
     cr_assert_not(first.held());
@@ -85,31 +85,31 @@
 Test(claims, a_key_is_granted_once_over_two_entries)
 {
     Fixture &fixture = newFixture();
-    platform::ClaimStore one(fixture.loop.io(), fixture.kv, "main", 4, 60min);
-    platform::ClaimStore two(fixture.loop.io(), fixture.kv, "main", 4, 60min);
+    state::ClaimStore one(fixture.loop.io(), fixture.kv, "main", 4, 60min);
+    state::ClaimStore two(fixture.loop.io(), fixture.kv, "main", 4, 60min);
     cr_assert(granted(fixture.loop.wait(one.claim("key", "r1", 7))));
     const auto taken = fixture.loop.wait(two.claim("key", "r2", 7));
-    cr_assert(std::holds_alternative<platform::ClaimTaken>(*taken));
+    cr_assert(std::holds_alternative<state::ClaimTaken>(*taken));
     const auto reused = fixture.loop.wait(two.claim("key", "r3", 8));
-    cr_assert(std::holds_alternative<platform::ClaimMismatch>(*reused));
+    cr_assert(std::holds_alternative<state::ClaimMismatch>(*reused));
 }
 
 Test(claims, the_answer_of_a_settled_claim_is_repeated)
 {
     Fixture &fixture = newFixture();
-    platform::ClaimStore one(fixture.loop.io(), fixture.kv, "main", 4, 60min);
-    platform::ClaimStore two(fixture.loop.io(), fixture.kv, "main", 4, 60min);
+    state::ClaimStore one(fixture.loop.io(), fixture.kv, "main", 4, 60min);
+    state::ClaimStore two(fixture.loop.io(), fixture.kv, "main", 4, 60min);
     fixture.loop.wait(one.claim("key", "r1", 7));
     one.settle("key", "r1", {201, "text/plain", "receipt 5", true});
     fixture.loop.runFor(200ms);
     const auto again = fixture.loop.wait(two.claim("key", "r2", 7));
-    cr_assert_eq(std::get<platform::ClaimAnswered>(*again).body, "receipt 5");
+    cr_assert_eq(std::get<state::ClaimAnswered>(*again).body, "receipt 5");
 }
 
 Test(claims, a_claim_given_back_can_be_claimed_again)
 {
     Fixture &fixture = newFixture();
-    platform::ClaimStore one(fixture.loop.io(), fixture.kv, "main", 4, 60min);
+    state::ClaimStore one(fixture.loop.io(), fixture.kv, "main", 4, 60min);
     fixture.loop.wait(one.claim("key", "r1", 7));
     one.release("key", "r1");
     fixture.loop.runFor(200ms);
@@ -119,7 +119,7 @@
 Test(claims, without_the_kv_a_claim_is_refused_and_does_not_bar_the_next_try)
 {
     Fixture &fixture = newFixture();
-    platform::ClaimStore one(fixture.loop.io(), fixture.kv, "main", 4, 60min);
+    state::ClaimStore one(fixture.loop.io(), fixture.kv, "main", 4, 60min);
     fixture.platform.setFault("kv_outage", 1);
     cr_assert_not(fixture.loop.wait(one.claim("key", "r1", 7)).ok());
     fixture.platform.setFault("kv_outage", 0);
@@ -130,8 +130,8 @@
 Test(claims, claims_that_arrive_together_share_a_write)
 {
     Fixture &fixture = newFixture();
-    platform::ClaimStore one(fixture.loop.io(), fixture.kv, "main", 1, 60min);
-    std::vector<wire::Task<absl::StatusOr<platform::ClaimResult>>> pending;
+    state::ClaimStore one(fixture.loop.io(), fixture.kv, "main", 1, 60min);
+    std::vector<wire::Task<absl::StatusOr<state::ClaimResult>>> pending;
     pending.reserve(50);
     for (int i = 0; i < 50; ++i)
         pending.push_back(one.claim("key" + std::to_string(i), "r" + std::to_string(i), 1));
@@ -144,7 +144,7 @@
 {
     Fixture &fixture = newFixture();
     fixture.loop.wait(fixture.kv.compareAndSwap("claims/main/0", 0, "{broken"));
-    platform::ClaimStore one(fixture.loop.io(), fixture.kv, "main", 1, 60min);
+    state::ClaimStore one(fixture.loop.io(), fixture.kv, "main", 1, 60min);
     cr_assert_not(fixture.loop.wait(one.claim("key", "r1", 7)).ok());
     cr_assert_eq(fixture.loop.wait(fixture.kv.get("claims/main/0"))->value, "{broken");
 }
@@ -152,18 +152,18 @@
 Test(usagereports, a_report_whose_answer_was_lost_is_not_sent_again)
 {
     Fixture &fixture = newFixture();
-    platform::LeaseHolder lease(fixture.loop.io(), fixture.kv, "lock", "me", 60s);
+    state::LeaseHolder lease(fixture.loop.io(), fixture.kv, "lock", "me", 60s);
     cr_assert(fixture.loop.wait(lease.tryAcquire()));
-    platform::UsageLedger ledger(fixture.kv, "main", platform::UsageSide::Entry, 11);
+    state::UsageLedger ledger(fixture.kv, "main", state::UsageSide::Entry, 11);
     control::ReporterSettings settings;
     settings.scope = "main";
     settings.window = 1s;
     settings.grace = 100ms;
     control::UsageReporter reporter(fixture.kv, fixture.fleet, settings,
                                     [](uint64_t) { return true; });
-    platform::UsageFigures figures;
+    state::UsageFigures figures;
     figures.requests = 3;
-    ledger.count(platform::windowOf(core::wallTime(), 1s), 22, "team", figures);
+    ledger.count(state::windowOf(core::wallTime(), 1s), 22, "team", figures);
     cr_assert(fixture.loop.wait(ledger.flush()).ok());
     cr_assert(ledger.clean());
     fixture.platform.setFault("report_lose_answers", 1);
--- a/test/correctness/requestsession.cpp
+++ b/test/correctness/requestsession.cpp
@@ -102,7 +102,7 @@
           router({}),
           prefixes(100),
           retries({}),
-          ledger(kv, "main", platform::UsageSide::Entry, 1),
+          ledger(kv, "main", state::UsageSide::Entry, 1),
           claims(loop.io(), kv, "main", 1, 60min),
           random(1)
     {
@@ -111,7 +111,7 @@
     // Registers an agent; without a script nothing listens at its address.
     void addAgent(std::optional<Script> script)
     {
-        platform::AgentRecord record;
+        state::AgentRecord record;
         record.vm = core::concat("vm-", agents.size());
         record.address = core::concat("127.0.0.1:", port++);
         record.domain = "d";
@@ -162,15 +162,15 @@
     int port;
     test::Loop loop;
     wire::HttpClient http;
-    platform::KvClient kv;
+    state::KvClient kv;
     entry::FleetView fleet;
     policy::Router router;
     policy::PrefixIndex prefixes;
     policy::RetryBudget retries;
-    platform::UsageLedger ledger;
-    platform::ClaimStore claims;
+    state::UsageLedger ledger;
+    state::ClaimStore claims;
     std::mt19937_64 random;
-    std::vector<platform::AgentRecord> agents;
+    std::vector<state::AgentRecord> agents;
     std::vector<std::unique_ptr<wire::RpcServer>> servers;
     std::vector<uint32_t> resumedFrom;
     std::string text;
--- a/test/correctness/usage.cpp
+++ b/test/correctness/usage.cpp
@@ -7,9 +7,9 @@
 #include <criterion/criterion.h>
 
 using namespace jujube;
-using platform::UsageFigures;
-using platform::UsagePage;
-using platform::UsageSide;
+using state::UsageFigures;
+using state::UsagePage;
+using state::UsageSide;
 
 namespace {
 
@@ -90,6 +90,6 @@
 Test(usage, windows_start_at_multiples_of_their_length)
 {
     using namespace std::chrono_literals;
-    cr_assert_eq(platform::windowOf(119'999ms, 60s), 60U);
-    cr_assert_eq(platform::windowOf(120'000ms, 60s), 120U);
+    cr_assert_eq(state::windowOf(119'999ms, 60s), 60U);
+    cr_assert_eq(state::windowOf(120'000ms, 60s), 120U);
 }
--- a/test/performance/routing.cpp
+++ b/test/performance/routing.cpp
@@ -20,11 +20,11 @@
 constexpr int DecisionsPerRound = 20'000;
 constexpr size_t MaxCandidates = 16; // the default of an entry's max_candidates
 
-std::vector<platform::AgentRecord> records(size_t count)
+std::vector<state::AgentRecord> records(size_t count)
 {
-    std::vector<platform::AgentRecord> result;
+    std::vector<state::AgentRecord> result;
     for (size_t i = 0; i < count; ++i) {
-        platform::AgentRecord record;
+        state::AgentRecord record;
         record.vm = core::concat("vm-", i);
         record.address = "127.0.0.1:9";
         record.domain = core::concat("domain-", i % 3);
