--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <limits>
 
 namespace jujube::http {
 
@@ -88,7 +89,7 @@
     Base::eager(true);
     Base::header_limit(maxHeadBytes);
     // Bodies are bounded by whoever takes them, who knows the configured limit.
-    Base::body_limit(boost::none);
+    Base::body_limit(std::numeric_limits<uint64_t>::max());
 }
 
 template <bool IsRequest>
