Prompts wait in the gateway and go by predicted first token; shared parts are fetched

Change: a prompt queue (small and urgent kinds first, late ones behind), both ways of reading predicted and fitted to what is observed, parts fetched from their holder, and clients' patience with silent streams.

--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -19,7 +19,7 @@
     std::optional<size_t> home;
     uint64_t best = 0;
     for (size_t i = 0; i < engines.size(); ++i) {
-        if (!engines[i].usable)
+        if (!engines[i].usable || !engines[i].readsApart)
             continue;
         const uint64_t score
             = XXH3_64bits_withSeed(engines[i].id.data(), engines[i].id.size(), affinity);
@@ -31,35 +31,33 @@
     return home;
 }
 
-double uncached(const PlacementView &engine, const PromptSize &prompt)
-{
-    return prompt.tokens - static_cast<double>(std::min(engine.cachedTokens, prompt.tokens));
-}
-
 } // namespace
 
-std::optional<PrefillChoice> choosePrefill(const std::vector<PlacementView> &engines,
-                                           const PromptSize &prompt,
-                                           const PlacementSettings &settings,
-                                           std::mt19937_64 &random)
+std::optional<ReadChoice> chooseReader(const std::vector<PlacementView> &engines,
+                                       const PromptSize &prompt, const PlacementSettings &settings,
+                                       std::mt19937_64 &random)
 {
-    const auto home = prompt.affinity != 0 ? homeOf(engines, prompt.affinity) : std::nullopt;
-    std::optional<PrefillChoice> choice;
+    // The home matters only for the first reader: later ones fetch from whoever holds the parts.
+    const bool unread = prompt.affinity != 0 && prompt.fetchableTokens == 0;
+    const auto home = unread ? homeOf(engines, prompt.affinity) : std::nullopt;
+    std::optional<ReadChoice> choice;
     double best = std::numeric_limits<double>::max();
     std::uniform_real_distribution<double> tie(0, 1);
     for (size_t i = 0; i < engines.size(); ++i) {
         const PlacementView &engine = engines[i];
-        if (!engine.usable)
+        if (!engine.usable || (!engine.readsApart && engine.running >= engine.slots * settings.selfReadUse))
             continue;
-        const double missing = uncached(engine, prompt);
-        const double expected = home == i ? std::min(missing, prompt.tokens * settings.homeShare)
-                                          : missing;
-        const double ms = (engine.backlogTokens + expected) * engine.slowness
-                / settings.prefillTokensPerMs
-            + tie(random);
+        const ReadPath &path = engine.readsApart ? settings.apart : settings.itself;
+        const bool fetch = prompt.fetchableTokens > engine.cachedTokens + settings.leastFetch;
+        const uint32_t held = fetch ? prompt.fetchableTokens : engine.cachedTokens;
+        const double missing = prompt.tokens - std::min(held, prompt.tokens);
+        const double expected
+            = home == i ? std::min(missing, prompt.tokens * (1 - settings.homeShare)) : missing;
+        const double ms = path.fixedMs + (fetch ? settings.fetchMs : 0)
+            + (engine.backlogTokens + expected) * engine.slowness / path.tokensPerMs + tie(random);
         if (ms < best) {
             best = ms;
-            choice = PrefillChoice{i, static_cast<uint32_t>(missing), wholeMs(ms)};
+            choice = ReadChoice{i, static_cast<uint32_t>(missing), fetch, wholeMs(ms)};
         }
     }
     return choice;
@@ -89,12 +87,4 @@
     return choice;
 }
 
-core::Milliseconds predictSelfPrefill(const PlacementView &engine, const PromptSize &prompt,
-                                      const PlacementSettings &settings)
-{
-    const double rate = settings.prefillTokensPerMs * settings.selfPrefillShare;
-    return wholeMs((engine.backlogTokens + uncached(engine, prompt)) * engine.slowness / rate)
-        + settings.firstToken;
-}
-
 } // namespace jujube::policy
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -15,58 +15,67 @@
 
 namespace jujube::policy {
 
-/** One endpoint as a placement sees it. Loads cover all entries, as far as they are known. */
+/** One endpoint as a placement sees it. Loads cover all gateways, as far as they are known. */
 struct PlacementView
 {
     std::string_view id;
     std::string_view domain;
     uint32_t slots = 1;
-    double running = 0;         ///< Requests there now.
-    double backlogTokens = 0;   ///< Prompt tokens sent there and not read yet.
-    uint32_t cachedTokens = 0;  ///< Of this request's prompt.
-    double slowness = 1;        ///< Observed against expected time.
-    bool usable = true;         ///< May be given new work.
-    bool probe = false;         ///< Failed lately; gets single requests to test it.
+    double running = 0;        ///< Requests there now.
+    double backlogTokens = 0;  ///< Prompt tokens sent there and not read yet.
+    uint32_t cachedTokens = 0; ///< Of this request's prompt.
+    double slowness = 1;       ///< Observed against expected time.
+    bool readsApart = false;   ///< Reads prompts for others to decode; else it reads its own.
+    bool usable = true;        ///< May be given new work.
+    bool probe = false;        ///< Failed lately; gets single requests to test it.
 };
 
 struct PromptSize
 {
     uint32_t tokens = 0;
-    uint64_t affinity = 0; ///< Hash of the last shared part; 0: none.
+    uint64_t affinity = 0;        ///< Hash of the last shared part; 0: none.
+    uint32_t fetchableTokens = 0; ///< Held by some endpoint that others can fetch them from.
+};
+
+/** Time from sending a prompt to its first token, without the wait for what is ahead. */
+struct ReadPath
+{
+    double tokensPerMs = 1;
+    double fixedMs = 0;
 };
 
 struct PlacementSettings
 {
-    double prefillTokensPerMs = 60;  ///< Of an engine in the prefill stage, pieces included.
-    double selfPrefillShare = 0.35;  ///< Speed of a decode engine that reads a prompt itself.
-    core::Milliseconds firstToken{45}; ///< From a prompt that was read to its first token.
-    core::Milliseconds handOver{12};   ///< Fetching a prompt that was read elsewhere.
-    /** Prompt tokens that count as equal to a cache hit at the part's home engine, where parts go
-     * by hash, so that entries that know nothing of each other agree. */
-    double homeShare = 0.6;
+    // Starting values; both are corrected by what is observed (see ReadPathEstimator).
+    ReadPath apart{60, 75};  ///< Read by an engine of the prefill stage, then handed over.
+    ReadPath itself{18, 45}; ///< Read by the decoding engine, between tokens of others.
+    double fetchMs = 10;     ///< Fetching shared parts from another endpoint.
+    uint32_t leastFetch = 256; ///< Tokens below which a fetch costs more than reading.
+    /** Part of a prompt that is expected to be read already at the home of its shared parts, where
+     * homes go by hash, so that gateways that know nothing of each other agree. */
+    double homeShare = 0.4;
+    /** Share of an engine's slots in use up to which it reads prompts between the tokens of others:
+     * reading doubles the time of a step, so the streams that run there last longer. */
+    double selfReadUse = 0.4;
     double crossDomainPenalty = 0.03; ///< Of an endpoint's slots, when all else is equal.
 };
 
-struct PrefillChoice
+struct ReadChoice
 {
     size_t index = 0;
     uint32_t uncachedTokens = 0;
-    core::Milliseconds predicted{}; ///< Until the prompt is read.
+    bool fetch = false;             ///< Shared parts should be fetched from their holder.
+    core::Milliseconds predicted{}; ///< Until the first token.
 };
 
-/** Chooses the engine that is expected to have read the prompt first. */
-std::optional<PrefillChoice> choosePrefill(const std::vector<PlacementView> &engines,
-                                           const PromptSize &prompt,
-                                           const PlacementSettings &settings,
-                                           std::mt19937_64 &random);
+/** Chooses the engine by the expected time to the first token, whichever way it is read. */
+std::optional<ReadChoice> chooseReader(const std::vector<PlacementView> &engines,
+                                       const PromptSize &prompt, const PlacementSettings &settings,
+                                       std::mt19937_64 &random);
 
 /** Chooses the endpoint with the smallest share of its slots in use; draws among equal ones. */
 std::optional<size_t> chooseRunner(const std::vector<PlacementView> &endpoints,
                                    std::string_view domain, const PlacementSettings &settings,
                                    std::mt19937_64 &random);
 
-/** Expected time to the first token if a decode engine reads the prompt itself. */
-core::Milliseconds predictSelfPrefill(const PlacementView &engine, const PromptSize &prompt,
-                                      const PlacementSettings &settings);
-
 } // namespace jujube::policy
--- /dev/null
+++ b/src/policy/promptqueue.cpp
@@ -0,0 +1,108 @@
+#include "policy/promptqueue.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jujube::policy {
+
+namespace {
+
+constexpr double MeanStep = 0.05; // Follows a kind's mean size over its last twenty requests.
+
+} // namespace
+
+void PromptQueue::add(WaitingPrompt prompt)
+{
+    const auto tokens = static_cast<double>(prompt.size.tokens);
+    const auto [mean, added] = m_meanTokens.try_emplace(prompt.kind, tokens);
+    if (!added)
+        mean->second += MeanStep * (tokens - mean->second);
+    m_waiting.push_back(std::move(prompt));
+}
+
+bool PromptQueue::remove(uint64_t id)
+{
+    return std::erase_if(m_waiting, [id](const WaitingPrompt &it) { return it.id == id; }) > 0;
+}
+
+bool PromptQueue::hasRoom(const PlacementView &engine) const
+{
+    return engine.backlogTokens
+        < (engine.readsApart ? m_settings.windowTokens : m_settings.selfWindowTokens);
+}
+
+double PromptQueue::keyOf(const WaitingPrompt &prompt, core::TimePoint now) const
+{
+    const auto mean = m_meanTokens.find(prompt.kind);
+    const double tokens
+        = mean == m_meanTokens.end() ? static_cast<double>(prompt.size.tokens) : mean->second;
+    const bool late = now + m_settings.answerTime > prompt.objectiveAt;
+    return tokens * std::pow(m_settings.rankFactor, prompt.rank)
+        * (late ? m_settings.lateFactor : 1);
+}
+
+std::optional<PromptDispatch> PromptQueue::takeNext(std::vector<PlacementView> &engines,
+                                                    const CachedTokens &cached,
+                                                    const PlacementSettings &placement,
+                                                    core::TimePoint now, std::mt19937_64 &random)
+{
+    const bool room = std::any_of(engines.begin(), engines.end(), [this](const auto &it) {
+        return it.usable && hasRoom(it);
+    });
+    if (!room)
+        return std::nullopt;
+    std::vector<std::pair<double, std::list<WaitingPrompt>::iterator>> order;
+    order.reserve(m_waiting.size());
+    for (auto it = m_waiting.begin(); it != m_waiting.end(); ++it)
+        order.emplace_back(keyOf(*it, now), it);
+    std::stable_sort(order.begin(), order.end(),
+                     [](const auto &a, const auto &b) { return a.first < b.first; });
+    for (size_t i = 0; i < std::min(order.size(), m_settings.scanLimit); ++i) {
+        const auto it = order[i].second;
+        const std::vector<uint32_t> tokens = cached(*it);
+        for (size_t j = 0; j < engines.size(); ++j)
+            engines[j].cachedTokens = tokens[j];
+        const auto choice = chooseReader(engines, it->size, placement, random);
+        if (!choice || !hasRoom(engines[choice->index]))
+            continue;
+        PromptDispatch dispatch{std::move(*it), *choice};
+        m_waiting.erase(it);
+        return dispatch;
+    }
+    return std::nullopt;
+}
+
+std::vector<uint64_t> PromptQueue::takeHopeless(core::TimePoint now)
+{
+    std::vector<uint64_t> ids;
+    for (const WaitingPrompt &it : m_waiting) {
+        if (now + m_settings.answerTime > it.deadlineAt)
+            ids.push_back(it.id);
+    }
+    for (const uint64_t id : ids)
+        remove(id);
+    return ids;
+}
+
+core::Milliseconds PromptQueue::expectedWait(const WaitingPrompt &prompt, double tokensPerSecond,
+                                             core::TimePoint now) const
+{
+    const double key = keyOf(prompt, now);
+    double ahead = 0;
+    for (const WaitingPrompt &it : m_waiting) {
+        if (keyOf(it, now) <= key)
+            ahead += it.size.tokens;
+    }
+    constexpr double MsPerSecond = 1000;
+    return core::Milliseconds(static_cast<int64_t>(MsPerSecond * ahead / tokensPerSecond));
+}
+
+double PromptQueue::waitingTokens() const
+{
+    double sum = 0;
+    for (const WaitingPrompt &it : m_waiting)
+        sum += it.size.tokens;
+    return sum;
+}
+
+} // namespace jujube::policy
--- a/src/serving/endpoints.cpp
+++ b/src/serving/endpoints.cpp
@@ -108,6 +108,21 @@
     return it == m_byService.end() ? None : it->second;
 }
 
+EndpointPtr bestHolder(const std::vector<EndpointPtr> &endpoints,
+                       const std::vector<policy::ChainLink> &prompt)
+{
+    EndpointPtr best;
+    uint32_t most = 0;
+    for (const EndpointPtr &it : endpoints) {
+        const uint32_t tokens = it->gone ? 0 : it->parts.cachedTokens(prompt);
+        if (tokens > most) {
+            most = tokens;
+            best = it;
+        }
+    }
+    return best;
+}
+
 policy::PlacementView viewOf(const Endpoint &endpoint, const std::vector<policy::ChainLink> &prompt,
                              core::TimePoint now)
 {
@@ -119,6 +134,7 @@
     view.backlogTokens = endpoint.own.backlogTokens + endpoint.peers.backlogTokens;
     view.cachedTokens = endpoint.parts.cachedTokens(prompt);
     view.slowness = endpoint.slowness;
+    view.readsApart = endpoint.prefills();
     const auto state = endpoint.health.state(now);
     view.probe = state == policy::OutlierDetector::State::ProbeDue;
     view.usable = endpoint.acceptsWork() && now >= endpoint.changingUntil
--- a/src/serving/endpoints.h
+++ b/src/serving/endpoints.h
@@ -70,6 +70,10 @@
     std::unordered_map<std::string, std::vector<EndpointPtr>> m_byService;
 };
 
+/** The endpoint that is expected to hold most of a prompt; null if none holds any. */
+EndpointPtr bestHolder(const std::vector<EndpointPtr> &endpoints,
+                       const std::vector<policy::ChainLink> &prompt);
+
 /** The view of an endpoint for a placement. */
 policy::PlacementView viewOf(const Endpoint &endpoint,
                              const std::vector<policy::ChainLink> &prompt, core::TimePoint now);
--- a/src/serving/fleetconfig.h
+++ b/src/serving/fleetconfig.h
@@ -38,6 +38,7 @@
     core::Milliseconds timeout{};     ///< Longest time to the final answer.
     core::Milliseconds objective{};   ///< Time to a whole answer, or to the first event.
     core::Milliseconds gapObjective{}; ///< Longest pause between two events.
+    core::Milliseconds patience{};     ///< How long clients of a stream wait for an event; 0: none.
     uint32_t maxAttempts = 1;          ///< Endpoints that may run one request.
     uint32_t rank = 5;                 ///< 0 is the most urgent.
     bool open = false;                 ///< Needs no key.
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -41,13 +41,15 @@
 Gateway::Gateway(boost::asio::io_context &io, NodeSettings settings)
     : m_io(io), m_settings(std::move(settings)), m_random(std::random_device()()),
       m_run(m_random()), m_caller(io), m_pool(io), m_store(m_caller, m_settings.storeAddress),
-      m_usage(m_settings.usageWindow), m_promptTokens(PromptRateTime),
+      m_usage(m_settings.usageWindow), m_apart(m_placement.apart),
+      m_itself(m_placement.itself), m_promptTokens(PromptRateTime),
       m_leadership(io, m_store, m_random, m_settings.name,
                    std::max(m_settings.leaseTime, m_settings.minLeaseTime)),
       m_peers(io, m_caller, m_endpoints,
               {[this]() { return composeNews(); }, [this]() { return mirroredState(); },
                [this](const News &news) { onNews(news); },
                [this](const StorePage &state) { onPeerState(state); }}),
+      m_prompts(io, m_endpoints, m_placement, m_random, [this]() { return m_peers.aliveCount(); }),
       m_dutyServices{io,
                      m_caller,
                      m_store,
@@ -68,9 +70,12 @@
                         m_endpoints,
                         m_pool,
                         m_caller,
+                        m_prompts,
                         m_usage,
                         m_random,
                         m_placement,
+                        m_apart,
+                        m_itself,
                         m_settings.domain,
                         [this](const std::string &service) -> policy::SendBudget & {
                             const policy::SendBudgetSettings budget{
@@ -362,6 +367,7 @@
 
 void Gateway::onNews(const News &news)
 {
+    m_prompts.wake();
     for (const NewsWindow &it : news.windows) {
         if (it.run != m_run)
             m_usage.merge(it.run, it.window, it.counts);
@@ -401,6 +407,8 @@
             return;
         const TimePoint now = core::BootClock::now();
         followPeers(now);
+        m_placement.apart = m_apart.path();
+        m_placement.itself = m_itself.path();
         if (m_mirror->complete() && m_mirror->reachable() && !m_draining) {
             if (!m_registered && !m_registering)
                 registerSelf();
--- a/src/serving/gateway.h
+++ b/src/serving/gateway.h
@@ -61,10 +61,13 @@
     EndpointTable m_endpoints;
     UsageCounts m_usage;
     policy::PlacementSettings m_placement;
+    policy::ReadPathEstimator m_apart;
+    policy::ReadPathEstimator m_itself;
     policy::RateMeter m_promptTokens;
     std::map<std::string, policy::SendBudget> m_budgets;
     Leadership m_leadership;
     PeerMesh m_peers;
+    PromptScheduler m_prompts;
     DutyServices m_dutyServices;
     UsageDuty m_usageDuty;
     StageDuty m_stageDuty;
--- a/src/serving/requesttypes.h
+++ b/src/serving/requesttypes.h
@@ -44,8 +44,9 @@
     std::string team;
     std::optional<uint32_t> priority; ///< 0 is served first, 9 last.
     bool prefillOnly = false;
-    std::string cacheSource;    ///< "address/handle" of a prompt that was read elsewhere.
-    std::string resumeAfter;    ///< Last event the client has.
+    std::string cacheSource; ///< "address/handle" of a prompt that was read elsewhere.
+    std::string fetchFrom;   ///< Address of an endpoint that holds more of the prompt.
+    std::string resumeAfter; ///< Last event the client has.
 };
 
 struct EndpointLoad
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace jujube::serving {
 
@@ -40,7 +41,6 @@
 constexpr Milliseconds HandleReleaseTimeout{1'000};
 // An endpoint that refuses is full or changing: others are asked for a moment.
 constexpr Milliseconds RefusalPause{150};
-constexpr Milliseconds ReadOverhead{15}; ///< Of a prefill call besides the reading.
 
 // Statuses that promise that a request has not run. Only what states it plainly is believed.
 bool promisesNotRun(uint32_t status)
@@ -107,9 +107,10 @@
         timedOut();
         return;
     }
-    if (wantsPrefill() && sendPrefill())
-        return;
-    sendRun();
+    if (wantsPrefill())
+        waitForEngine();
+    else
+        sendRun();
 }
 
 bool Session::wantsPrefill() const
@@ -118,40 +119,68 @@
         && m_request.facts.lastEvent.empty() && m_prompt.tokens > 0;
 }
 
-bool Session::sendPrefill()
+void Session::waitForEngine()
 {
-    const TimePoint now = core::BootClock::now();
-    std::vector<EndpointPtr> engines;
-    std::vector<policy::PlacementView> views;
-    for (const EndpointPtr &it : m_services.endpoints.ofService(m_request.service)) {
-        if (!it->prefills() || m_avoid.contains(it->record.id))
-            continue;
-        engines.push_back(it);
-        views.push_back(viewOf(*it, m_chain, now));
+    policy::WaitingPrompt prompt;
+    prompt.kind = m_request.route->name;
+    prompt.rank = m_request.rank;
+    prompt.size = m_prompt;
+    prompt.arrivedAt = m_arrived;
+    prompt.objectiveAt = m_arrived + m_request.route->objective;
+    prompt.deadlineAt = firstEventBy();
+    const Milliseconds wait = m_services.prompts.expectedWait(m_request.service, prompt);
+    if (core::BootClock::now() + wait > prompt.deadlineAt) {
+        fail(NotRun, "the queue is longer than the client waits", comeBack());
+        return;
     }
-    const auto choice
-        = policy::choosePrefill(views, m_prompt, m_services.placement, m_services.random);
-    if (!choice) {
+    const auto self = shared_from_this();
+    PromptCallbacks callbacks;
+    callbacks.onEngine = [self](const ReadPlan &plan) {
+        self->m_waitId = 0;
+        self->assigned(plan);
+    };
+    callbacks.onNoEngine = [self]() {
+        self->m_waitId = 0;
+        self->m_prefillTried = true;
+        self->next();
+    };
+    callbacks.onHopeless = [self]() {
+        self->m_waitId = 0;
+        self->fail(NotRun, "it waited for an engine until it was too late", self->comeBack());
+    };
+    m_waitId = m_services.prompts.add(m_request.service, std::move(prompt), m_chain,
+                                      std::move(callbacks));
+}
+
+void Session::stopWaiting()
+{
+    if (m_waitId != 0)
+        m_services.prompts.remove(m_request.service, std::exchange(m_waitId, 0));
+}
+
+// An engine has room for the prompt: it reads it for another one to decode, or runs it whole.
+void Session::assigned(const ReadPlan &plan)
+{
+    m_assignedAt = core::BootClock::now();
+    m_plan = plan;
+    m_services.notePromptTokens(plan.choice.uncachedTokens);
+    if (!plan.engine->prefills()) {
         m_prefillTried = true;
-        return false;
+        sendRunTo(plan.engine);
+        return;
     }
-    const EndpointPtr &engine = engines[choice->index];
-    if (views[choice->index].probe)
-        engine->health.startProbe(now);
-    engine->parts.record(m_chain);
-    m_services.notePromptTokens(choice->uncachedTokens);
-    m_sentTokens = choice->uncachedTokens;
-    m_predicted = choice->predicted;
+    plan.engine->parts.record(m_chain);
+    m_sentTokens = plan.choice.uncachedTokens;
     SendFacts facts;
     facts.prefillOnly = true;
-    send(Purpose::Prefill, engine, std::move(facts));
-    armPrefillTimer(choice->predicted);
-    return true;
+    facts.fetchFrom = plan.fetchFrom;
+    send(Purpose::Prefill, plan.engine, std::move(facts));
+    armPrefillTimer();
 }
 
-void Session::armPrefillTimer(Milliseconds predicted)
+void Session::armPrefillTimer()
 {
-    m_prefillTimer.expires_after(predicted * PrefillPatience + PrefillSlack);
+    m_prefillTimer.expires_after(m_plan.choice.predicted * PrefillPatience + PrefillSlack);
     const auto self = shared_from_this();
     m_prefillTimer.async_wait([self, sentAt = m_sentAt](const ErrorCode &ec) {
         if (ec || self->m_finished || self->m_purpose != Purpose::Prefill || !self->m_connection
@@ -195,18 +224,25 @@
             fail(NotRun, "no endpoint can take it now", comeBack());
         return;
     }
+    m_plan = {};
+    sendRunTo(endpoint);
+}
+
+void Session::sendRunTo(const EndpointPtr &endpoint)
+{
     ++m_sends;
     ++m_runs;
     SendFacts facts;
     facts.resumeAfter = m_frames.lastId();
+    facts.fetchFrom = m_plan.fetchFrom;
     m_sentTokens = 0;
-    if (m_handleAt) {
+    if (m_handleAt)
         facts.cacheSource = m_handleAt->record.address + "/" + m_handle.handle;
-    } else if (m_prompt.tokens > 0) {
+    else if (m_plan.engine)
+        m_sentTokens = m_plan.choice.uncachedTokens;
+    else if (m_prompt.tokens > 0)
         m_sentTokens
             = m_prompt.tokens - std::min(m_prompt.tokens, endpoint->parts.cachedTokens(m_chain));
-        m_services.notePromptTokens(m_sentTokens);
-    }
     if (!m_chain.empty())
         endpoint->parts.record(m_chain);
     send(Purpose::Run, endpoint, std::move(facts));
@@ -235,7 +271,7 @@
         .with("sends", m_sends)
         .with("running", endpoint->own.running + endpoint->peers.running)
         .with("backlog", endpoint->own.backlogTokens + endpoint->peers.backlogTokens)
-        .with("predicted_ms", m_predicted.count())
+        .with("predicted_ms", m_plan.choice.predicted.count())
         .with("left_ms", facts.timeLeft.count());
     m_connection = m_services.pool.take(endpoint->record.address);
     const auto self = shared_from_this();
@@ -255,6 +291,7 @@
 {
     m_prefillTimer.cancel();
     if (m_endpoint) {
+        m_services.prompts.wake();
         --m_endpoint->own.running;
         m_endpoint->own.backlogTokens -= std::exchange(m_sentTokens, 0);
         m_endpoint = nullptr;
@@ -322,9 +359,22 @@
     if (std::exchange(m_streaming, true))
         return;
     m_responder.begin(platform::encodeForClient(m_head), http::Framing::Chunked, 0);
+    m_firstAt = core::BootClock::now();
+    noteFirstToken();
     core::recordMetric("jujube_first_event_seconds", "", core::BootClock::now() - m_arrived);
 }
 
+// Compares the way the prompt took with its prediction, for the predictions of later ones.
+void Session::noteFirstToken()
+{
+    if (!m_plan.engine)
+        return;
+    const double ms = std::chrono::duration<double, std::milli>(m_firstAt - m_assignedAt).count();
+    const double tokens = m_plan.aheadTokens + m_plan.choice.uncachedTokens;
+    (m_handleAt ? m_services.apart : m_services.itself).note(tokens, ms);
+    noteDuration(*m_plan.engine, Milliseconds(std::llround(ms)), m_plan.choice.predicted);
+}
+
 void Session::onEnd()
 {
     if (m_purpose == Purpose::Prefill)
@@ -345,9 +395,8 @@
         return;
     }
     m_endpoint->health.noteSuccess();
-    const auto observed = std::chrono::duration_cast<Milliseconds>(core::BootClock::now() - m_sentAt);
-    noteDuration(*m_endpoint, observed, m_predicted + ReadOverhead);
     m_handle = std::move(*handle);
+    m_readAt = core::BootClock::now();
     m_handleAt = m_endpoint;
     m_prefillTried = true;
     release(true);
@@ -530,6 +579,7 @@
 {
     if (std::exchange(m_finished, true))
         return;
+    stopWaiting();
     dropHandle();
     release(false);
     m_deadlineTimer.cancel();
@@ -539,12 +589,19 @@
         .with("outcome", outcome)
         .with("status", status)
         .with("sends", m_sends)
-        .with("ms",
-              std::chrono::duration_cast<Milliseconds>(core::BootClock::now() - m_arrived).count());
+        .with("assigned_ms", sinceArrival(m_assignedAt))
+        .with("read_ms", sinceArrival(m_readAt))
+        .with("first_ms", sinceArrival(m_firstAt))
+        .with("ms", sinceArrival(core::BootClock::now()));
     core::countMetric("jujube_requests_total", core::concat("outcome=\"", outcome, "\""));
     m_services.finished();
 }
 
+int64_t Session::sinceArrival(TimePoint at) const
+{
+    return at == TimePoint{} ? -1 : std::chrono::duration_cast<Milliseconds>(at - m_arrived).count();
+}
+
 void Session::clientGone()
 {
     if (m_finished)
@@ -576,6 +633,12 @@
     }
 }
 
+TimePoint Session::firstEventBy() const
+{
+    const Milliseconds patience = m_request.route->patience;
+    return patience.count() > 0 ? std::min(m_deadline, m_arrived + patience) : m_deadline;
+}
+
 Milliseconds Session::timeLeft() const
 {
     return std::chrono::floor<Milliseconds>(m_deadline - core::BootClock::now());
--- a/src/serving/session.h
+++ b/src/serving/session.h
@@ -7,9 +7,11 @@
 #include "http/caller.h"
 #include "http/server.h"
 #include "policy/placement.h"
+#include "policy/readpathestimator.h"
 #include "policy/sendbudget.h"
 #include "serving/endpoints.h"
 #include "serving/eventframes.h"
+#include "serving/promptscheduler.h"
 #include "serving/requesttypes.h"
 #include "serving/usagecounts.h"
 
@@ -29,9 +31,12 @@
     EndpointTable &endpoints;
     http::ConnectionPool &pool;
     http::Caller &caller;
+    PromptScheduler &prompts;
     UsageCounts &usage;
     std::mt19937_64 &random;
     const policy::PlacementSettings &placement;
+    policy::ReadPathEstimator &apart;  ///< Prompts read by engines of the prefill stage.
+    policy::ReadPathEstimator &itself; ///< Prompts read by the decoding engine.
     std::string domain; ///< Failure domain of this gateway.
     std::function<policy::SendBudget &(const std::string &service)> budget;
     std::function<uint32_t()> gateways;            ///< Alive, this one included.
@@ -73,12 +78,15 @@
 
     bool wantsPrefill() const;
     void next();
-    bool sendPrefill();
+    void waitForEngine();
+    void assigned(const ReadPlan &plan);
     void sendRun();
+    void sendRunTo(const EndpointPtr &endpoint);
     EndpointPtr chooseRunner();
     void send(Purpose purpose, const EndpointPtr &endpoint, SendFacts facts);
     void release(bool keepConnection);
-    void armPrefillTimer(core::Milliseconds predicted);
+    void stopWaiting();
+    void armPrefillTimer();
 
     bool onHead(const http::Head &head);
     void onBody(std::string &body);
@@ -89,6 +97,7 @@
     void answerEnded();
     void relayEvents(std::string &body);
     void beginStream();
+    void noteFirstToken();
     void runFailed(bool notRun, bool sent, const std::string &why);
     void finishStream(bool whole);
 
@@ -101,7 +110,11 @@
     void clientGone();
     void timedOut();
     core::Milliseconds timeLeft() const;
+    /** Until the client leaves if no event has reached it. */
+    core::TimePoint firstEventBy() const;
     core::Milliseconds comeBack();
+    /** Milliseconds from the arrival to a moment; -1 if that has not come. */
+    int64_t sinceArrival(core::TimePoint at) const;
 
     SessionServices &m_services;
     AdmittedRequest m_request;
@@ -110,6 +123,9 @@
     boost::asio::steady_timer m_prefillTimer;
     core::TimePoint m_arrived{};
     core::TimePoint m_deadline{};
+    core::TimePoint m_assignedAt{}; ///< An engine had room for the prompt.
+    core::TimePoint m_readAt{};     ///< The prompt was read.
+    core::TimePoint m_firstAt{};    ///< The first event came.
     std::vector<policy::ChainLink> m_chain;
     policy::PromptSize m_prompt;
     std::set<std::string> m_avoid; ///< Endpoints that refused or failed this request.
@@ -119,8 +135,8 @@
     EndpointPtr m_endpoint;
     Purpose m_purpose = Purpose::Run;
     core::TimePoint m_sentAt{};
+    ReadPlan m_plan;           ///< Of the prompt; without an engine: none.
     uint32_t m_sentTokens = 0; ///< Added to the endpoint's backlog by this send.
-    core::Milliseconds m_predicted{};
     http::Head m_head;
     AnswerFacts m_answer;
     std::string m_body;
@@ -130,6 +146,7 @@
     EventFrames m_frames;
     uint32_t m_sends = 0;    ///< That count as arrivals at the service.
     uint32_t m_runs = 0;     ///< Endpoints that ran it or may have.
+    uint64_t m_waitId = 0; ///< In the prompt scheduler; 0: not waiting there.
     bool m_prefillTried = false;
     bool m_streaming = false; ///< The client has the head of a stream.
     bool m_begun = false;     ///< Counted for usage.
