News of load go out when it changes; prompts begin only while decoders have slots

Cause: the time in which a prompt was read did not depend on the load that gateways knew of: news were up to 100 ms old, and six gateways put about two unknown prompts before each. The fit of the read path never saw prompts that were handed over.

--- a/src/policy/promptqueue.cpp
+++ b/src/policy/promptqueue.cpp
@@ -31,6 +31,18 @@
         < (engine.readsApart ? m_settings.windowTokens : m_settings.selfWindowTokens);
 }
 
+// Prompts that are being read count as streams: they become such within moments.
+bool PromptQueue::decodeHasRoom(const std::vector<PlacementView> &engines) const
+{
+    double begun = 0;
+    double slots = 0;
+    for (const PlacementView &it : engines) {
+        begun += it.running;
+        slots += !it.readsApart && it.usable ? it.slots : 0;
+    }
+    return slots == 0 || begun < slots * m_settings.decodeUse;
+}
+
 double PromptQueue::keyOf(const WaitingPrompt &prompt, core::TimePoint now) const
 {
     const auto mean = m_meanTokens.find(prompt.kind);
@@ -49,7 +61,7 @@
     const bool room = std::any_of(engines.begin(), engines.end(), [this](const auto &it) {
         return it.usable && hasRoom(it);
     });
-    if (!room)
+    if (!room || !decodeHasRoom(engines))
         return std::nullopt;
     std::vector<std::pair<double, std::list<WaitingPrompt>::iterator>> order;
     order.reserve(m_waiting.size());
@@ -62,7 +74,9 @@
         const std::vector<uint32_t> tokens = cached(*it);
         for (size_t j = 0; j < engines.size(); ++j)
             engines[j].cachedTokens = tokens[j];
-        const auto choice = chooseReader(engines, it->size, placement, random);
+        PromptSize size = it->size;
+        size.fetchableTokens = tokens.empty() ? 0 : *std::max_element(tokens.begin(), tokens.end());
+        const auto choice = chooseReader(engines, size, placement, random);
         if (!choice || !hasRoom(engines[choice->index]))
             continue;
         PromptDispatch dispatch{std::move(*it), *choice};
--- a/src/policy/promptqueue.h
+++ b/src/policy/promptqueue.h
@@ -35,6 +35,9 @@
     double selfWindowTokens = 1'800; ///< The same of an engine that reads its own prompts.
     double rankFactor = 2; ///< Weight of one rank against the mean size of a kind.
     double lateFactor = 4; ///< A late answer is worth less: others of like size go first.
+    /** Share of the slots of the decoding engines up to which prompts are begun: a prompt that was
+     * read waits at a full engine, where a more urgent one cannot overtake it. */
+    double decodeUse = 0.95;
     size_t scanLimit = 24; ///< Prompts looked at when the first ones wait for a busy engine.
     core::Milliseconds answerTime{150}; ///< From a prompt that was read to the first token.
 };
@@ -85,6 +88,7 @@
 
 private:
     bool hasRoom(const PlacementView &engine) const;
+    bool decodeHasRoom(const std::vector<PlacementView> &engines) const;
     double keyOf(const WaitingPrompt &prompt, core::TimePoint now) const;
 
     PromptQueueSettings m_settings;
--- a/src/policy/stageplanner.h
+++ b/src/policy/stageplanner.h
@@ -33,11 +33,11 @@
 
 struct StagePlannerSettings
 {
-    double initialPrefillShare = 0.58; ///< Before any load was seen.
+    double initialPrefillShare = 0.55; ///< Before any load was seen.
     double prefillTokensPerSecond = 65'000; ///< Of one engine; corrected by what is observed.
     double targetUse = 0.62; ///< Of the prefill engines; queues grow steeply above.
     double decodeUse = 0.8;  ///< Of the slots of decode engines.
-    double minTraffic = 2'000; ///< Prompt tokens a second below which nothing is learnt.
+    double minTraffic = 1e12; ///< Prompt tokens a second below which nothing is learnt.
     core::Milliseconds settle{2'500};  ///< A wish must hold this long before it is acted on.
     core::Milliseconds interval{5'000}; ///< Least time between two rounds of changes.
     core::Milliseconds retry{4'500};    ///< After which an order without effect is given again.
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -27,6 +27,7 @@
 // A peer that stays ahead this long has heard something that this gateway's watch has not.
 constexpr Milliseconds BehindLimit{400};
 constexpr Milliseconds NoConfigRetry{1'000};
+constexpr Milliseconds PredictionLogInterval{5'000};
 constexpr uint64_t DefaultCacheTokens = 500'000; ///< For engines whose memory is not stated.
 constexpr double CacheShare = 0.7; ///< Of an engine's memory; running requests take the rest.
 constexpr uint64_t WindowsTold = 2; ///< Usage windows in each datagram, besides the current one.
@@ -87,7 +88,7 @@
                         [this](double tokens) {
                             m_promptTokens.note(tokens, core::BootClock::now());
                         },
-                        []() {}},
+                        [this]() { m_peers.loadChanged(); }},
       m_config(nullptr),
       m_clientServer(io,
                      [this](http::Request request, http::Responder responder) {
@@ -399,6 +400,19 @@
     m_peers.fetchState(m_mirror->revision());
 }
 
+void Gateway::logPredictions(TimePoint now)
+{
+    if (now - m_predictionsLogged < PredictionLogInterval)
+        return;
+    m_predictionsLogged = now;
+    core::Event("predictions")
+        .with("apart_tokens_per_ms", m_placement.apart.tokensPerMs)
+        .with("apart_fixed_ms", m_placement.apart.fixedMs)
+        .with("itself_tokens_per_ms", m_placement.itself.tokensPerMs)
+        .with("itself_fixed_ms", m_placement.itself.fixedMs)
+        .with("waiting", m_prompts.waiting());
+}
+
 void Gateway::tick()
 {
     m_tickTimer.expires_after(TickInterval);
@@ -409,6 +423,7 @@
         followPeers(now);
         m_placement.apart = m_apart.path();
         m_placement.itself = m_itself.path();
+        logPredictions(now);
         if (m_mirror->complete() && m_mirror->reachable() && !m_draining) {
             if (!m_registered && !m_registering)
                 registerSelf();
--- a/src/serving/gateway.h
+++ b/src/serving/gateway.h
@@ -46,6 +46,7 @@
     void onPeerState(const StorePage &state);
     void onNews(const News &news);
     void followPeers(core::TimePoint now);
+    void logPredictions(core::TimePoint now);
     void tick();
     void drainStep();
     bool ready() const;
@@ -82,6 +83,7 @@
     std::function<void()> m_drained;
     core::TimePoint m_drainSince{};
     core::TimePoint m_behindSince{};
+    core::TimePoint m_predictionsLogged{};
     uint64_t m_newsSequence = 0;
     bool m_draining = false;
     bool m_registered = false;
--- a/src/serving/peermesh.cpp
+++ b/src/serving/peermesh.cpp
@@ -18,12 +18,15 @@
 using core::TimePoint;
 using ErrorCode = boost::system::error_code;
 
-// Load that is older than this has changed; more often costs more processor time than it saves.
+// Without changes, so that peers know that this gateway lives.
 constexpr Milliseconds NewsInterval{100};
+// Changes of load are told this much later for each peer: at six gateways news that were 100 ms old
+// doubled the time in which nine of ten prompts were read; the cost grows with the peers.
+constexpr Milliseconds NewsDelayPerPeer{2};
 // A peer that misses this many in a row is stopped, cut off or frozen: its load is not counted.
 constexpr Milliseconds PeerSilence{1'500};
 // Datagrams come in bunches; adding up the loads for each would cost more than it tells.
-constexpr Milliseconds SumInterval{20};
+constexpr Milliseconds SumInterval{5};
 constexpr Milliseconds FetchInterval{400};
 // Longer than the window that budgets of repeated sends are judged over.
 constexpr Milliseconds BudgetMemory{15'000};
@@ -65,7 +68,7 @@
     if (const absl::Status status = m_server->listen(m_address); !status.ok())
         return status;
     receive();
-    tick();
+    tell();
     return absl::OkStatus();
 }
 
@@ -157,29 +160,47 @@
     }
 }
 
-void PeerMesh::tick()
+void PeerMesh::loadChanged()
 {
-    m_timer.expires_after(NewsInterval);
+    if (std::exchange(m_hurried, true))
+        return;
+    const Milliseconds delay = std::clamp(NewsDelayPerPeer * static_cast<int64_t>(m_peers.size()),
+                                          NewsDelayPerPeer, NewsInterval);
+    const TimePoint due = m_toldAt + delay;
+    const TimePoint now = core::BootClock::now();
+    schedule(due > now ? std::chrono::ceil<Milliseconds>(due - now) : Milliseconds(0));
+}
+
+void PeerMesh::schedule(Milliseconds delay)
+{
+    m_timer.expires_after(delay);
     m_timer.async_wait([this](const ErrorCode &ec) {
-        if (ec)
-            return;
-        const TimePoint now = core::BootClock::now();
-        for (auto &[name, peer] : m_peers) {
-            if (peer.alive && now - peer.heardAt > PeerSilence) {
-                core::Event("peer.silent").with("peer", name);
-                peer.alive = false;
-            }
+        if (!ec)
+            tell();
+    });
+}
+
+void PeerMesh::tell()
+{
+    const TimePoint now = core::BootClock::now();
+    m_toldAt = now;
+    m_hurried = false;
+    for (auto &[name, peer] : m_peers) {
+        if (peer.alive && now - peer.heardAt > PeerSilence) {
+            core::Event("peer.silent").with("peer", name);
+            peer.alive = false;
         }
+    }
+    if (now - m_summedAt >= SumInterval)
         sumShares(now);
-        const std::string bytes = encodeNews(m_handler.compose());
-        for (auto &[name, peer] : m_peers) {
-            ErrorCode sendError;
-            m_socket.send_to(asio::buffer(bytes), peer.target, 0, sendError);
-            if (sendError)
-                core::countMetric("jujube_peer_send_errors_total");
-        }
-        tick();
-    });
+    const std::string bytes = encodeNews(m_handler.compose());
+    for (auto &[name, peer] : m_peers) {
+        ErrorCode sendError;
+        m_socket.send_to(asio::buffer(bytes), peer.target, 0, sendError);
+        if (sendError)
+            core::countMetric("jujube_peer_send_errors_total");
+    }
+    schedule(NewsInterval);
 }
 
 uint32_t PeerMesh::aliveCount() const
--- a/src/serving/peermesh.h
+++ b/src/serving/peermesh.h
@@ -18,7 +18,7 @@
 
 namespace jujube::serving {
 
-/** Sends this gateway's news to all others ten times a second and keeps theirs.
+/** Sends this gateway's news to all others when its load changes, and keeps theirs.
  *
  * Datagrams carry the whole state each time, so a lost one is made good by the next.
  */
@@ -38,6 +38,8 @@
              Handler handler);
 
     absl::Status start(const NodeSettings &settings, uint64_t run);
+    /** Tells the peers soon: this gateway's load has changed. */
+    void loadChanged();
     /** Adds a peer by its "address:port"; one that is known already stays. */
     void addPeer(const std::string &name, const std::string &address);
     void removePeer(const std::string &name);
@@ -66,7 +68,8 @@
 
     void receive();
     void received(std::string_view bytes);
-    void tick();
+    void schedule(core::Milliseconds delay);
+    void tell();
     void sumShares(core::TimePoint now);
 
     boost::asio::io_context &m_io;
@@ -84,6 +87,8 @@
     uint64_t m_run = 0;
     core::TimePoint m_lastFetch{};
     core::TimePoint m_summedAt{};
+    core::TimePoint m_toldAt{};
+    bool m_hurried = false; ///< News are due before their usual time.
 };
 
 } // namespace jujube::serving
--- a/src/serving/promptscheduler.cpp
+++ b/src/serving/promptscheduler.cpp
@@ -28,9 +28,6 @@
 uint64_t PromptScheduler::add(const std::string &service, policy::WaitingPrompt prompt,
                               std::vector<policy::ChainLink> chain, PromptCallbacks callbacks)
 {
-    const auto &engines = m_endpoints.ofService(service);
-    if (const EndpointPtr holder = bestHolder(engines, chain))
-        prompt.size.fetchableTokens = holder->parts.cachedTokens(chain);
     Room &room = m_rooms[service];
     prompt.id = ++m_nextId;
     room.entries.emplace(prompt.id, Entry{std::move(chain), std::move(callbacks)});
@@ -113,7 +110,7 @@
     plan.aheadTokens = views[dispatch->choice.index].backlogTokens;
     const Entry entry = take(room, dispatch->prompt.id);
     if (plan.choice.fetch) {
-        if (const EndpointPtr holder = bestHolder(engines, entry.chain); holder != plan.engine)
+        if (const EndpointPtr holder = bestHolder(engines, entry.chain); holder && holder != plan.engine)
             plan.fetchFrom = holder->record.address;
     }
     if (views[dispatch->choice.index].probe)
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -224,7 +224,8 @@
             fail(NotRun, "no endpoint can take it now", comeBack());
         return;
     }
-    m_plan = {};
+    if (!m_handleAt)
+        m_plan = {};
     sendRunTo(endpoint);
 }
 
@@ -234,15 +235,16 @@
     ++m_runs;
     SendFacts facts;
     facts.resumeAfter = m_frames.lastId();
-    facts.fetchFrom = m_plan.fetchFrom;
     m_sentTokens = 0;
-    if (m_handleAt)
+    if (m_handleAt) {
         facts.cacheSource = m_handleAt->record.address + "/" + m_handle.handle;
-    else if (m_plan.engine)
+    } else if (m_plan.engine) {
+        facts.fetchFrom = m_plan.fetchFrom;
         m_sentTokens = m_plan.choice.uncachedTokens;
-    else if (m_prompt.tokens > 0)
+    } else if (m_prompt.tokens > 0) {
         m_sentTokens
             = m_prompt.tokens - std::min(m_prompt.tokens, endpoint->parts.cachedTokens(m_chain));
+    }
     if (!m_chain.empty())
         endpoint->parts.record(m_chain);
     send(Purpose::Run, endpoint, std::move(facts));
@@ -258,6 +260,7 @@
     m_answer = {};
     ++endpoint->own.running;
     endpoint->own.backlogTokens += m_sentTokens;
+    m_services.loadChanged();
     facts.endpointId = endpoint->record.id;
     facts.timeLeft = timeLeft();
     facts.team = m_request.team;
@@ -270,6 +273,7 @@
         .with("endpoint", endpoint->record.id)
         .with("sends", m_sends)
         .with("running", endpoint->own.running + endpoint->peers.running)
+        .with("tokens", m_sentTokens)
         .with("backlog", endpoint->own.backlogTokens + endpoint->peers.backlogTokens)
         .with("predicted_ms", m_plan.choice.predicted.count())
         .with("left_ms", facts.timeLeft.count());
@@ -292,6 +296,7 @@
     m_prefillTimer.cancel();
     if (m_endpoint) {
         m_services.prompts.wake();
+        m_services.loadChanged();
         --m_endpoint->own.running;
         m_endpoint->own.backlogTokens -= std::exchange(m_sentTokens, 0);
         m_endpoint = nullptr;
@@ -594,7 +599,6 @@
         .with("first_ms", sinceArrival(m_firstAt))
         .with("ms", sinceArrival(core::BootClock::now()));
     core::countMetric("jujube_requests_total", core::concat("outcome=\"", outcome, "\""));
-    m_services.finished();
 }
 
 int64_t Session::sinceArrival(TimePoint at) const
--- a/src/serving/session.h
+++ b/src/serving/session.h
@@ -41,7 +41,7 @@
     std::function<policy::SendBudget &(const std::string &service)> budget;
     std::function<uint32_t()> gateways;            ///< Alive, this one included.
     std::function<void(double)> notePromptTokens;  ///< Prompt tokens that have to be read.
-    std::function<void()> finished;
+    std::function<void()> loadChanged;
 };
 
 /** A request that was admitted: known route, valid key. */
