--- a/src/policy/partcache.cpp
+++ b/src/policy/partcache.cpp
@@ -10,8 +10,9 @@
     chain.push_back({XXH3_64bits_withSeed(&partId, sizeof(partId), before), tokens});
 }
 
-void PartCache::record(const std::vector<ChainLink> &chain)
+std::vector<ChainLink> PartCache::record(const std::vector<ChainLink> &chain)
 {
+    std::vector<ChainLink> fresh;
     // From the end, so that the first parts, which others share, are the most recently used.
     for (auto it = chain.rbegin(); it != chain.rend(); ++it) {
         const auto [part, added] = m_parts.try_emplace(it->hash);
@@ -19,6 +20,7 @@
             m_byUse.push_front(it->hash);
             part->second.tokens = it->tokens;
             m_tokens += it->tokens;
+            fresh.push_back(*it);
         } else {
             m_byUse.splice(m_byUse.begin(), m_byUse, part->second.byUse);
         }
@@ -30,6 +32,7 @@
         m_parts.erase(oldest);
         m_byUse.pop_back();
     }
+    return fresh;
 }
 
 uint32_t PartCache::cachedTokens(const std::vector<ChainLink> &chain) const
--- a/src/policy/partcache.h
+++ b/src/policy/partcache.h
@@ -33,7 +33,8 @@
 public:
     explicit PartCache(uint64_t maxTokens) : m_maxTokens(maxTokens) { }
 
-    void record(const std::vector<ChainLink> &chain);
+    /** \return the links that were not held before. */
+    std::vector<ChainLink> record(const std::vector<ChainLink> &chain);
     /** Tokens at the start of the prompt that the engine is expected to hold. */
     uint32_t cachedTokens(const std::vector<ChainLink> &chain) const;
     void clear();
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -88,7 +88,8 @@
                         [this](double tokens) {
                             m_promptTokens.note(tokens, core::BootClock::now());
                         },
-                        [this]() { m_peers.loadChanged(); }},
+                        [this]() { m_peers.loadChanged(); },
+                        m_partNews},
       m_config(nullptr),
       m_clientServer(io,
                      [this](http::Request request, http::Responder responder) {
@@ -329,6 +330,7 @@
             news.shares.push_back({endpoint->hash, endpoint->own, changing});
     }
     addWindows(news);
+    news.parts = m_partNews.take(now);
     return news;
 }
 
@@ -373,6 +375,10 @@
         if (it.run != m_run)
             m_usage.merge(it.run, it.window, it.counts);
     }
+    for (const NewsPart &it : news.parts) {
+        if (const EndpointPtr endpoint = m_endpoints.findByHash(it.endpoint))
+            endpoint->parts.record({it.link});
+    }
     for (const NewsShare &share : news.shares) {
         if (!share.changing)
             continue;
--- a/src/serving/news.cpp
+++ b/src/serving/news.cpp
@@ -45,6 +45,8 @@
         for (const auto count : it.getCounts())
             window.counts[count.getTeam().cStr()] = count.getCount();
     }
+    for (const auto it : reader.getParts())
+        news.parts.push_back({it.getEndpoint(), {it.getLink(), it.getTokens()}});
     return news;
 }
 
@@ -80,6 +82,12 @@
             ++n;
         }
     }
+    auto parts = root.initParts(static_cast<uint32_t>(news.parts.size()));
+    for (uint32_t i = 0; i < parts.size(); ++i) {
+        parts[i].setEndpoint(news.parts[i].endpoint);
+        parts[i].setLink(news.parts[i].link.hash);
+        parts[i].setTokens(news.parts[i].link.tokens);
+    }
     return packed(message);
 }
 
--- a/src/serving/news.h
+++ b/src/serving/news.h
@@ -30,6 +30,13 @@
     TeamCounts counts;
 };
 
+/** A shared part of a prompt that the sender has sent to an endpoint. */
+struct NewsPart
+{
+    uint64_t endpoint = 0;
+    policy::ChainLink link;
+};
+
 struct News
 {
     std::string name;
@@ -40,6 +47,7 @@
     double promptTokensPerSecond = 0;
     std::vector<NewsShare> shares;
     std::vector<NewsWindow> windows;
+    std::vector<NewsPart> parts;
 };
 
 std::string encodeNews(const News &news);
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -169,7 +169,7 @@
         sendRunTo(plan.engine);
         return;
     }
-    plan.engine->parts.record(m_chain);
+    m_services.partNews.note(*plan.engine, m_chain, m_assignedAt);
     m_sentTokens = plan.choice.uncachedTokens;
     SendFacts facts;
     facts.prefillOnly = true;
@@ -246,7 +246,7 @@
             = m_prompt.tokens - std::min(m_prompt.tokens, endpoint->parts.cachedTokens(m_chain));
     }
     if (!m_chain.empty())
-        endpoint->parts.record(m_chain);
+        m_services.partNews.note(*endpoint, m_chain, core::BootClock::now());
     send(Purpose::Run, endpoint, std::move(facts));
 }
 
--- a/src/serving/session.h
+++ b/src/serving/session.h
@@ -11,6 +11,7 @@
 #include "policy/sendbudget.h"
 #include "serving/endpoints.h"
 #include "serving/eventframes.h"
+#include "serving/partnews.h"
 #include "serving/promptscheduler.h"
 #include "serving/requesttypes.h"
 #include "serving/usagecounts.h"
@@ -42,6 +43,7 @@
     std::function<uint32_t()> gateways;            ///< Alive, this one included.
     std::function<void(double)> notePromptTokens;  ///< Prompt tokens that have to be read.
     std::function<void()> loadChanged;
+    PartNews &partNews;
 };
 
 /** A request that was admitted: known route, valid key. */
--- a/src/wire/news.capnp
+++ b/src/wire/news.capnp
@@ -15,6 +15,9 @@
 
 struct TeamCount { team @0 :Text; count @1 :UInt32; }
 
+# A shared prompt part that an endpoint was sent, as a link of the chain of parts before it.
+struct PartSent { endpoint @0 :UInt64; link @1 :UInt64; tokens @2 :UInt32; }
+
 # Requests that began to run in one usage window, as counted by one run of a gateway.
 struct WindowCounts { run @0 :UInt64; window @1 :UInt64; counts @2 :List(TeamCount); }
 
@@ -27,6 +30,7 @@
   promptTokensPerSecond @5 :Float32;
   shares @6 :List(LoadShare);
   windows @7 :List(WindowCounts);
+  parts @8 :List(PartSent);  # of the last moments, told several times as datagrams get lost
 }
 
 struct StateItem { key @0 :Text; value @1 :Data; revision @2 :UInt64; }
