A hub carries the load of large deployments; usage is sealed later

Now the best equipped live gateway adds up loads for the others; whole news go out once a second; listing what engines hold is kept for a moment; the store is watched less often by each; figures of usage are sealed 3.2 s after the window.

--- a/src/serving/duties.cpp
+++ b/src/serving/duties.cpp
@@ -16,8 +16,9 @@
 using core::Milliseconds;
 using core::TimePoint;
 
-// After the end of a window, until the last datagrams with its counts have arrived.
-constexpr Milliseconds SealDelay{1'500};
+// After the end of a window, until the last datagrams with its counts have arrived; in a large
+// deployment gateways tell their counts once a second, and some datagrams get lost.
+constexpr Milliseconds SealDelay{3'200};
 // Windows that are looked after: reports are due within two windows after the end.
 constexpr uint64_t WindowsBack = 3;
 // Sealed figures are kept this long for a successor that has to repeat a report.
--- a/src/serving/endpoints.cpp
+++ b/src/serving/endpoints.cpp
@@ -60,6 +60,7 @@
     }
     const auto endpoint = std::make_shared<Endpoint>(record, cacheTokens);
     m_byId.emplace(record.id, endpoint);
+    m_byHash.insert_or_assign(endpoint->hash, endpoint);
     m_byService[record.service].push_back(endpoint);
     core::Event("endpoint.added")
         .with("endpoint", record.id)
@@ -76,6 +77,7 @@
         return;
     it->second->gone = true;
     core::Event("endpoint.removed").with("endpoint", id);
+    m_byHash.erase(it->second->hash);
     unlist(*it->second);
     m_byId.erase(it);
 }
@@ -94,11 +96,18 @@
 
 EndpointPtr EndpointTable::findByHash(uint64_t hash) const
 {
-    for (const auto &[id, endpoint] : m_byId) {
-        if (endpoint->hash == hash)
-            return endpoint;
+    const auto it = m_byHash.find(hash);
+    return it == m_byHash.end() ? nullptr : it->second;
+}
+
+void EndpointTable::setPeerShares(const std::vector<NewsShare> &shares)
+{
+    for (const auto &[id, endpoint] : m_byId)
+        endpoint->peers = {};
+    for (const NewsShare &share : shares) {
+        if (const auto it = m_byHash.find(share.endpoint); it != m_byHash.end())
+            it->second->peers = share.load;
     }
-    return nullptr;
 }
 
 const std::vector<EndpointPtr> &EndpointTable::ofService(const std::string &service) const
--- a/src/serving/endpoints.h
+++ b/src/serving/endpoints.h
@@ -24,6 +24,14 @@
     uint32_t backlogTokens = 0;
 };
 
+/** The load of one gateway, or of several, on one endpoint. */
+struct NewsShare
+{
+    uint64_t endpoint = 0; ///< Hash of the endpoint's id.
+    EndpointShare load;
+    bool changing = false; ///< Its stage is being changed by an order of the sender.
+};
+
 /** The short name of an endpoint in messages between gateways. */
 uint64_t endpointHash(std::string_view id);
 
@@ -61,12 +69,15 @@
     EndpointPtr find(const std::string &id) const;
     EndpointPtr findByHash(uint64_t hash) const;
     const std::vector<EndpointPtr> &ofService(const std::string &service) const;
+    /** Replaces what is known of the other gateways' load. */
+    void setPeerShares(const std::vector<NewsShare> &shares);
     const std::map<std::string, EndpointPtr> &all() const { return m_byId; }
 
 private:
     void unlist(const Endpoint &endpoint);
 
     std::map<std::string, EndpointPtr> m_byId;
+    std::unordered_map<uint64_t, EndpointPtr> m_byHash;
     std::unordered_map<std::string, std::vector<EndpointPtr>> m_byService;
 };
 
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -27,6 +27,10 @@
 // A peer that stays ahead this long has heard something that this gateway's watch has not.
 constexpr Milliseconds BehindLimit{400};
 constexpr Milliseconds NoConfigRetry{1'000};
+// All gateways together make about two and a half watch calls a second.
+constexpr Milliseconds WatchWaitPerGateway{400};
+constexpr Milliseconds LeastWatchWait{2'500};
+constexpr Milliseconds MostWatchWait{12'000};
 constexpr Milliseconds PredictionLogInterval{5'000};
 constexpr uint64_t DefaultCacheTokens = 500'000; ///< For engines whose memory is not stated.
 constexpr double CacheShare = 0.7; ///< Of an engine's memory; running requests take the rest.
@@ -431,13 +435,18 @@
             return;
         const TimePoint now = core::BootClock::now();
         followPeers(now);
+        const auto gateways = static_cast<int64_t>(m_peers.gatewayCount(now));
+        m_mirror->setWatchWait(std::clamp(WatchWaitPerGateway * gateways, LeastWatchWait, MostWatchWait));
+        m_leadership.setContenders(static_cast<uint32_t>(gateways));
         m_placement.apart = m_apart.path();
         m_placement.itself = m_itself.path();
         logPredictions(now);
         if (m_mirror->complete() && m_mirror->reachable() && !m_draining) {
             if (!m_registered && !m_registering)
                 registerSelf();
-            if (!m_mirror->items().contains(Leadership::Key))
+            if (m_mirror->items().contains(Leadership::Key))
+                m_leadership.keyTaken();
+            else
                 m_leadership.keyFree();
         }
         m_usageDuty.tick();
--- a/src/serving/leadership.cpp
+++ b/src/serving/leadership.cpp
@@ -11,7 +11,7 @@
 using ErrorCode = boost::system::error_code;
 
 // Contenders spread their attempts, so that mostly one of them calls the store.
-constexpr Milliseconds ContendSpread{400};
+constexpr Milliseconds ContendSpread{60}; ///< For each contender.
 // A process that has just started lets others go first: they know the usage of the last windows.
 constexpr Milliseconds SettleTime{6'000};
 constexpr Milliseconds NewcomerDelay{900};
@@ -32,18 +32,28 @@
     m_timer.cancel();
 }
 
+void Leadership::keyTaken()
+{
+    m_taken = true;
+}
+
 void Leadership::keyFree()
 {
+    m_taken = false;
     if (m_contending || m_stopped || m_lease != 0)
         return;
     m_contending = true;
-    std::uniform_int_distribution<int64_t> spread(0, ContendSpread.count());
+    std::uniform_int_distribution<int64_t> spread(0, ContendSpread.count() * m_contenders);
     Milliseconds delay(spread(m_random));
     if (core::BootClock::now() - m_startedAt < SettleTime)
         delay += NewcomerDelay;
     m_timer.expires_after(delay);
     m_timer.async_wait([this](const ErrorCode &ec) {
-        if (!ec)
+        if (ec)
+            return;
+        if (m_taken)
+            m_contending = false; // Somebody was faster.
+        else
             contend();
     });
 }
--- a/src/serving/leadership.h
+++ b/src/serving/leadership.h
@@ -29,6 +29,10 @@
 
     /** The key is free now, as far as the mirror knows: try to take it after a moment. */
     void keyFree();
+    /** Somebody holds the key. */
+    void keyTaken();
+    /** Sets how many gateways may contend; their attempts are spread accordingly. */
+    void setContenders(uint32_t n) { m_contenders = n; }
     /** Stops contending and renewing. */
     void stop();
     bool held() const { return m_token != 0 && core::BootClock::now() < m_validUntil; }
@@ -52,6 +56,8 @@
     core::TimePoint m_startedAt{};
     uint64_t m_lease = 0;
     uint64_t m_token = 0;
+    uint32_t m_contenders = 1;
+    bool m_taken = false;
     bool m_contending = false;
     bool m_stopped = false;
 };
--- a/src/serving/news.cpp
+++ b/src/serving/news.cpp
@@ -30,7 +30,11 @@
 {
     News news;
     news.name = reader.getName().cStr();
+    news.kind = reader.getLoad() ? NewsKind::Load
+        : reader.getSummary()    ? NewsKind::Summary
+                                 : NewsKind::Whole;
     news.run = reader.getRun();
+    news.processorShare = reader.getProcessorShare();
     news.sequence = reader.getSequence();
     news.configVersion = reader.getConfigVersion();
     news.storeRevision = reader.getStoreRevision();
@@ -57,6 +61,9 @@
     capnp::MallocMessageBuilder message;
     auto root = message.initRoot<schema::GatewayNews>();
     root.setName(news.name.c_str());
+    root.setLoad(news.kind == NewsKind::Load);
+    root.setSummary(news.kind == NewsKind::Summary);
+    root.setProcessorShare(static_cast<float>(news.processorShare));
     root.setRun(news.run);
     root.setSequence(news.sequence);
     root.setConfigVersion(news.configVersion);
--- a/src/serving/news.h
+++ b/src/serving/news.h
@@ -16,13 +16,6 @@
 
 namespace jujube::serving {
 
-struct NewsShare
-{
-    uint64_t endpoint = 0; ///< Hash of the endpoint's id.
-    EndpointShare load;
-    bool changing = false; ///< Its stage is being changed by the sender's order.
-};
-
 struct NewsWindow
 {
     uint64_t run = 0;
@@ -37,13 +30,22 @@
     policy::ChainLink link;
 };
 
+/** What a message is for. */
+enum class NewsKind {
+    Whole,  ///< Everything, to every peer.
+    Load,   ///< A gateway's load, to the hub.
+    Summary ///< The load of all other gateways, from the hub.
+};
+
 struct News
 {
+    NewsKind kind = NewsKind::Whole;
     std::string name;
     uint64_t run = 0; ///< Incarnation of the sender.
     uint64_t sequence = 0;
     uint64_t configVersion = 0;
     uint64_t storeRevision = 0;
+    double processorShare = 0;
     double promptTokensPerSecond = 0;
     std::vector<NewsShare> shares;
     std::vector<NewsWindow> windows;
--- a/src/serving/nodesettings.h
+++ b/src/serving/nodesettings.h
@@ -21,6 +21,7 @@
     std::string readyAddress;  ///< Where the balancer asks whether the process is ready.
     uint16_t firstInternalPort = 0;
     uint16_t lastInternalPort = 0;
+    double processorShare = 1; ///< Cores that the process may use.
     std::string storeAddress;
     std::string platformAddress; ///< Takes usage reports.
     bool reportsUsage = false;
--- a/src/serving/peermesh.cpp
+++ b/src/serving/peermesh.cpp
@@ -27,6 +27,16 @@
 constexpr Milliseconds PeerSilence{1'500};
 // Datagrams come in bunches; adding up the loads for each would cost more than it tells.
 constexpr Milliseconds SumInterval{5};
+// Up to this many peers each gateway tells every other: six gateways cost 3% of a core together.
+constexpr size_t MeshPeers = 9;
+// In a large deployment: load to the hub and sums from it, when it has changed and at least.
+constexpr Milliseconds LoadInterval{25};
+constexpr Milliseconds IdleLoadInterval{120};
+constexpr Milliseconds LargeNewsInterval{1'000};
+constexpr Milliseconds LargePeerSilence{3'500};
+// Parts that gateways sent are told by the hub in two or three rounds.
+constexpr Milliseconds RelayFor{70};
+constexpr size_t MostRelayedParts = 80;
 constexpr Milliseconds FetchInterval{400};
 // Longer than the window that budgets of repeated sends are judged over.
 constexpr Milliseconds BudgetMemory{15'000};
@@ -40,7 +50,7 @@
 PeerMesh::PeerMesh(asio::io_context &io, http::Caller &caller, EndpointTable &endpoints,
                    Handler handler)
     : m_io(io), m_caller(caller), m_endpoints(endpoints), m_handler(std::move(handler)),
-      m_socket(io), m_timer(io)
+      m_socket(io), m_timer(io), m_loadTimer(io)
 {
 }
 
@@ -48,6 +58,7 @@
 {
     m_name = settings.name;
     m_run = run;
+    m_processorShare = settings.processorShare;
     m_address = core::concat(settings.ip, ":", settings.firstInternalPort);
     ErrorCode ec;
     const auto ip = asio::ip::make_address(settings.ip, ec);
@@ -69,6 +80,7 @@
         return status;
     receive();
     tell();
+    exchangeLoad();
     return absl::OkStatus();
 }
 
@@ -126,48 +138,89 @@
     if (it == m_peers.end())
         return;
     Peer &peer = it->second;
-    if (peer.news.run == news->run && peer.news.sequence >= news->sequence)
-        return;
     const TimePoint now = core::BootClock::now();
+    peer.heardAt = now;
     if (!std::exchange(peer.alive, true))
         core::Event("peer.heard").with("peer", news->name).with("run", news->run);
-    peer.news = std::move(*news);
-    peer.heardAt = now;
-    if (now - m_summedAt >= SumInterval)
+    switch (news->kind) {
+    case NewsKind::Whole:
+        takeWhole(peer, std::move(*news), now);
+        break;
+    case NewsKind::Load:
+        for (const NewsPart &part : news->parts)
+            m_relayed.push_back({part, now + RelayFor});
+        m_books.note(*news, now);
+        m_handler.onNews(*news);
+        break;
+    case NewsKind::Summary:
+        takeSummary(*news, now);
+        break;
+    }
+}
+
+void PeerMesh::takeWhole(Peer &peer, News news, TimePoint now)
+{
+    if (peer.news.run == news.run && peer.news.sequence >= news.sequence)
+        return;
+    peer.news = std::move(news);
+    if (!large() && now - m_summedAt >= SumInterval)
         sumShares(now);
     m_handler.onNews(peer.news);
 }
 
+void PeerMesh::takeSummary(const News &news, TimePoint now)
+{
+    m_hubChoice.noteAnswer(news.name, now);
+    if (m_summaryRun == news.run && m_summarySequence >= news.sequence)
+        return;
+    m_summaryRun = news.run;
+    m_summarySequence = news.sequence;
+    m_summaryPromptTokens = news.promptTokensPerSecond;
+    m_endpoints.setPeerShares(news.shares);
+    m_handler.onNews(news);
+}
+
 // Sums are made anew rather than kept by difference: endpoints come and go between two datagrams.
 void PeerMesh::sumShares(TimePoint now)
 {
     m_summedAt = now;
-    std::unordered_map<uint64_t, Endpoint *> byHash;
-    for (const auto &[id, endpoint] : m_endpoints.all()) {
-        endpoint->peers = {};
-        byHash.emplace(endpoint->hash, endpoint.get());
-    }
+    std::unordered_map<uint64_t, EndpointShare> sums;
     for (const auto &[name, peer] : m_peers) {
         if (!peer.alive)
             continue;
         for (const NewsShare &share : peer.news.shares) {
-            const auto it = byHash.find(share.endpoint);
-            if (it == byHash.end())
-                continue;
-            it->second->peers.running += share.load.running;
-            it->second->peers.backlogTokens += share.load.backlogTokens;
+            EndpointShare &sum = sums[share.endpoint];
+            sum.running += share.load.running;
+            sum.backlogTokens += share.load.backlogTokens;
         }
     }
+    std::vector<NewsShare> shares;
+    shares.reserve(sums.size());
+    for (const auto &[endpoint, sum] : sums)
+        shares.push_back({endpoint, sum, false});
+    m_endpoints.setPeerShares(shares);
+}
+
+bool PeerMesh::large() const
+{
+    return m_peers.size() > MeshPeers;
 }
 
 void PeerMesh::loadChanged()
 {
+    const TimePoint now = core::BootClock::now();
+    if (large()) {
+        if (!std::exchange(m_changed, true)) {
+            const TimePoint due = m_exchangedAt + LoadInterval;
+            scheduleLoad(due > now ? std::chrono::ceil<Milliseconds>(due - now) : Milliseconds(0));
+        }
+        return;
+    }
     if (std::exchange(m_hurried, true))
         return;
     const Milliseconds delay = std::clamp(NewsDelayPerPeer * static_cast<int64_t>(m_peers.size()),
                                           NewsDelayPerPeer, NewsInterval);
     const TimePoint due = m_toldAt + delay;
-    const TimePoint now = core::BootClock::now();
     schedule(due > now ? std::chrono::ceil<Milliseconds>(due - now) : Milliseconds(0));
 }
 
@@ -180,27 +233,120 @@
     });
 }
 
+void PeerMesh::send(const Peer &peer, const std::string &bytes)
+{
+    ErrorCode ec;
+    m_socket.send_to(asio::buffer(bytes), peer.target, 0, ec);
+    if (ec)
+        core::countMetric("jujube_peer_send_errors_total");
+}
+
 void PeerMesh::tell()
 {
     const TimePoint now = core::BootClock::now();
     m_toldAt = now;
     m_hurried = false;
+    const Milliseconds silence = large() ? LargePeerSilence : PeerSilence;
     for (auto &[name, peer] : m_peers) {
-        if (peer.alive && now - peer.heardAt > PeerSilence) {
+        if (peer.alive && now - peer.heardAt > silence) {
             core::Event("peer.silent").with("peer", name);
             peer.alive = false;
         }
     }
-    if (now - m_summedAt >= SumInterval)
+    if (!large() && now - m_summedAt >= SumInterval)
         sumShares(now);
-    const std::string bytes = encodeNews(m_handler.compose());
-    for (auto &[name, peer] : m_peers) {
-        ErrorCode sendError;
-        m_socket.send_to(asio::buffer(bytes), peer.target, 0, sendError);
-        if (sendError)
-            core::countMetric("jujube_peer_send_errors_total");
+    News news = m_handler.compose();
+    news.processorShare = m_processorShare;
+    const std::string bytes = encodeNews(news);
+    for (const auto &[name, peer] : m_peers)
+        send(peer, bytes);
+    schedule(large() ? LargeNewsInterval : NewsInterval);
+}
+
+std::string PeerMesh::hub(TimePoint now)
+{
+    std::vector<HubCandidate> candidates{{m_name, m_processorShare, true}};
+    for (const auto &[name, peer] : m_peers)
+        candidates.push_back({name, peer.news.processorShare, peer.alive});
+    const std::string hub = m_hubChoice.choose(candidates, now);
+    if (hub == m_name)
+        m_hubChoice.noteAnswer(hub, now);
+    if (hub != m_hub) {
+        core::Event("hub.changed").with("hub", hub).with("before", m_hub);
+        m_hub = hub;
+    }
+    return hub;
+}
+
+void PeerMesh::scheduleLoad(Milliseconds delay)
+{
+    m_loadTimer.expires_after(delay);
+    m_loadTimer.async_wait([this](const ErrorCode &ec) {
+        if (!ec)
+            exchangeLoad();
+    });
+}
+
+// One round of a large deployment: this gateway's load goes to the hub, or the hub tells the sums.
+void PeerMesh::exchangeLoad()
+{
+    const TimePoint now = core::BootClock::now();
+    m_exchangedAt = now;
+    m_changed = false;
+    if (!large()) {
+        scheduleLoad(IdleLoadInterval);
+        return;
+    }
+    const std::string name = hub(now);
+    if (name == m_name) {
+        tellSummaries(now);
+        scheduleLoad(LoadInterval);
+        return;
     }
-    schedule(NewsInterval);
+    News news = m_handler.compose();
+    news.kind = NewsKind::Load;
+    news.windows.clear();
+    if (const auto it = m_peers.find(name); it != m_peers.end())
+        send(it->second, encodeNews(news));
+    scheduleLoad(IdleLoadInterval);
+}
+
+void PeerMesh::tellSummaries(TimePoint now)
+{
+    News own = m_handler.compose();
+    for (const NewsPart &part : own.parts)
+        m_relayed.push_back({part, now + RelayFor});
+    m_books.note(own, now);
+    m_books.prune(now);
+    News summary;
+    summary.kind = NewsKind::Summary;
+    summary.name = m_name;
+    summary.run = m_run;
+    summary.sequence = own.sequence;
+    summary.configVersion = own.configVersion;
+    summary.storeRevision = own.storeRevision;
+    summary.processorShare = m_processorShare;
+    summary.parts = relayedParts(now);
+    for (const auto &[name, peer] : m_peers) {
+        if (!peer.alive)
+            continue;
+        summary.shares = m_books.othersOf(name);
+        summary.promptTokensPerSecond = m_books.promptTokensOfOthers(name);
+        send(peer, encodeNews(summary));
+    }
+    m_endpoints.setPeerShares(m_books.othersOf(m_name));
+    m_summaryPromptTokens = m_books.promptTokensOfOthers(m_name);
+}
+
+std::vector<NewsPart> PeerMesh::relayedParts(TimePoint now)
+{
+    while (!m_relayed.empty() && m_relayed.front().until < now)
+        m_relayed.pop_front();
+    std::vector<NewsPart> parts;
+    for (auto it = m_relayed.rbegin(); it != m_relayed.rend() && parts.size() < MostRelayedParts;
+         ++it)
+        parts.push_back(it->part);
+    return parts;
 }
 
 uint32_t PeerMesh::aliveCount() const
@@ -222,6 +368,8 @@
 
 double PeerMesh::peersPromptTokens() const
 {
+    if (large())
+        return m_summaryPromptTokens;
     double sum = 0;
     for (const auto &[name, peer] : m_peers) {
         if (peer.alive)
--- a/src/serving/peermesh.h
+++ b/src/serving/peermesh.h
@@ -6,21 +6,25 @@
 
 #include "http/caller.h"
 #include "http/server.h"
-#include "serving/news.h"
+#include "serving/loadexchange.h"
 #include "serving/nodesettings.h"
 
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <array>
+#include <deque>
 #include <functional>
 #include <memory>
 
 namespace jujube::serving {
 
-/** Sends this gateway's news to all others when its load changes, and keeps theirs.
+/** Sends this gateway's news to all others and keeps theirs.
  *
- * Datagrams carry the whole state each time, so a lost one is made good by the next.
+ * Datagrams carry the whole state each time, so a lost one is made good by the next. In a small
+ * deployment each gateway tells every other as soon as its load changes. In a large one load goes
+ * through a hub, whose messages grow with the gateways rather than with their square; the rest is
+ * told once a second.
  */
 class PeerMesh
 {
@@ -68,8 +72,17 @@
 
     void receive();
     void received(std::string_view bytes);
+    void takeWhole(Peer &peer, News news, core::TimePoint now);
+    void takeSummary(const News &news, core::TimePoint now);
+    bool large() const;
+    std::string hub(core::TimePoint now);
     void schedule(core::Milliseconds delay);
     void tell();
+    void scheduleLoad(core::Milliseconds delay);
+    void exchangeLoad();
+    void tellSummaries(core::TimePoint now);
+    std::vector<NewsPart> relayedParts(core::TimePoint now);
+    void send(const Peer &peer, const std::string &bytes);
     void sumShares(core::TimePoint now);
 
     boost::asio::io_context &m_io;
@@ -78,17 +91,34 @@
     Handler m_handler;
     boost::asio::ip::udp::socket m_socket;
     boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_loadTimer;
     std::unique_ptr<http::Server> m_server;
     std::map<std::string, Peer> m_peers;
     boost::asio::ip::udp::endpoint m_sender;
     std::array<char, 65536> m_buf{};
     std::string m_name;
+    std::string m_hub;
     std::string m_address;
     uint64_t m_run = 0;
     core::TimePoint m_lastFetch{};
     core::TimePoint m_summedAt{};
     core::TimePoint m_toldAt{};
     bool m_hurried = false; ///< News are due before their usual time.
+    HubChoice m_hubChoice;
+    LoadBooks m_books; ///< Kept while this gateway is the hub.
+    struct RelayedPart
+    {
+        NewsPart part;
+        core::TimePoint until{};
+    };
+    std::deque<RelayedPart> m_relayed; ///< Parts that the hub tells all others.
+    double m_summaryPromptTokens = 0;
+    uint64_t m_summaryRun = 0;
+    uint64_t m_summarySequence = 0;
+    core::TimePoint m_exchangedAt{};
+    core::TimePoint m_changedAt{};
+    bool m_changed = false;
+    double m_processorShare = 0;
 };
 
 } // namespace jujube::serving
--- a/src/serving/promptscheduler.cpp
+++ b/src/serving/promptscheduler.cpp
@@ -14,6 +14,7 @@
 // Waiting requests are looked at this often even if nothing is heard: deadlines pass, and engines
 // that were paused come back.
 constexpr Milliseconds LookInterval{25};
+constexpr Milliseconds CachedTokensLife{100};
 
 } // namespace
 
@@ -78,6 +79,21 @@
     while (room.queue.size() > 0 && dispatchOne(service, room, now)) { }
 }
 
+// Looking up every part at every engine is what a small VM spends most on while prompts wait, so
+// the figures are kept for a moment.
+std::vector<uint32_t> PromptScheduler::cachedTokens(Entry &entry,
+                                                    const std::vector<EndpointPtr> &engines,
+                                                    TimePoint now)
+{
+    if (entry.cached.size() != engines.size() || now - entry.cachedAt > CachedTokensLife) {
+        entry.cachedAt = now;
+        entry.cached.clear();
+        for (const EndpointPtr &it : engines)
+            entry.cached.push_back(it->parts.cachedTokens(entry.chain));
+    }
+    return entry.cached;
+}
+
 // Gives one waiting prompt to an engine. \return false if none can take one now.
 bool PromptScheduler::dispatchOne(const std::string &service, Room &room, TimePoint now)
 {
@@ -94,12 +110,7 @@
         return false;
     }
     const auto cached = [&](const policy::WaitingPrompt &prompt) {
-        const auto &chain = room.entries.at(prompt.id).chain;
-        std::vector<uint32_t> tokens;
-        tokens.reserve(engines.size());
-        for (const EndpointPtr &it : engines)
-            tokens.push_back(it->parts.cachedTokens(chain));
-        return tokens;
+        return cachedTokens(room.entries.at(prompt.id), engines, now);
     };
     auto dispatch = room.queue.takeNext(views, cached, m_placement, now, m_random);
     if (!dispatch)
--- a/src/serving/promptscheduler.h
+++ b/src/serving/promptscheduler.h
@@ -57,6 +57,8 @@
     {
         std::vector<policy::ChainLink> chain;
         PromptCallbacks callbacks;
+        std::vector<uint32_t> cached; ///< Tokens that each engine holds, as of cachedAt.
+        core::TimePoint cachedAt{};
     };
     struct Room
     {
@@ -68,6 +70,8 @@
     void pumpRoom(const std::string &service, Room &room, core::TimePoint now);
     bool dispatchOne(const std::string &service, Room &room, core::TimePoint now);
     void armTimer();
+    static std::vector<uint32_t> cachedTokens(Entry &entry, const std::vector<EndpointPtr> &engines,
+                                              core::TimePoint now);
     static Entry take(Room &room, uint64_t id);
 
     boost::asio::io_context &m_io;
--- a/src/serving/storeclient.cpp
+++ b/src/serving/storeclient.cpp
@@ -14,8 +14,6 @@
 
 // The store answers in some 4 ms, and 60 times as slowly on bad days.
 constexpr Milliseconds CallTimeout{1'000};
-// Bounds how long a connection that has fallen silent hides changes.
-constexpr Milliseconds WatchWait{2'500};
 constexpr Milliseconds WatchSlack{600};
 constexpr Milliseconds RetryDelay{150};
 // Silence that counts as an outage, in which leases may have lapsed through no fault of the owner.
@@ -166,7 +164,7 @@
     m_watching = true;
     const uint64_t round = ++m_round;
     const auto self = shared_from_this();
-    m_client.watch(m_prefix, m_revision, WatchWait,
+    m_client.watch(m_prefix, m_revision, m_watchWait,
                    [self, round](const absl::StatusOr<StorePage> &page) {
                        if (round != self->m_round)
                            return;
@@ -190,6 +188,8 @@
         list({});
         return;
     }
+    if (m_failingSince == TimePoint{})
+        m_failingSince = core::BootClock::now();
     if (std::exchange(m_reachable, false))
         core::Event("store.lost").with("prefix", m_prefix).with("why", status.message());
     const uint64_t round = ++m_round;
@@ -207,12 +207,12 @@
 {
     const TimePoint now = core::BootClock::now();
     if (!m_reachable) {
-        if (m_lastAnswer != TimePoint{} && now - m_lastAnswer > WatchWait + OutageAfter)
+        if (m_complete && m_failingSince != TimePoint{} && now - m_failingSince > OutageAfter)
             m_outageEnd = now;
+        m_failingSince = {};
         core::Event("store.reached").with("prefix", m_prefix).with("revision", m_revision);
     }
     m_reachable = true;
-    m_lastAnswer = now;
 }
 
 void StoreMirror::apply(const StoreItem &item)
--- a/src/serving/storeclient.h
+++ b/src/serving/storeclient.h
@@ -57,6 +57,8 @@
                                                std::string prefix, Handler handler);
 
     void start();
+    /** Sets how long a watch waits: longer where many watch and tell each other what changed. */
+    void setWatchWait(core::Milliseconds wait) { m_watchWait = wait; }
     /** Ends the wait of the present watch early: a neighbour knows something newer. */
     void hurry();
     /** Takes over a neighbour's copy, as if the store had listed it. */
@@ -89,10 +91,11 @@
     std::map<std::string, StoreItem> m_items;
     std::set<std::string> m_seen;              ///< Keys of the listing under way.
     std::map<std::string, uint64_t> m_pending; ///< Removals held back after an outage.
+    core::Milliseconds m_watchWait{2'500}; ///< Bounds how long a silent connection hides changes.
     uint64_t m_revision = 0;
     uint64_t m_listRevision = 0;
     uint64_t m_round = 0; ///< Counts calls, so that the answer of an abandoned one is told apart.
-    core::TimePoint m_lastAnswer{};
+    core::TimePoint m_failingSince{};
     core::TimePoint m_outageEnd{};
     bool m_reachable = false;
     bool m_complete = false;
--- a/src/wire/news.capnp
+++ b/src/wire/news.capnp
@@ -30,6 +30,9 @@
   promptTokensPerSecond @5 :Float32;
   shares @6 :List(LoadShare);
   windows @7 :List(WindowCounts);
+  processorShare @9 :Float32; # the best equipped gateway becomes the hub of a large deployment
+  load @10 :Bool;            # load for the hub only: no windows, no revisions
+  summary @11 :Bool;         # from the hub: the load of all other gateways, added up
   parts @8 :List(PartSent);  # of the last moments, told several times as datagrams get lost
 }
 
