--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -24,8 +24,6 @@
 constexpr Milliseconds LeaveRotation{3'200};
 constexpr Milliseconds DrainStep{100};
 constexpr Milliseconds KillMargin{500}; ///< Before the platform's SIGKILL.
-// A peer that stays ahead this long has heard something that this gateway's watch has not.
-constexpr Milliseconds BehindLimit{400};
 constexpr Milliseconds NoConfigRetry{1'000};
 // All gateways together make about two and a half watch calls a second.
 constexpr Milliseconds WatchWaitPerGateway{400};
@@ -33,8 +31,7 @@
 constexpr Milliseconds MostWatchWait{12'000};
 constexpr Milliseconds PredictionLogInterval{5'000};
 constexpr uint64_t DefaultCacheTokens = 500'000; ///< For engines whose memory is not stated.
-constexpr double CacheShare = 0.7;  ///< Of an engine's memory; running requests take the rest.
-constexpr uint64_t WindowsTold = 2; ///< Usage windows in each datagram, besides the current one.
+constexpr double CacheShare = 0.7; ///< Of an engine's memory; running requests take the rest.
 constexpr uint32_t Ok = 200;
 constexpr uint32_t Unavailable = 503;
 constexpr uint32_t BadRequest = 400;
@@ -327,99 +324,6 @@
     return route.targets.front().service;
 }
 
-News Gateway::composeNews()
-{
-    const TimePoint now = core::BootClock::now();
-    News news;
-    news.name = m_settings.name;
-    news.run = m_run;
-    news.sequence = ++m_newsSequence;
-    const auto config = m_config.load();
-    news.configVersion = config ? config->version : 0;
-    news.storeRevision = m_mirror->revision();
-    news.promptTokensPerSecond = m_promptTokens.rate(now);
-    for (const auto &[id, endpoint] : m_endpoints.all()) {
-        const bool changing = now < endpoint->changingUntil && m_leadership.held();
-        if (endpoint->own.running > 0 || changing)
-            news.shares.push_back({endpoint->hash, endpoint->own, changing});
-    }
-    addWindows(news);
-    news.parts = m_partNews.take(now);
-    return news;
-}
-
-void Gateway::addWindows(News &news)
-{
-    const uint64_t current = m_usage.windowAt(core::wallTime());
-    for (const auto &[window, counts] : m_usage.own()) {
-        if (window + WindowsTold >= current)
-            news.windows.push_back({m_run, window, counts});
-    }
-    // What a gateway that is gone had told lives on in the news of those that heard it.
-    for (const auto &[window, runs] : m_usage.others()) {
-        if (window + WindowsTold < current)
-            continue;
-        for (const auto &[run, counts] : runs) {
-            if (!m_peers.runAlive(run))
-                news.windows.push_back({run, window, counts});
-        }
-    }
-    constexpr uint64_t windowsRemembered = 6; // More than the leader looks back.
-    m_usage.forgetBefore(current - windowsRemembered);
-}
-
-StorePage Gateway::mirroredState() const
-{
-    StorePage state;
-    state.revision = m_mirror->revision();
-    for (const auto &[key, item] : m_mirror->items())
-        state.items.push_back(item);
-    return state;
-}
-
-void Gateway::onPeerState(const StorePage &state)
-{
-    m_mirror->absorb(state);
-}
-
-void Gateway::onNews(const News &news)
-{
-    m_prompts.wake();
-    for (const NewsWindow &it : news.windows) {
-        if (it.run != m_run)
-            m_usage.merge(it.run, it.window, it.counts);
-    }
-    for (const NewsPart &it : news.parts) {
-        if (const EndpointPtr endpoint = m_endpoints.findByHash(it.endpoint))
-            endpoint->parts.record({it.link});
-    }
-    for (const NewsShare &share : news.shares) {
-        if (!share.changing)
-            continue;
-        const EndpointPtr endpoint = m_endpoints.findByHash(share.endpoint);
-        if (endpoint)
-            endpoint->pause(core::BootClock::now(), TickInterval);
-    }
-}
-
-// A gateway that the store does not serve learns from its neighbours what it missed.
-void Gateway::followPeers(TimePoint now)
-{
-    const uint64_t newest = m_peers.newestRevision();
-    if (newest <= m_mirror->revision()) {
-        m_behindSince = {};
-        return;
-    }
-    if (m_behindSince == TimePoint{})
-        m_behindSince = now;
-    if (now - m_behindSince < BehindLimit)
-        return;
-    m_behindSince = now;
-    if (m_mirror->reachable())
-        m_mirror->hurry();
-    m_peers.fetchState(m_mirror->revision());
-}
-
 void Gateway::logPredictions(TimePoint now)
 {
     if (now - m_predictionsLogged < PredictionLogInterval)
--- /dev/null
+++ b/src/serving/gatewaynews.cpp
@@ -0,0 +1,114 @@
+/** \file
+ * The part of a gateway that tells its neighbours what it knows and learns from them.
+ */
+
+#include "serving/gateway.h"
+
+namespace jujube::serving {
+
+namespace {
+
+using core::Milliseconds;
+using core::TimePoint;
+
+// A peer that stays ahead this long has heard something that this gateway's watch has not.
+constexpr Milliseconds BehindLimit{400};
+constexpr uint64_t WindowsTold = 2; ///< Usage windows in each datagram, besides the current one.
+constexpr Milliseconds TickInterval{200};
+
+} // namespace
+
+News Gateway::composeNews()
+{
+    const TimePoint now = core::BootClock::now();
+    News news;
+    news.name = m_settings.name;
+    news.run = m_run;
+    news.sequence = ++m_newsSequence;
+    const auto config = m_config.load();
+    news.configVersion = config ? config->version : 0;
+    news.storeRevision = m_mirror->revision();
+    news.promptTokensPerSecond = m_promptTokens.rate(now);
+    for (const auto &[id, endpoint] : m_endpoints.all()) {
+        const bool changing = now < endpoint->changingUntil && m_leadership.held();
+        if (endpoint->own.running > 0 || changing)
+            news.shares.push_back({endpoint->hash, endpoint->own, changing});
+    }
+    addWindows(news);
+    news.parts = m_partNews.take(now);
+    return news;
+}
+
+void Gateway::addWindows(News &news)
+{
+    const uint64_t current = m_usage.windowAt(core::wallTime());
+    for (const auto &[window, counts] : m_usage.own()) {
+        if (window + WindowsTold >= current)
+            news.windows.push_back({m_run, window, counts});
+    }
+    // What a gateway that is gone had told lives on in the news of those that heard it.
+    for (const auto &[window, runs] : m_usage.others()) {
+        if (window + WindowsTold < current)
+            continue;
+        for (const auto &[run, counts] : runs) {
+            if (!m_peers.runAlive(run))
+                news.windows.push_back({run, window, counts});
+        }
+    }
+    constexpr uint64_t windowsRemembered = 6; // More than the leader looks back.
+    m_usage.forgetBefore(current - windowsRemembered);
+}
+
+StorePage Gateway::mirroredState() const
+{
+    StorePage state;
+    state.revision = m_mirror->revision();
+    for (const auto &[key, item] : m_mirror->items())
+        state.items.push_back(item);
+    return state;
+}
+
+void Gateway::onPeerState(const StorePage &state)
+{
+    m_mirror->absorb(state);
+}
+
+void Gateway::onNews(const News &news)
+{
+    m_prompts.wake();
+    for (const NewsWindow &it : news.windows) {
+        if (it.run != m_run)
+            m_usage.merge(it.run, it.window, it.counts);
+    }
+    for (const NewsPart &it : news.parts) {
+        if (const EndpointPtr endpoint = m_endpoints.findByHash(it.endpoint))
+            endpoint->parts.record({it.link});
+    }
+    for (const NewsShare &share : news.shares) {
+        if (!share.changing)
+            continue;
+        const EndpointPtr endpoint = m_endpoints.findByHash(share.endpoint);
+        if (endpoint)
+            endpoint->pause(core::BootClock::now(), TickInterval);
+    }
+}
+
+// A gateway that the store does not serve learns from its neighbours what it missed.
+void Gateway::followPeers(TimePoint now)
+{
+    const uint64_t newest = m_peers.newestRevision();
+    if (newest <= m_mirror->revision()) {
+        m_behindSince = {};
+        return;
+    }
+    if (m_behindSince == TimePoint{})
+        m_behindSince = now;
+    if (now - m_behindSince < BehindLimit)
+        return;
+    m_behindSince = now;
+    if (m_mirror->reachable())
+        m_mirror->hurry();
+    m_peers.fetchState(m_mirror->revision());
+}
+
+} // namespace jujube::serving
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -6,8 +6,6 @@
 #include "platform/requestcodec.h"
 
 #include <algorithm>
-#include <array>
-#include <cmath>
 
 namespace jujube::serving {
 
@@ -20,9 +18,6 @@
 constexpr uint32_t NotRun = 503;   ///< A promise: the request has not run and will not.
 constexpr uint32_t Failed = 502;   ///< Promises nothing.
 constexpr uint32_t TimedOut = 504; ///< Promises nothing.
-constexpr uint32_t FirstSuccess = 200;
-constexpr uint32_t FirstRedirect = 300;
-constexpr uint32_t FirstServerError = 500;
 // A connection inside a region takes a few ms; a VM that lost its power does not answer at all.
 constexpr Milliseconds ConnectTimeout{350};
 // A prompt may be read again elsewhere, so a silent engine is not waited for much longer than the
@@ -31,23 +26,12 @@
 constexpr int PrefillPatience = 3;
 // Connection attempts that fail reach nobody and are free, but not without end.
 constexpr uint32_t MaxSends = 8;
-constexpr uint32_t MaxPrefills = 3;
 // Refused callers return spread over this time, so that they do not come back as one burst.
 constexpr Milliseconds ComeBackLeast{400};
 constexpr Milliseconds ComeBackSpread{1'200};
 constexpr uint32_t FirstEnginePriority = 3; ///< Leaves room above for work that was begun.
 constexpr uint32_t LastEnginePriority = 9;
-constexpr size_t MaxBufferedAnswer = 16UL << 20U;
 constexpr Milliseconds HandleReleaseTimeout{1'000};
-// An endpoint that refuses is full or changing: others are asked for a moment.
-constexpr Milliseconds RefusalPause{150};
-
-// statuses that promise that a request has not run. Only what states it plainly is believed.
-bool promisesNotRun(uint32_t status)
-{
-    constexpr std::array<uint32_t, 4> statuses{408, 421, 429, 503};
-    return std::find(statuses.begin(), statuses.end(), status) != statuses.end();
-}
 
 } // namespace
 
@@ -316,249 +300,6 @@
     }
 }
 
-bool Session::onHead(const http::Head &head)
-{
-    const AnswerFacts facts = platform::decodeAnswer(head);
-    if (facts.requestId && *facts.requestId != m_request.facts.id) {
-        core::Event("answer.foreign")
-            .with("request", m_request.facts.id)
-            .with("answer", *facts.requestId)
-            .with("endpoint", m_endpoint->record.id);
-        return false;
-    }
-    m_head = head;
-    m_answer = facts;
-    return true;
-}
-
-void Session::onBody(std::string &body)
-{
-    const bool success = m_head.status >= FirstSuccess && m_head.status < FirstRedirect;
-    if (m_purpose == Purpose::Run && m_request.route->kind == RouteKind::Stream && success
-        && m_answer.sealed) {
-        relayEvents(body);
-        return;
-    }
-    m_body += body;
-    body.clear();
-    if (m_body.size() > MaxBufferedAnswer)
-        onFailure(http::Failure::Malformed, "the answer is too large");
-}
-
-void Session::relayEvents(std::string &body)
-{
-    if (m_sentTokens > 0)
-        m_endpoint->own.backlogTokens -= std::exchange(m_sentTokens, 0);
-    noteBegun();
-    m_mayHaveRun = true;
-    if (m_request.route->resumable) {
-        const std::string events = m_frames.add(body);
-        body.clear();
-        if (events.empty())
-            return;
-        beginStream();
-        m_responder.write(events);
-        return;
-    }
-    beginStream();
-    m_responder.write(body);
-    body.clear();
-}
-
-// The head waits for the first bytes of the body: until then a failure can still be told as such.
-void Session::beginStream()
-{
-    if (std::exchange(m_streaming, true))
-        return;
-    m_responder.begin(platform::encodeForClient(m_head), http::Framing::Chunked, 0);
-    m_firstAt = core::BootClock::now();
-    noteFirstToken();
-    core::recordMetric("jujube_first_event_seconds", "", core::BootClock::now() - m_arrived);
-}
-
-// Compares the way the prompt took with its prediction, for the predictions of later ones.
-void Session::noteFirstToken()
-{
-    if (!m_plan.engine)
-        return;
-    const double ms = std::chrono::duration<double, std::milli>(m_firstAt - m_assignedAt).count();
-    const double tokens = m_plan.aheadTokens + m_plan.choice.uncachedTokens;
-    (m_handleAt ? m_services.apart : m_services.itself).note(tokens, ms);
-    noteDuration(*m_plan.engine, Milliseconds(std::llround(ms)), m_plan.choice.predicted);
-}
-
-void Session::onEnd()
-{
-    if (m_purpose == Purpose::Prefill)
-        prefillEnded();
-    else
-        answerEnded();
-}
-
-void Session::prefillEnded()
-{
-    if (m_head.status != FirstSuccess) {
-        prefillFailed(m_answer.notRun ? "refused" : "failed");
-        return;
-    }
-    auto handle = platform::decodeCacheHandle(m_body);
-    if (!handle.ok()) {
-        prefillFailed("the answer names no prompt");
-        return;
-    }
-    m_endpoint->health.noteSuccess();
-    m_handle = std::move(*handle);
-    m_readAt = core::BootClock::now();
-    m_handleAt = m_endpoint;
-    m_prefillTried = true;
-    release(true);
-    next();
-}
-
-void Session::prefillFailed(const std::string &why)
-{
-    core::Event("prefill.failed")
-        .with("request", m_request.facts.id)
-        .with("endpoint", m_endpoint->record.id)
-        .with("why", why);
-    m_avoid.insert(m_endpoint->record.id);
-    if (m_answer.notRun)
-        m_endpoint->pause(core::BootClock::now(), RefusalPause);
-    release(false);
-    // Reading elsewhere again counts as a repeated send, as running without a handle does not.
-    if (m_avoid.size() >= MaxPrefills || !spendExtra())
-        m_prefillTried = true;
-    next();
-}
-
-void Session::answerEnded()
-{
-    const bool success = m_head.status >= FirstSuccess && m_head.status < FirstRedirect;
-    if (m_streaming && success && m_answer.sealed) {
-        m_endpoint->health.noteSuccess();
-        release(true);
-        finishStream(!m_frames.partial());
-        return;
-    }
-    if (m_answer.notRun) {
-        runFailed(true, true, "refused by the endpoint");
-        return;
-    }
-    if ((success && !m_answer.sealed) || promisesNotRun(m_head.status)) {
-        runFailed(false, true, "the answer is not the endpoint's own or promises too much");
-        return;
-    }
-    if (m_head.status >= FirstServerError && m_request.route->kind == RouteKind::Idempotent
-        && mayRunAgain() && spendExtra()) {
-        noteBegun();
-        m_endpoint->health.noteSuccess();
-        m_avoid.insert(m_endpoint->record.id);
-        m_mayHaveRun = true;
-        release(true);
-        next();
-        return;
-    }
-    noteBegun();
-    m_endpoint->health.noteSuccess();
-    const auto duration =
-        std::chrono::duration_cast<Milliseconds>(core::BootClock::now() - m_arrived);
-    core::recordMetric("jujube_answer_seconds", "", duration);
-    release(true);
-    m_responder.send(platform::encodeForClient(m_head), m_body);
-    finish("answered", m_head.status);
-}
-
-// Only the orderly end of an endpoint's answer ends the client's as complete.
-void Session::finishStream(bool whole)
-{
-    if (whole)
-        m_responder.finish();
-    else
-        m_responder.abort();
-    finish(whole ? "answered" : "broken", m_head.status);
-}
-
-void Session::onFailure(http::Failure failure, const std::string &why)
-{
-    if (m_purpose == Purpose::Prefill) {
-        m_endpoint->health.noteFailure(core::BootClock::now());
-        prefillFailed(why);
-        return;
-    }
-    runFailed(failure == http::Failure::NotSent, failure != http::Failure::NotSent, why);
-}
-
-// A run ended without an answer that can be given to the client.
-void Session::runFailed(bool notRun, bool sent, const std::string &why)
-{
-    core::Event("run.failed")
-        .with("request", m_request.facts.id)
-        .with("endpoint", m_endpoint->record.id)
-        .with("not_run", notRun)
-        .with("sent", sent)
-        .with("status", m_head.status)
-        .with("why", why);
-    m_avoid.insert(m_endpoint->record.id);
-    if (!notRun || !sent)
-        m_endpoint->health.noteFailure(core::BootClock::now());
-    else
-        m_endpoint->pause(core::BootClock::now(), RefusalPause);
-    release(false);
-    if (m_finished)
-        return;
-    if (m_detached) {
-        finish("client-left", 0);
-        return;
-    }
-    if (notRun) {
-        --m_runs;
-        // A prompt that was read may have been taken from its engine by the refused send.
-        if (sent)
-            m_handleAt = nullptr;
-        if (!sent || spendExtra())
-            next();
-        else if (m_streaming)
-            finishStream(false);
-        else if (m_mayHaveRun)
-            fail(Failed, "it failed, and was refused when it was sent again");
-        else
-            fail(NotRun, "refused, and the budget for sending it again is spent", comeBack());
-        return;
-    }
-    m_handleAt = nullptr;
-    m_mayHaveRun = true;
-    if (m_request.route->kind != RouteKind::Stream)
-        noteBegun();
-    if (m_request.route->repeatable() && mayRunAgain() && spendExtra()) {
-        m_frames.dropPartial();
-        next();
-    } else if (m_streaming) {
-        finishStream(false);
-    } else {
-        fail(Failed, why);
-    }
-}
-
-bool Session::mayRunAgain() const
-{
-    return m_runs < m_request.route->maxAttempts && timeLeft().count() > 0;
-}
-
-bool Session::spendExtra()
-{
-    const bool granted = m_services.budget(m_request.service)
-                             .trySpend(core::BootClock::now(), m_services.gateways());
-    if (!granted)
-        core::countMetric("jujube_retries_denied_total");
-    return granted;
-}
-
-void Session::noteBegun()
-{
-    if (!std::exchange(m_begun, true) && !m_request.team.empty())
-        m_services.usage.note(m_request.team, core::wallTime());
-}
-
 void Session::dropHandle()
 {
     if (!m_handleAt || m_sends > 0)
