Fetch from the holder that used a part last; news of load after 1 ms for each peer

Cause: of equal holders the first one listed was always fetched from, whose copies were evicted by then or whose link was busy.

--- a/src/policy/partcache.cpp
+++ b/src/policy/partcache.cpp
@@ -13,6 +13,7 @@
 std::vector<ChainLink> PartCache::record(const std::vector<ChainLink> &chain)
 {
     std::vector<ChainLink> fresh;
+    ++m_records;
     // From the end, so that the first parts, which others share, are the most recently used.
     for (auto it = chain.rbegin(); it != chain.rend(); ++it) {
         const auto [part, added] = m_parts.try_emplace(it->hash);
@@ -25,6 +26,7 @@
             m_byUse.splice(m_byUse.begin(), m_byUse, part->second.byUse);
         }
         part->second.byUse = m_byUse.begin();
+        part->second.usedAt = m_records;
     }
     while (m_tokens > m_maxTokens && !m_byUse.empty()) {
         const auto oldest = m_parts.find(m_byUse.back());
@@ -46,6 +48,12 @@
     return tokens;
 }
 
+uint64_t PartCache::ageOf(uint64_t hash) const
+{
+    const auto it = m_parts.find(hash);
+    return it == m_parts.end() ? m_records : m_records - it->second.usedAt;
+}
+
 void PartCache::clear()
 {
     m_tokens = 0;
--- a/src/policy/partcache.h
+++ b/src/policy/partcache.h
@@ -37,17 +37,22 @@
     std::vector<ChainLink> record(const std::vector<ChainLink> &chain);
     /** Tokens at the start of the prompt that the engine is expected to hold. */
     uint32_t cachedTokens(const std::vector<ChainLink> &chain) const;
+    /** Number of records since the last one with the given part; a part in recent use is more
+     * likely to be still there. */
+    uint64_t ageOf(uint64_t hash) const;
     void clear();
 
 private:
     struct Part
     {
         uint32_t tokens = 0;
+        uint64_t usedAt = 0; ///< Count of records at its last use.
         std::list<uint64_t>::iterator byUse;
     };
 
     uint64_t m_maxTokens;
     uint64_t m_tokens = 0;
+    uint64_t m_records = 0;
     std::list<uint64_t> m_byUse; ///< Most recently used first.
     std::unordered_map<uint64_t, Part> m_parts;
 };
--- a/src/serving/endpoints.cpp
+++ b/src/serving/endpoints.cpp
@@ -121,10 +121,23 @@
 {
     EndpointPtr best;
     uint32_t most = 0;
+    uint64_t age = 0;
     for (const EndpointPtr &it : endpoints) {
         const uint32_t tokens = it->gone ? 0 : it->parts.cachedTokens(prompt);
-        if (tokens > most) {
+        if (tokens == 0 || tokens < most)
+            continue;
+        // Among equal ones the part that was used last is least likely to have been evicted, and
+        // the transfers spread over the endpoints.
+        uint64_t oldest = 0;
+        uint32_t sum = 0;
+        for (const policy::ChainLink &link : prompt) {
+            sum += link.tokens;
+            if (sum <= tokens)
+                oldest = it->parts.ageOf(link.hash);
+        }
+        if (tokens > most || oldest < age) {
             most = tokens;
+            age = oldest;
             best = it;
         }
     }
--- a/src/serving/peermesh.cpp
+++ b/src/serving/peermesh.cpp
@@ -22,7 +22,7 @@
 constexpr Milliseconds NewsInterval{100};
 // Changes of load are told this much later for each peer: at six gateways news that were 100 ms old
 // doubled the time in which nine of ten prompts were read; the cost grows with the peers.
-constexpr Milliseconds NewsDelayPerPeer{2};
+constexpr Milliseconds NewsDelayPerPeer{1};
 // A peer that misses this many in a row is stopped, cut off or frozen: its load is not counted.
 constexpr Milliseconds PeerSilence{1'500};
 // Datagrams come in bunches; adding up the loads for each would cost more than it tells.
