--- a/src/policy/stageplanner.cpp
+++ b/src/policy/stageplanner.cpp
@@ -25,6 +25,32 @@
     return best;
 }
 
+size_t StagePlanner::initial(size_t engines, uint32_t slots) const
+{
+    const double ratio = static_cast<double>(m_settings.referenceSlots) / std::max(1U, slots);
+    const double decode = m_settings.initialDecodeShare * std::sqrt(std::sqrt(ratio));
+    constexpr double roundUpFrom = 0.3; // A queue for prompts costs more than a fuller batch.
+    const double prefill =
+        std::floor(static_cast<double>(engines) * (1 - decode) + 1 - roundUpFrom);
+    return static_cast<size_t>(std::clamp(prefill, 1.0, static_cast<double>(engines - 1)));
+}
+
+// Swings of the mix within seconds interrupt a lasting wish; they must not start it afresh.
+bool StagePlanner::settled(bool wanted, bool towardsPrefill, core::TimePoint now)
+{
+    const auto passed = m_lookedAt == core::TimePoint{}
+        ? core::Milliseconds(0)
+        : std::chrono::duration_cast<core::Milliseconds>(now - m_lookedAt);
+    m_lookedAt = now;
+    if (wanted && towardsPrefill != m_towardsPrefill) {
+        m_towardsPrefill = towardsPrefill;
+        m_wanted = {};
+    }
+    m_wanted = std::clamp(m_wanted + (wanted ? passed : -passed), core::Milliseconds(0),
+                          m_settings.settle);
+    return wanted && m_wanted >= m_settings.settle;
+}
+
 std::vector<StageChange> StagePlanner::plan(const std::vector<StageView> &engines,
                                             const StageDemand &demand, core::TimePoint now)
 {
@@ -42,11 +68,8 @@
 
     std::vector<StageChange> round;
     if (!m_trafficSeen) {
-        constexpr double roundUpFrom = 0.3; // A queue for prompts costs more than a fuller batch.
-        const double share = static_cast<double>(available) * m_settings.initialPrefillShare;
-        const auto target = static_cast<size_t>(std::floor(share + 1 - roundUpFrom));
         if (overdue)
-            round = changes(engines, std::clamp<size_t>(target, 1, available - 1), available);
+            round = changes(engines, initial(available, demand.slots), available);
     } else if (prefill == 0 || prefill == available) {
         if (overdue)
             round = changes(engines, prefill == 0 ? 1 : available - 1, 1);
@@ -55,12 +78,7 @@
         const double present = pressure(prefill, available - prefill, demand);
         const double after = pressure(target, available - target, demand);
         const bool wanted = present > 1 && after < present * (1 - m_settings.leastGain);
-        const std::optional<size_t> wish = wanted ? std::optional(target) : std::nullopt;
-        if (wish.has_value() != m_wish.has_value()
-            || (wish && (*wish > prefill) != (*m_wish > prefill)))
-            m_wishSince = now;
-        m_wish = wish;
-        if (wanted && due && now - m_wishSince >= m_settings.settle)
+        if (settled(wanted, target > prefill, now) && due)
             round = changes(engines, target, 1);
     }
     if (!round.empty())
--- a/src/policy/stageplanner.h
+++ b/src/policy/stageplanner.h
@@ -34,12 +34,16 @@
 
 struct StagePlannerSettings
 {
-    // The best of 0.30 to 0.72 on quiet days of two deployments (docs/POLICY.md, round 6).
-    double initialPrefillShare = 0.55; ///< Before any load was seen.
-    double prefillUse = 0.75;          ///< Of the prefill engines; queues grow steeply above.
-    double decodeUse = 0.8; ///< Of the slots of decode engines; prompts are held back at 0.95.
-    double leastGain = 0.2; ///< Part by which a change must lower the use of the shorter stage.
-    core::Milliseconds settle{2'500};   ///< A wish must hold this long before it is acted on.
+    /** Share of decode engines before any load was seen, for engines of 64 slots: the best of 0.28
+     * to 0.70 on quiet days. Engines with more slots decode more streams each: with 128 slots 0.38
+     * was best (docs/POLICY.md, rounds 6 and 12), which is the fourth root of the ratio. */
+    double initialDecodeShare = 0.45;
+    uint32_t referenceSlots = 64;
+    double prefillUse = 0.75; ///< Of the prefill engines; queues grow steeply above.
+    double decodeUse = 0.8;   ///< Of the slots of decode engines; prompts are held back at 0.95.
+    double leastGain = 0.2;   ///< Part by which a change must lower the use of the shorter stage.
+    /** Time for which a change must have been wanted, less the time for which it was not. */
+    core::Milliseconds settle{2'500};
     core::Milliseconds interval{5'000}; ///< Least time between two rounds: longer than a change.
     core::Milliseconds retry{5'500};    ///< After which an order without effect is given again.
 };
@@ -67,13 +71,16 @@
 
 private:
     double pressure(size_t prefill, size_t decode, const StageDemand &demand) const;
+    size_t initial(size_t engines, uint32_t slots) const;
+    bool settled(bool wanted, bool towardsPrefill, core::TimePoint now);
     size_t best(size_t engines, const StageDemand &demand) const;
     std::vector<StageChange> changes(const std::vector<StageView> &engines, size_t target,
                                      size_t most) const;
 
     StagePlannerSettings m_settings;
-    std::optional<size_t> m_wish;
-    core::TimePoint m_wishSince{};
+    bool m_towardsPrefill = false; ///< Direction of the change that is wanted.
+    core::Milliseconds m_wanted{}; ///< Evidence for it, in time.
+    core::TimePoint m_lookedAt{};
     core::TimePoint m_lastRound{};
     bool m_trafficSeen = false;
 };
--- a/test/correctness/stageplanner.cpp
+++ b/test/correctness/stageplanner.cpp
@@ -28,6 +28,14 @@
     return engines;
 }
 
+// Engines of 64 slots before traffic.
+policy::StageDemand idle()
+{
+    policy::StageDemand demand;
+    demand.slots = 64;
+    return demand;
+}
+
 // Plans over a time with one load; carries the changes out at once.
 size_t play(policy::StagePlanner &planner, std::vector<policy::StageView> &engines,
             const policy::StageDemand &demand, core::TimePoint &now, core::Milliseconds time)
@@ -57,7 +65,7 @@
 Test(stageplanner, sets_the_initial_split_at_once)
 {
     policy::StagePlanner planner({});
-    const auto changes = planner.plan(fleet(12, 4), {}, Start);
+    const auto changes = planner.plan(fleet(12, 4), idle(), Start);
     cr_assert_geq(changes.size(), 2U);
     for (const auto &it : changes)
         cr_assert(it.prefill);
@@ -68,7 +76,7 @@
     policy::StagePlanner planner({});
     auto engines = fleet(12, 0);
     core::TimePoint now = Start;
-    play(planner, engines, {}, now, 1s);
+    play(planner, engines, idle(), now, 1s);
     for (const char domain : {'a', 'b', 'c'}) {
         const auto n = std::count_if(engines.begin(), engines.end(), [domain](const auto &it) {
             return it.prefill && it.domain == std::string(1, domain);
