A dark engine is suspected before its prompts are given up

Cause: an engine that went dark held prompts for three times the prediction and 1.5 s, as long as clients wait, and was sent further ones meanwhile.

--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -22,8 +22,12 @@
 constexpr Milliseconds ConnectTimeout{350};
 // A prompt may be read again elsewhere, so a silent engine is not waited for much longer than the
 // prediction: it is off by the work of other gateways that the last datagrams did not tell.
-constexpr Milliseconds PrefillSlack{1'500};
+constexpr Milliseconds PrefillSlack{600}; // Nine of ten prompts are read within 250 ms.
 constexpr int PrefillPatience = 3;
+// An engine this late has probably gone dark: two dozen prompts a second must not follow.
+constexpr Milliseconds SuspectSlack{200};
+constexpr int SuspectPatience = 2;
+constexpr Milliseconds SuspectPause{400};
 // Connection attempts that fail reach nobody and are free, but not without end.
 constexpr uint32_t MaxSends = 8;
 // Refused callers return spread over this time, so that they do not come back as one burst.
@@ -169,19 +173,36 @@
     armPrefillTimer();
 }
 
+// First the engine is suspected, and gets no further prompts for a moment; then the prompt is given
+// to another one.
 void Session::armPrefillTimer()
 {
-    m_prefillTimer.expires_after(m_plan.choice.predicted * PrefillPatience + PrefillSlack);
-    const auto self = shared_from_this();
-    m_prefillTimer.async_wait([self, sentAt = m_sentAt](const ErrorCode &ec) {
-        if (ec || self->m_finished || self->m_purpose != Purpose::Prefill || !self->m_connection
-            || self->m_sentAt != sentAt)
-            return;
-        self->m_endpoint->health.noteFailure(core::BootClock::now());
-        self->prefillFailed("no answer in time");
+    const Milliseconds predicted = m_plan.choice.predicted;
+    const Milliseconds suspect = predicted * SuspectPatience + SuspectSlack;
+    waitForPrefill(suspect, [this, predicted, suspect]() {
+        core::countMetric("jujube_engines_suspected_total");
+        m_endpoint->pause(core::BootClock::now(), SuspectPause);
+        waitForPrefill(predicted * PrefillPatience + PrefillSlack - suspect, [this]() {
+            m_endpoint->health.noteFailure(core::BootClock::now());
+            prefillFailed("no answer in time");
+        });
     });
 }
 
+// Calls back unless the present prefill has ended by then.
+void Session::waitForPrefill(Milliseconds time, std::function<void()> late)
+{
+    m_prefillTimer.expires_after(time);
+    const auto self = shared_from_this();
+    m_prefillTimer.async_wait(
+        [self, sentAt = m_sentAt, late = std::move(late)](const ErrorCode &ec) {
+            const bool waits = !ec && !self->m_finished && self->m_purpose == Purpose::Prefill
+                && self->m_connection && self->m_sentAt == sentAt;
+            if (waits)
+                late();
+        });
+}
+
 EndpointPtr Session::chooseRunner()
 {
     const TimePoint now = core::BootClock::now();
--- a/src/serving/session.h
+++ b/src/serving/session.h
@@ -89,6 +89,7 @@
     void release(bool keepConnection);
     void stopWaiting();
     void armPrefillTimer();
+    void waitForPrefill(core::Milliseconds time, std::function<void()> late);
 
     bool onHead(const http::Head &head);
     void onBody(std::string &body);
--- a/test/fakes/workerstandin.cpp
+++ b/test/fakes/workerstandin.cpp
@@ -128,6 +128,11 @@
         responder.send(answerHead(id, Misdirected, false), {});
         return;
     }
+    if (m_fault == WorkerFault::Silent) {
+        m_atWork.insert(id);
+        responder.onClientGone([this, id]() { m_atWork.erase(m_atWork.find(id)); });
+        return;
+    }
     const QJsonObject body{{"KvHandle", wire::qstring(core::concat("h", ++m_nextHandle))},
                            {"Tokens", 100},
                            {"Version", 1}};
