Nothing is taken later than 2.7 s after SIGTERM; the store is watched at a pace

In a large deployment every change of the store cost a call of each gateway: watches are spaced by 10 ms a gateway.

--- a/src/serving/duties.h
+++ b/src/serving/duties.h
@@ -27,7 +27,7 @@
     EndpointTable &endpoints;
     UsageCounts &usage;
     std::function<std::shared_ptr<const FleetConfig>()> config;
-    std::function<double()> promptTokensPerSecond;  ///< That come to all gateways.
+    std::function<double()> promptTokensPerSecond;  ///< Given to engines by all gateways.
     std::function<double()> prefillTokensPerSecond; ///< Of one engine, as observed.
     std::function<const StoreItem *(const std::string &key)> mirrored;
 };
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -20,14 +20,19 @@
 constexpr uint16_t MetricsPort = 9464; // As stated in deploy/system.toml.
 constexpr Milliseconds TickInterval{200};
 constexpr Milliseconds PromptRateTime{2'000}; ///< Shorter than the swings of the mix seen so far.
-// The balancer takes a process out after two failed questions a second apart.
-constexpr Milliseconds LeaveRotation{3'200};
+// The balancer takes a process out after two failed questions a second apart. A request that comes
+// later than three seconds after the signal could not be broken off at the end of the grace time.
+constexpr Milliseconds LeaveRotation{2'700};
 constexpr Milliseconds DrainStep{100};
 constexpr Milliseconds KillMargin{500}; ///< Before the platform's SIGKILL.
 constexpr Milliseconds NoConfigRetry{1'000};
 // All gateways together make about two and a half watch calls a second.
 constexpr Milliseconds WatchWaitPerGateway{400};
 constexpr Milliseconds LeastWatchWait{2'500};
+// A tenth of the shortest time in which a change must be in force.
+constexpr Milliseconds WatchPacePerGateway{10};
+constexpr Milliseconds LeastWatchPace{50};
+constexpr Milliseconds MostWatchPace{250};
 constexpr Milliseconds MostWatchWait{12'000};
 constexpr Milliseconds PredictionLogInterval{5'000};
 constexpr uint64_t DefaultCacheTokens = 500'000; ///< For engines whose memory is not stated.
@@ -348,6 +353,8 @@
         const auto gateways = static_cast<int64_t>(m_peers.gatewayCount(now));
         m_mirror->setWatchWait(
             std::clamp(WatchWaitPerGateway * gateways, LeastWatchWait, MostWatchWait));
+        m_mirror->setWatchPace(
+            std::clamp(WatchPacePerGateway * gateways, LeastWatchPace, MostWatchPace));
         m_leadership.setContenders(static_cast<uint32_t>(gateways));
         m_placement.apart = m_apart.path();
         m_placement.itself = m_itself.path();
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -113,10 +113,6 @@
 
 void Session::waitForEngine()
 {
-    const auto &engines = m_services.endpoints.ofService(m_request.service);
-    const EndpointPtr holder = bestHolder(engines, m_chain);
-    const uint32_t held = holder ? holder->parts.cachedTokens(m_chain) : 0;
-    m_services.notePromptTokens(m_prompt.tokens - std::min(held, m_prompt.tokens));
     policy::WaitingPrompt prompt;
     prompt.kind = m_request.route->name;
     prompt.rank = m_request.rank;
@@ -159,6 +155,7 @@
 {
     m_assignedAt = core::BootClock::now();
     m_plan = plan;
+    m_services.notePromptTokens(plan.choice.uncachedTokens);
     if (!plan.engine->prefills()) {
         m_prefillTried = true;
         sendRunTo(plan.engine);
--- a/src/serving/storeclient.cpp
+++ b/src/serving/storeclient.cpp
@@ -166,6 +166,23 @@
 {
     m_watching = true;
     const uint64_t round = ++m_round;
+    const TimePoint now = core::BootClock::now();
+    if (now - m_watchedAt >= m_watchPace) {
+        watchNow(round);
+        return;
+    }
+    // Changes come in bunches, as at a start or while configurations follow each other.
+    const auto self = shared_from_this();
+    m_timer.expires_after(m_watchedAt + m_watchPace - now);
+    m_timer.async_wait([self, round](const boost::system::error_code &ec) {
+        if (!ec && round == self->m_round)
+            self->watchNow(round);
+    });
+}
+
+void StoreMirror::watchNow(uint64_t round)
+{
+    m_watchedAt = core::BootClock::now();
     const auto self = shared_from_this();
     m_client.watch(m_prefix, m_revision, m_watchWait,
                    [self, round](const absl::StatusOr<StorePage> &page) {
--- a/src/serving/storeclient.h
+++ b/src/serving/storeclient.h
@@ -59,6 +59,8 @@
     void start();
     /** Sets how long a watch waits: longer where many watch and tell each other what changed. */
     void setWatchWait(core::Milliseconds wait) { m_watchWait = wait; }
+    /** Sets the least time between two watches: each change costs a call of every gateway. */
+    void setWatchPace(core::Milliseconds pace) { m_watchPace = pace; }
     /** Ends the wait of the present watch early: a neighbour knows something newer. */
     void hurry();
     /** Takes over a neighbour's copy, as if the store had listed it. */
@@ -76,6 +78,7 @@
     void list(const std::string &afterKey);
     void listed(const StorePage &page);
     void watch();
+    void watchNow(uint64_t round);
     void failed(const absl::Status &status);
     void answered();
     void apply(const StoreItem &item);
@@ -92,6 +95,8 @@
     std::set<std::string> m_seen;              ///< Keys of the listing under way.
     std::map<std::string, uint64_t> m_pending; ///< Removals held back after an outage.
     core::Milliseconds m_watchWait{2'500}; ///< Bounds how long a silent connection hides changes.
+    core::Milliseconds m_watchPace{50};
+    core::TimePoint m_watchedAt{};
     uint64_t m_revision = 0;
     uint64_t m_listRevision = 0;
     uint64_t m_round = 0; ///< Counts calls, so that the answer of an abandoned one is told apart.
--- a/test/correctness/stageplanner.cpp
+++ b/test/correctness/stageplanner.cpp
@@ -140,3 +140,18 @@
     cr_assert_geq(changes.size(), 1U);
     cr_assert(changes.front().prefill);
 }
+
+// Decoders were lost: those that are left are full and hold back prompts that readers could take.
+Test(stageplanner, full_decoders_get_an_engine_from_idle_readers)
+{
+    policy::StagePlanner planner({});
+    auto engines = fleet(7, 5);
+    policy::StageDemand demand;
+    demand.slots = 128;
+    demand.promptTokensPerSecond = 170'000;
+    demand.prefillTokensPerSecond = 95'000;
+    demand.streams = 243;
+    core::TimePoint now = Start;
+    play(planner, engines, demand, now, 4s);
+    cr_assert_eq(prefillCount(engines), 4U);
+}
--- a/test/support/deployment.cpp
+++ b/test/support/deployment.cpp
@@ -152,6 +152,7 @@
 std::shared_ptr<http::ClientConnection> Deployment::start(const std::string &target,
                                                           const std::string &id,
                                                           std::shared_ptr<ClientAnswer> answer,
+                                                          const std::vector<http::Field> &more,
                                                           size_t gateway)
 {
     http::Head head;
@@ -160,6 +161,8 @@
     head.fields.add("Host", "test.example");
     head.fields.add("Request-Id", id);
     head.fields.add("X-Api-Key", "key-a");
+    for (const http::Field &it : more)
+        head.fields.add(it.name, it.value);
     auto connection = http::ClientConnection::create(
         m_io, address(static_cast<uint32_t>(FirstGatewayHost + gateway), ClientPort));
     http::ExchangeHandler handler;
--- a/test/support/deployment.h
+++ b/test/support/deployment.h
@@ -66,6 +66,7 @@
     /** Starts a request without waiting. The handle's close() makes the client leave. */
     std::shared_ptr<http::ClientConnection> start(const std::string &target, const std::string &id,
                                                   std::shared_ptr<ClientAnswer> answer,
+                                                  const std::vector<http::Field> &more = {},
                                                   size_t gateway = 0);
     uint32_t readiness(size_t gateway = 0);
     void runFor(core::Milliseconds time);
