One list of statuses; a pause of an endpoint is called a pause

Cause: reading as a newcomer: status constants stood in six sources, and changingUntil also held refusals and suspicions.

--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -190,10 +190,8 @@
         }
         if (!m_parser->headDone())
             return;
-        constexpr uint32_t firstFinalStatus = 200;
         if (!m_headGiven && !m_skipping) {
-            m_skipping =
-                m_parser->head().status < firstFinalStatus || !handler->onHead(m_parser->head());
+            m_skipping = m_parser->head().status < status::Ok || !handler->onHead(m_parser->head());
             m_headGiven = !m_skipping;
             if (m_closed)
                 return;
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -135,6 +135,26 @@
 std::string renderChunk(std::string_view data);
 inline constexpr std::string_view LastChunk = "0\r\n\r\n";
 
+/** Statuses that the serving path gives or looks for. */
+namespace status {
+inline constexpr uint32_t Ok = 200;
+inline constexpr uint32_t Accepted = 202;
+inline constexpr uint32_t FirstRedirect = 300;
+inline constexpr uint32_t BadRequest = 400;
+inline constexpr uint32_t Unauthorized = 401;
+inline constexpr uint32_t NotFound = 404;
+inline constexpr uint32_t RequestTimeout = 408;
+inline constexpr uint32_t Conflict = 409;
+inline constexpr uint32_t ContentTooLarge = 413;
+inline constexpr uint32_t Misdirected = 421;
+inline constexpr uint32_t TooManyRequests = 429;
+inline constexpr uint32_t HeadTooLarge = 431;
+inline constexpr uint32_t FirstServerError = 500;
+inline constexpr uint32_t BadGateway = 502;         ///< Failed; promises nothing.
+inline constexpr uint32_t ServiceUnavailable = 503; ///< A promise: not run, and never will be.
+inline constexpr uint32_t GatewayTimeout = 504;     ///< No answer in time; promises nothing.
+} // namespace status
+
 /** The usual reason phrase of a status. */
 std::string_view reasonOf(uint32_t status);
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -249,7 +249,8 @@
         return;
     if (const ErrorCode ec = m_parser->consume(m_in)) {
         core::Event("request.malformed").with("why", ec.message());
-        refuse(ec == boost::beast::http::error::header_limit ? 431 : 400);
+        refuse(ec == boost::beast::http::error::header_limit ? status::HeadTooLarge
+                                                             : status::BadRequest);
         return;
     }
     if (!m_parser->headDone())
@@ -257,7 +258,7 @@
     const Head &head = m_parser->head();
     if (m_parser->body().size() > m_server.m_limits.maxBodyBytes
         || head.contentLength.value_or(0) > m_server.m_limits.maxBodyBytes) {
-        refuse(413);
+        refuse(status::ContentTooLarge);
         return;
     }
     if (m_parser->done()) {
@@ -363,7 +364,7 @@
         if (now - m_since > limits.idleTimeout)
             close();
     } else if (!m_parser->headDone() && now - m_since > limits.headTimeout) {
-        refuse(408);
+        refuse(status::RequestTimeout);
     } else if (now - m_since > limits.headTimeout + limits.idleTimeout) {
         close();
     }
--- a/src/serving/duties.cpp
+++ b/src/serving/duties.cpp
@@ -25,9 +25,6 @@
 constexpr uint64_t WindowsKept = 8;
 constexpr Milliseconds ReportTimeout{1'500};
 constexpr Milliseconds OrderTimeout{1'000};
-constexpr uint32_t Ok = 200;
-constexpr uint32_t Accepted = 202;
-constexpr uint32_t Conflict = 409;
 // An engine whose order was taken gets no work until its entry shows the new stage, or this long.
 constexpr Milliseconds ChangeAllowance{1'500};
 
@@ -128,7 +125,7 @@
                                    .with("window", window)
                                    .with("token", m_services.leadership.fencingToken())
                                    .with("status", status);
-                               if (status == Ok || status == Conflict)
+                               if (status == http::status::Ok || status == http::status::Conflict)
                                    done(window);
                                else
                                    m_underWay.erase(window);
@@ -170,7 +167,7 @@
             view.domain = it->record.domain;
             view.prefill = it->prefills();
             view.running = it->own.running + it->peers.running;
-            view.available = it->acceptsWork() && now >= it->changingUntil
+            view.available = it->acceptsWork() && now >= it->pausedUntil
                 && it->health.state(now) == policy::OutlierDetector::State::Healthy;
             if (!view.prefill)
                 demand.streams += view.running;
@@ -239,8 +236,8 @@
                 .with("token", token)
                 .with("status", status);
             core::countMetric("jujube_stage_orders_total", core::concat("status=\"", status, "\""));
-            if (status == Accepted)
-                engine->changingUntil = core::BootClock::now() + change + ChangeAllowance;
+            if (status == http::status::Accepted)
+                engine->pausedUntil = core::BootClock::now() + change + ChangeAllowance;
         });
 }
 
--- a/src/serving/endpoints.cpp
+++ b/src/serving/endpoints.cpp
@@ -30,7 +30,7 @@
 
 void Endpoint::pause(core::TimePoint now, core::Milliseconds time)
 {
-    changingUntil = std::max(changingUntil, now + time);
+    pausedUntil = std::max(pausedUntil, now + time);
 }
 
 void EndpointTable::update(const EndpointRecord &record, uint64_t cacheTokens)
@@ -51,7 +51,7 @@
                     .with("revision", record.revision);
             }
             if (known->record.stage != record.stage)
-                known->changingUntil = {};
+                known->pausedUntil = {};
             known->record = record;
             return;
         }
@@ -158,7 +158,7 @@
     view.readsApart = endpoint.prefills();
     const auto state = endpoint.health.state(now);
     view.probe = state == policy::OutlierDetector::State::ProbeDue;
-    view.usable = endpoint.acceptsWork() && now >= endpoint.changingUntil
+    view.usable = endpoint.acceptsWork() && now >= endpoint.pausedUntil
         && (state == policy::OutlierDetector::State::Healthy || view.probe);
     return view;
 }
--- a/src/serving/endpoints.h
+++ b/src/serving/endpoints.h
@@ -54,7 +54,8 @@
     double slowness = 1;
     uint32_t connections = 0; ///< Of this entry, in use.
     bool gone = false;
-    core::TimePoint changingUntil{}; ///< An order to change its stage is being carried out.
+    /** No new work until then: its stage is being changed, it refused, or it is suspected. */
+    core::TimePoint pausedUntil{};
 };
 
 using EndpointPtr = std::shared_ptr<Endpoint>;
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -37,11 +37,6 @@
 constexpr Milliseconds PredictionLogInterval{5'000};
 constexpr uint64_t DefaultCacheTokens = 500'000; ///< For engines whose memory is not stated.
 constexpr double CacheShare = 0.7; ///< Of an engine's memory; running requests take the rest.
-constexpr uint32_t Ok = 200;
-constexpr uint32_t Unavailable = 503;
-constexpr uint32_t BadRequest = 400;
-constexpr uint32_t Unauthorized = 401;
-constexpr uint32_t NotFound = 404;
 
 } // namespace
 
@@ -114,15 +109,16 @@
       m_readyServer(io,
                     [this](const http::Request &request, const http::Responder &responder) {
                         http::Head head;
-                        head.status = !platform::isReadinessCall(request.head) ? NotFound
-                            : ready()                                          ? Ok
-                                                                               : Unavailable;
+                        head.status = !platform::isReadinessCall(request.head)
+                            ? http::status::NotFound
+                            : ready() ? http::status::Ok
+                                      : http::status::ServiceUnavailable;
                         responder.send(head, {});
                     }),
       m_metricsServer(io,
                       [](const http::Request &request, const http::Responder &responder) {
                           http::Head head;
-                          head.status = Ok;
+                          head.status = http::status::Ok;
                           head.fields.add("Content-Type", "text/plain; version=0.0.4");
                           responder.send(head, core::renderMetrics());
                       }),
@@ -280,17 +276,20 @@
 {
     const auto config = m_config.load();
     if (!config) {
-        refuse(responder, request.head, Unavailable, "no configuration yet", NoConfigRetry);
+        refuse(responder, request.head, http::status::ServiceUnavailable, "no configuration yet",
+               NoConfigRetry);
         return;
     }
     auto facts = platform::decodeRequest(request.head);
     if (!facts.ok()) {
-        refuse(responder, request.head, BadRequest, std::string(facts.status().message()));
+        refuse(responder, request.head, http::status::BadRequest,
+               std::string(facts.status().message()));
         return;
     }
     const Route *route = config->findRoute(facts->host, facts->path);
     if (!route) {
-        refuse(responder, request.head, NotFound, "no route for " + facts->host + facts->path);
+        refuse(responder, request.head, http::status::NotFound,
+               "no route for " + facts->host + facts->path);
         return;
     }
     AdmittedRequest admitted;
@@ -298,7 +297,7 @@
     if (config->keyed) {
         const TeamFacts *team = facts->key.empty() ? nullptr : config->findTeam(facts->key);
         if (!team && !route->open) {
-            refuse(responder, request.head, Unauthorized, "unknown key");
+            refuse(responder, request.head, http::status::Unauthorized, "unknown key");
             return;
         }
         if (team) {
--- a/src/serving/gatewaynews.cpp
+++ b/src/serving/gatewaynews.cpp
@@ -14,7 +14,8 @@
 // A peer that stays ahead this long has heard something that this gateway's watch has not.
 constexpr Milliseconds BehindLimit{400};
 constexpr uint64_t WindowsTold = 2; ///< Usage windows in each datagram, besides the current one.
-constexpr Milliseconds TickInterval{200};
+// An endpoint that the leader keeps work away from is left out until its next news.
+constexpr Milliseconds ToldPause{200};
 
 } // namespace
 
@@ -30,7 +31,7 @@
     news.storeRevision = m_mirror->revision();
     news.promptTokensPerSecond = m_promptTokens.rate(now);
     for (const auto &[id, endpoint] : m_endpoints.all()) {
-        const bool changing = now < endpoint->changingUntil && m_leadership.held();
+        const bool changing = now < endpoint->pausedUntil && m_leadership.held();
         if (endpoint->own.running > 0 || changing)
             news.shares.push_back({endpoint->hash, endpoint->own, changing});
     }
@@ -89,7 +90,7 @@
             continue;
         const EndpointPtr endpoint = m_endpoints.findByHash(share.endpoint);
         if (endpoint)
-            endpoint->pause(core::BootClock::now(), TickInterval);
+            endpoint->pause(core::BootClock::now(), ToldPause);
     }
 }
 
--- a/src/serving/peermesh.cpp
+++ b/src/serving/peermesh.cpp
@@ -41,8 +41,6 @@
 // Longer than the window that budgets of repeated sends are judged over.
 constexpr Milliseconds BudgetMemory{15'000};
 constexpr Milliseconds FetchTimeout{800};
-constexpr uint32_t Ok = 200;
-constexpr uint32_t NotFound = 404;
 constexpr const char *StatePath = "/state";
 
 } // namespace
@@ -77,9 +75,11 @@
     m_server = std::make_unique<http::Server>(
         m_io, [this](const http::Request &request, const http::Responder &responder) {
             http::Head head;
-            head.status = request.head.target == StatePath ? Ok : NotFound;
+            head.status =
+                request.head.target == StatePath ? http::status::Ok : http::status::NotFound;
             responder.send(head,
-                           head.status == Ok ? encodeState(m_handler.state()) : std::string());
+                           head.status == http::status::Ok ? encodeState(m_handler.state())
+                                                           : std::string());
         });
     if (absl::Status status = m_server->listen(m_address); !status.ok())
         return status;
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -15,9 +15,6 @@
 using core::TimePoint;
 using ErrorCode = boost::system::error_code;
 
-constexpr uint32_t NotRun = 503;   ///< A promise: the request has not run and will not.
-constexpr uint32_t Failed = 502;   ///< Promises nothing.
-constexpr uint32_t TimedOut = 504; ///< Promises nothing.
 // A connection inside a region takes a few ms; a VM that lost its power does not answer at all.
 constexpr Milliseconds ConnectTimeout{350};
 // A prompt may be read again elsewhere, so a silent engine is not waited for much longer than the
@@ -122,7 +119,8 @@
     prompt.deadlineAt = firstEventBy();
     const Milliseconds wait = m_services.prompts.expectedWait(m_request.service, prompt);
     if (core::BootClock::now() + wait > prompt.deadlineAt) {
-        fail(NotRun, "the queue is longer than the client waits", comeBack());
+        fail(http::status::ServiceUnavailable, "the queue is longer than the client waits",
+             comeBack());
         return;
     }
     const auto self = shared_from_this();
@@ -138,7 +136,8 @@
     };
     callbacks.onHopeless = [self]() {
         self->m_waitId = 0;
-        self->fail(NotRun, "it waited for an engine until it was too late", self->comeBack());
+        self->fail(http::status::ServiceUnavailable,
+                   "it waited for an engine until it was too late", self->comeBack());
     };
     m_waitId =
         m_services.prompts.add(m_request.service, std::move(prompt), m_chain, std::move(callbacks));
@@ -227,9 +226,9 @@
         if (m_streaming)
             finishStream(false);
         else if (m_mayHaveRun)
-            fail(Failed, "it failed, and no other endpoint can take it");
+            fail(http::status::BadGateway, "it failed, and no other endpoint can take it");
         else
-            fail(NotRun, "no endpoint can take it now", comeBack());
+            fail(http::status::ServiceUnavailable, "no endpoint can take it now", comeBack());
         return;
     }
     if (!m_handleAt)
@@ -399,9 +398,10 @@
         m_responder.abort();
         finish("timed-out", m_head.status);
     } else if (running || m_mayHaveRun) {
-        fail(TimedOut, "no answer within the time limit");
+        fail(http::status::GatewayTimeout, "no answer within the time limit");
     } else {
-        fail(NotRun, "no endpoint took it within the time limit", comeBack());
+        fail(http::status::ServiceUnavailable, "no endpoint took it within the time limit",
+             comeBack());
     }
 }
 
--- a/src/serving/sessionanswer.cpp
+++ b/src/serving/sessionanswer.cpp
@@ -19,20 +19,17 @@
 using core::Milliseconds;
 using core::TimePoint;
 
-constexpr uint32_t FirstSuccess = 200;
-constexpr uint32_t FirstRedirect = 300;
-constexpr uint32_t FirstServerError = 500;
-constexpr uint32_t MaxPrefills = 3;
+constexpr uint32_t MaxPrefills = 3; ///< Then the decoder reads the prompt.
 constexpr size_t MaxBufferedAnswer = 16UL << 20U;
 // An endpoint that refuses is full or changing: others are asked for a moment.
 constexpr Milliseconds RefusalPause{150};
-constexpr uint32_t NotRun = 503; ///< A promise: the request has not run and will not.
-constexpr uint32_t Failed = 502; ///< Promises nothing.
 
 // Statuses that promise that a request has not run. Only what states it plainly is believed.
 bool promisesNotRun(uint32_t status)
 {
-    constexpr std::array<uint32_t, 4> statuses{408, 421, 429, 503};
+    constexpr std::array<uint32_t, 4> statuses{
+        http::status::RequestTimeout, http::status::Misdirected, http::status::TooManyRequests,
+        http::status::ServiceUnavailable};
     return std::find(statuses.begin(), statuses.end(), status) != statuses.end();
 }
 
@@ -55,7 +52,8 @@
 
 void Session::onBody(std::string &body)
 {
-    const bool success = m_head.status >= FirstSuccess && m_head.status < FirstRedirect;
+    const bool success =
+        m_head.status >= http::status::Ok && m_head.status < http::status::FirstRedirect;
     if (m_purpose == Purpose::Run && m_request.route->kind == RouteKind::Stream && success
         && m_answer.sealed) {
         relayEvents(body);
@@ -119,7 +117,7 @@
 
 void Session::prefillEnded()
 {
-    if (m_head.status != FirstSuccess) {
+    if (m_head.status != http::status::Ok) {
         prefillFailed(m_answer.notRun ? "refused" : "failed");
         return;
     }
@@ -155,7 +153,8 @@
 
 void Session::answerEnded()
 {
-    const bool success = m_head.status >= FirstSuccess && m_head.status < FirstRedirect;
+    const bool success =
+        m_head.status >= http::status::Ok && m_head.status < http::status::FirstRedirect;
     if (m_streaming && success && m_answer.sealed) {
         m_endpoint->health.noteSuccess();
         release(true);
@@ -170,8 +169,8 @@
         runFailed(false, true, "the answer is not the endpoint's own or promises too much");
         return;
     }
-    if (m_head.status >= FirstServerError && m_request.route->kind == RouteKind::Idempotent
-        && mayRunAgain() && spendExtra()) {
+    if (m_head.status >= http::status::FirstServerError
+        && m_request.route->kind == RouteKind::Idempotent && mayRunAgain() && spendExtra()) {
         noteBegun();
         m_endpoint->health.noteSuccess();
         m_avoid.insert(m_endpoint->record.id);
@@ -242,9 +241,10 @@
         else if (m_streaming)
             finishStream(false);
         else if (m_mayHaveRun)
-            fail(Failed, "it failed, and was refused when it was sent again");
+            fail(http::status::BadGateway, "it failed, and was refused when it was sent again");
         else
-            fail(NotRun, "refused, and the budget for sending it again is spent", comeBack());
+            fail(http::status::ServiceUnavailable,
+                 "refused, and the budget for sending it again is spent", comeBack());
         return;
     }
     m_handleAt = nullptr;
@@ -257,7 +257,7 @@
     } else if (m_streaming) {
         finishStream(false);
     } else {
-        fail(Failed, why);
+        fail(http::status::BadGateway, why);
     }
 }
 
