--- a/src/serving/peermesh.cpp
+++ b/src/serving/peermesh.cpp
@@ -27,7 +27,7 @@
 constexpr Milliseconds PeerSilence{1'500};
 // Datagrams come in bunches; adding up the loads for each would cost more than it tells.
 constexpr Milliseconds SumInterval{5};
-// Up to this many peers each gateway tells every other: six gateways cost 3% of a core together.
+// Up to this many peers each gateway tells every other: six gateways use 3% of a core each.
 constexpr size_t MeshPeers = 9;
 // In a large deployment: load to the hub and sums from it, when it has changed and at least.
 constexpr Milliseconds LoadInterval{25};
--- a/test/correctness/loadexchange.cpp
+++ b/test/correctness/loadexchange.cpp
@@ -104,6 +104,10 @@
     policy::appendLink(chain, 2, 1'000);
     holder->parts.record(chain);
     holder->own.backlogTokens = other->own.backlogTokens = 60'000;
+    // An engine with room that is too slow to be chosen: the others are looked at meanwhile.
+    endpoints.update(engine("slow"), 100'000);
+    endpoints.find("slow")->slowness = 100;
+    endpoints.find("slow")->own.backlogTokens = 5'000;
     const policy::PlacementSettings placement;
     std::mt19937_64 random(1);
     serving::PromptScheduler scheduler(io, endpoints, placement, random, []() { return 1U; });
