Workers' notices in answers, answers without end

Cause: nothing decoded Server-Leaving or a worker's Retry-After, so requests went on to workers that had said they leave or want a pause; answers were collected without a useful bound, and a large sound one was cut at the client's 4 MB. Change: a leaving incarnation gets no new work, also after its entry lapsed and came back; peers are told. A pause holds for all that goes there, and clients are told to return when it ends if every worker wants one. Answers over 256 KiB go on in pieces with back pressure; endless heads, bodies, events and answers to other requests end with the connection. Ruled out: marking by peers for good (news name an id, not an incarnation).

--- a/src/http/caller.cpp
+++ b/src/http/caller.cpp
@@ -6,7 +6,8 @@
 
 using ErrorCode = boost::system::error_code;
 
-constexpr uint64_t MaxResponseBody = 16UL << 20U; // A page of the store holds about 1 MB.
+// The largest response is a peer's copy of the store, some hundred bytes for each of 2,000 items.
+constexpr uint64_t MaxResponseBody = 4UL << 20U;
 
 // One call under way. Ends by the response, a failure or the timer, whichever is first.
 class PendingCall : public std::enable_shared_from_this<PendingCall>
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -17,6 +17,8 @@
 using ErrorCode = boost::system::error_code;
 
 constexpr uint32_t MaxResponseHeadBytes = 64 * 1024; // Four times what callers may send.
+// An endpoint repeats or misplaces single answers; what goes on for longer is no answer at all.
+constexpr size_t MaxSkippedBytes = 1UL << 20U;
 // Peers that state no idle time-out close after seconds; a request that crosses the close has an
 // unknown outcome, so such a connection is kept only briefly.
 constexpr core::Milliseconds UnstatedIdle{3'000};
@@ -78,13 +80,11 @@
     m_busy = true;
     m_sentAny = false;
     m_headGiven = false;
-    m_skipping = false;
+    m_skippedBytes = 0;
     m_headRequest = headRequest;
     m_out = std::move(bytes);
     m_handler = std::make_shared<ExchangeHandler>(std::move(handler));
-    m_parser = std::make_unique<ResponseParser>(MaxResponseHeadBytes);
-    if (headRequest)
-        m_parser->expectNoBody();
+    startResponse();
     if (m_open)
         write();
     else
@@ -142,10 +142,28 @@
     });
 }
 
+void ClientConnection::startResponse()
+{
+    m_skipping = false;
+    m_parser = std::make_unique<ResponseParser>(MaxResponseHeadBytes);
+    if (m_headRequest)
+        m_parser->expectNoBody();
+}
+
+void ClientConnection::resumeReading()
+{
+    if (!std::exchange(m_paused, false) || m_closed)
+        return;
+    read();
+}
+
 void ClientConnection::read()
 {
+    if (m_paused || std::exchange(m_reading, true))
+        return;
     const auto self = shared_from_this();
     m_socket.async_read_some(asio::buffer(m_chunk), [self](const ErrorCode &ec, size_t n) {
+        self->m_reading = false;
         if (self->m_closed)
             return;
         if (!ec) {
@@ -180,9 +198,15 @@
             std::exchange(m_onIdleClose, {})();
         return;
     }
+    parseResponses();
+}
+
+void ClientConnection::parseResponses()
+{
     // A callback may end the exchange; its closure has to live until it returns.
     const auto handler = m_handler;
     while (!m_closed && m_busy && !m_in.empty()) {
+        const size_t before = m_in.size();
         const ErrorCode ec = m_parser->consume(m_in);
         if (ec) {
             fail(Failure::Malformed, ec.message());
@@ -196,20 +220,23 @@
             if (m_closed)
                 return;
         }
-        if (m_skipping)
+        if (m_skipping) {
             m_parser->body().clear();
-        else if (!m_parser->body().empty())
+            m_skippedBytes += before - m_in.size();
+            if (m_skippedBytes > MaxSkippedBytes) {
+                fail(Failure::Malformed, "bytes that answer no request go on and on");
+                return;
+            }
+        } else if (!m_parser->body().empty()) {
             handler->onBody(m_parser->body());
+        }
         if (m_closed || !m_parser->done())
             return;
         if (!m_skipping) {
             finishExchange();
             return;
         }
-        m_skipping = false;
-        m_parser = std::make_unique<ResponseParser>(MaxResponseHeadBytes);
-        if (m_headRequest)
-            m_parser->expectNoBody();
+        startResponse();
     }
 }
 
@@ -221,6 +248,7 @@
     const bool keep = head.keepAlive && !head.untilClose && !m_writing && m_in.empty();
     m_idleUntil = core::BootClock::now() + idleAllowed(head.fields);
     m_busy = false;
+    resumeReading();
     const auto self = shared_from_this();
     const auto handler = std::exchange(m_handler, {});
     if (!keep)
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -45,6 +45,9 @@
     /** Sends a request, after connecting if need be. \a bytes is the whole message. */
     void send(std::string bytes, bool headRequest, core::Milliseconds connectTimeout,
               ExchangeHandler handler);
+    /** Leaves further bytes of the response with the peer until resumeReading(). */
+    void pauseReading() { m_paused = true; }
+    void resumeReading();
     /** Ends the connection at once; no callback follows. */
     void close();
 
@@ -63,6 +66,8 @@
     void write();
     void read();
     void received();
+    void parseResponses();
+    void startResponse();
     void finishExchange();
     void fail(Failure failure, const std::string &why);
     void shut();
@@ -84,7 +89,10 @@
     bool m_sentAny = false;
     bool m_headRequest = false;
     bool m_headGiven = false;
-    bool m_skipping = false; ///< The response being read answers an earlier request.
+    bool m_skipping = false;   ///< The response being read answers an earlier request.
+    size_t m_skippedBytes = 0; ///< Of responses that answer no request of this exchange.
+    bool m_reading = false;
+    bool m_paused = false; ///< The taker of the body asked to wait.
 };
 
 /** Options that make a connection notice a peer that vanished without a reset. */
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -109,6 +109,18 @@
         connection->m_onGone = std::move(callback);
 }
 
+size_t Responder::unsent() const
+{
+    const ServerConnection *connection = current();
+    return connection ? connection->m_out.size() + connection->m_writing.size() : 0;
+}
+
+void Responder::onWritten(std::function<void()> callback) const
+{
+    if (ServerConnection *connection = current())
+        connection->m_onWritten = std::move(callback);
+}
+
 bool Responder::keptConnection() const
 {
     return m_exchange > 1;
@@ -324,6 +336,8 @@
             self->flush();
         else if (self->m_closeWhenFlushed)
             self->close();
+        else if (const auto written = self->m_onWritten)
+            written();
     });
 }
 
@@ -331,6 +345,7 @@
 {
     m_busy = false;
     m_onGone = {};
+    m_onWritten = {};
     m_since = core::BootClock::now();
     // The head may have promised to keep the connection before the server began to stop.
     m_closeWhenFlushed = !m_keep || m_server.m_closing;
@@ -388,6 +403,7 @@
     m_closed = true;
     m_busy = false;
     m_onGone = {};
+    m_onWritten = {};
     ErrorCode ec;
     m_socket.close(ec);
     m_server.m_connections.erase(self);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -52,6 +52,10 @@
     void sendRaw(std::string_view bytes) const;
     /** Called once if the client leaves before the response is finished. */
     void onClientGone(std::function<void()> callback) const;
+    /** Bytes of the response that the client has not taken yet. */
+    size_t unsent() const;
+    /** Called each time that all of the response so far has gone out. */
+    void onWritten(std::function<void()> callback) const;
     /** Whether the request came on a connection that had carried another one before. */
     bool keptConnection() const;
 
@@ -132,6 +136,7 @@
     std::array<char, 8192> m_chunk{};
     std::unique_ptr<RequestParser> m_parser;
     std::function<void()> m_onGone;
+    std::function<void()> m_onWritten;
     core::TimePoint m_since{}; ///< Start of the present head, body or idle time.
     uint64_t m_exchange = 0; ///< Counts requests, so that a late call of an old one is told apart.
     Framing m_framing = Framing::Length;
--- a/src/serving/duties.cpp
+++ b/src/serving/duties.cpp
@@ -165,7 +165,7 @@
             view.domain = it->record.domain;
             view.prefill = it->prefills();
             view.running = it->own.running + it->peers.running;
-            view.available = it->acceptsWork() && now >= it->pausedUntil
+            view.available = it->acceptsWork() && now >= it->pausedUntil && !it->declines(now)
                 && it->health.state(now) == policy::OutlierDetector::State::Healthy;
             if (!view.prefill)
                 demand.streams += view.running;
@@ -197,6 +197,8 @@
                                        .with("why", result.response.status().message());
                                    return;
                                }
+                               noteNotices(*engine, platform::decodeAnswer(result.response->head),
+                                           core::BootClock::now());
                                const auto report = platform::decodeReport(*result.response);
                                if (!report.ok() || report->changing) {
                                    core::Event("stage.report.unusable")
@@ -210,7 +212,8 @@
 
 void StageDuty::send(const EndpointPtr &engine, bool prefill, uint64_t ordersBefore)
 {
-    if (!m_services.leadership.held() || engine->gone)
+    if (!m_services.leadership.held() || !engine->acceptsWork()
+        || engine->declines(core::BootClock::now()))
         return;
     platform::StageOrder order;
     order.endpointId = engine->record.id;
@@ -228,6 +231,9 @@
         engine->record.address, platform::stageOrderCall(order), OrderTimeout,
         [engine, prefill, change, token = order.fencingToken](const http::CallResult &result) {
             const uint32_t status = result.response.ok() ? result.response->head.status : 0;
+            if (result.response.ok())
+                noteNotices(*engine, platform::decodeAnswer(result.response->head),
+                            core::BootClock::now());
             core::Event("stage.ordered")
                 .with("endpoint", engine->record.id)
                 .with("prefill", prefill)
--- a/src/serving/endpoints.cpp
+++ b/src/serving/endpoints.cpp
@@ -21,6 +21,8 @@
 constexpr uint32_t MostRefusalDoublings = 3;
 // Connections that break within this time broke for one reason, such as a reset of the network.
 constexpr core::Milliseconds SameMoment{30};
+// More incarnations than leave within a day of a large deployment; some hundred bytes each.
+constexpr size_t MostNotices = 1024;
 
 } // namespace
 
@@ -64,6 +66,7 @@
         remove(record.id);
     }
     const auto endpoint = std::make_shared<Endpoint>(record, cacheTokens);
+    restoreNotice(*endpoint);
     m_byId.emplace(record.id, endpoint);
     m_byHash.insert_or_assign(endpoint->hash, endpoint);
     m_byService[record.service].push_back(endpoint);
@@ -81,6 +84,7 @@
     if (it == m_byId.end())
         return;
     it->second->gone = true;
+    keepNotice(*it->second);
     core::Event("endpoint.removed").with("endpoint", id);
     m_byHash.erase(it->second->hash);
     unlist(*it->second);
@@ -93,6 +97,47 @@
                   [&](const EndpointPtr &it) { return it.get() == &endpoint; });
 }
 
+void EndpointTable::keepNotice(const Endpoint &endpoint)
+{
+    if (!endpoint.leaving && endpoint.declinedUntil == core::TimePoint{})
+        return;
+    const EndpointRecord &record = endpoint.record;
+    std::erase_if(m_notices, [&](const Notice &it) {
+        return it.id == record.id && it.bornMs == record.bornMs && it.address == record.address;
+    });
+    m_notices.push_back(
+        {record.id, record.bornMs, record.address, endpoint.leaving, endpoint.declinedUntil});
+    if (m_notices.size() > MostNotices)
+        m_notices.pop_front();
+}
+
+void EndpointTable::restoreNotice(Endpoint &endpoint) const
+{
+    const EndpointRecord &record = endpoint.record;
+    for (const Notice &it : m_notices) {
+        if (it.id != record.id || it.bornMs != record.bornMs || it.address != record.address)
+            continue;
+        endpoint.leaving = it.leaving;
+        endpoint.declinedUntil = it.declinedUntil;
+    }
+}
+
+std::optional<core::Milliseconds> EndpointTable::declinedFor(const std::string &service,
+                                                             core::TimePoint now) const
+{
+    std::optional<core::TimePoint> first;
+    for (const EndpointPtr &it : ofService(service)) {
+        if (!it->acceptsWork())
+            continue;
+        if (!it->declines(now))
+            return std::nullopt;
+        first = std::min(first.value_or(it->declinedUntil), it->declinedUntil);
+    }
+    if (!first)
+        return std::nullopt;
+    return std::chrono::ceil<core::Milliseconds>(*first - now);
+}
+
 EndpointPtr EndpointTable::find(const std::string &id) const
 {
     const auto it = m_byId.find(id);
@@ -164,7 +209,7 @@
     view.readsApart = endpoint.prefills();
     const auto state = endpoint.health.state(now);
     view.probe = state == policy::OutlierDetector::State::ProbeDue;
-    view.usable = endpoint.acceptsWork() && now >= endpoint.pausedUntil
+    view.usable = endpoint.acceptsWork() && now >= endpoint.pausedUntil && !endpoint.declines(now)
         && (state == policy::OutlierDetector::State::Healthy || view.probe);
     return view;
 }
@@ -214,6 +259,19 @@
         endpoint.health.noteSuccess();
 }
 
+void noteNotices(Endpoint &endpoint, const AnswerFacts &answer, core::TimePoint now)
+{
+    if (answer.leaving && !std::exchange(endpoint.leaving, true))
+        core::Event("endpoint.leaving").with("endpoint", endpoint.record.id);
+    if (!answer.declinedFor)
+        return;
+    // A later answer may come from an earlier refusal: the longest time asked for holds.
+    endpoint.declinedUntil = std::max(endpoint.declinedUntil, now + *answer.declinedFor);
+    core::Event("endpoint.declines")
+        .with("endpoint", endpoint.record.id)
+        .with("for_ms", answer.declinedFor->count());
+}
+
 // Unlike errors, lost answers take their time: the endpoint does not draw requests, and while the
 // fleet is full what it does answer is needed. So only failures in a row count.
 void noteBroken(Endpoint &endpoint, core::TimePoint now)
--- a/src/serving/endpoints.h
+++ b/src/serving/endpoints.h
@@ -8,9 +8,12 @@
 #include "policy/partcache.h"
 #include "policy/placement.h"
 #include "serving/fleetconfig.h"
+#include "serving/requesttypes.h"
 
+#include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -31,6 +34,7 @@
     EndpointShare load;
     bool changing = false; ///< Its stage is being changed by an order of the sender.
     bool failing = false;  ///< The sender has ejected it.
+    bool leaving = false;  ///< It told the sender that it is leaving.
 };
 
 /** The short name of an endpoint in messages between gateways. */
@@ -47,7 +51,9 @@
 {
     Endpoint(EndpointRecord entry, uint64_t cacheTokens);
 
-    bool acceptsWork() const { return !gone && record.state == EndpointState::Ready; }
+    bool acceptsWork() const { return !gone && !leaving && record.state == EndpointState::Ready; }
+    /** Whether it has asked this gateway to stay away until later. */
+    bool declines(core::TimePoint now) const { return now < declinedUntil; }
     /** Keeps work away for a moment, after a refusal or while the stage changes. */
     void pause(core::TimePoint now, core::Milliseconds time);
     bool prefills() const { return record.stage == Stage::Prefill; }
@@ -64,6 +70,8 @@
     uint32_t refusals = 0;      ///< In a row, to this entry.
     uint32_t connections = 0;   ///< Of this entry, in use.
     bool gone = false;
+    bool leaving = false;            ///< It has said so in an answer; holds for this incarnation.
+    core::TimePoint declinedUntil{}; ///< It wants nothing from this gateway until then.
     /** No new work until then: its stage is being changed, it refused, or it is suspected. */
     core::TimePoint pausedUntil{};
 };
@@ -80,13 +88,31 @@
     EndpointPtr find(const std::string &id) const;
     EndpointPtr findByHash(uint64_t hash) const;
     const std::vector<EndpointPtr> &ofService(const std::string &service) const;
+    /** Time until an endpoint of the service that declines requests takes them again, if all that
+     * accept work decline; otherwise none. */
+    std::optional<core::Milliseconds> declinedFor(const std::string &service,
+                                                  core::TimePoint now) const;
     /** Replaces what is known of the other gateways' load. */
     void setPeerShares(const std::vector<NewsShare> &shares);
     const std::map<std::string, EndpointPtr> &all() const { return m_byId; }
 
 private:
+    /** What an incarnation has said of itself. Kept when its entry goes, as entries lapse with the
+     * store and come back. */
+    struct Notice
+    {
+        std::string id;
+        int64_t bornMs = 0;
+        std::string address;
+        bool leaving = false;
+        core::TimePoint declinedUntil{};
+    };
+
     void unlist(const Endpoint &endpoint);
+    void keepNotice(const Endpoint &endpoint);
+    void restoreNotice(Endpoint &endpoint) const;
 
+    std::deque<Notice> m_notices; ///< Of endpoints that are not in the table, oldest first.
     std::map<std::string, EndpointPtr> m_byId;
     std::unordered_map<uint64_t, EndpointPtr> m_byHash;
     std::unordered_map<std::string, std::vector<EndpointPtr>> m_byService;
@@ -104,6 +130,9 @@
 void noteAnswer(Endpoint &endpoint, const std::vector<EndpointPtr> &others, bool failed,
                 core::TimePoint now);
 
+/** Notes what the head of an answer says of its endpoint, besides the request. */
+void noteNotices(Endpoint &endpoint, const AnswerFacts &answer, core::TimePoint now);
+
 /** Notes that a request ended without an answer; what ends in the same moment counts once. */
 void noteBroken(Endpoint &endpoint, core::TimePoint now);
 /** Keeps work away from an endpoint that has refused some, longer each time in a row. */
--- a/src/serving/eventframes.h
+++ b/src/serving/eventframes.h
@@ -23,6 +23,7 @@
     /** Id of the last whole event; empty if none had one. */
     const std::string &lastId() const { return m_lastId; }
     bool partial() const { return !m_rest.empty(); }
+    size_t partialBytes() const { return m_rest.size(); }
     /** Drops what is not whole, before another endpoint goes on. */
     void dropPartial() { m_rest.clear(); }
     uint64_t eventCount() const { return m_events; }
--- a/src/serving/gatewaynews.cpp
+++ b/src/serving/gatewaynews.cpp
@@ -34,8 +34,9 @@
     for (const auto &[id, endpoint] : m_endpoints.all()) {
         const bool changing = now < endpoint->pausedUntil && m_leadership.held();
         const bool failing = endpoint->health.state(now) != policy::OutlierDetector::State::Healthy;
-        if (endpoint->own.running > 0 || changing || failing)
-            news.shares.push_back({endpoint->hash, endpoint->own, changing, failing});
+        if (endpoint->own.running > 0 || changing || failing || endpoint->leaving)
+            news.shares.push_back(
+                {endpoint->hash, endpoint->own, changing, failing, endpoint->leaving});
     }
     addWindows(news);
     news.parts = m_partNews.take(now);
@@ -91,10 +92,12 @@
             endpoint->parts.record({it.link});
     }
     for (const NewsShare &share : news.shares) {
-        if (!share.changing && !share.failing)
+        if (!share.changing && !share.failing && !share.leaving)
             continue;
         const EndpointPtr endpoint = m_endpoints.findByHash(share.endpoint);
-        if (endpoint && share.changing)
+        // News name an endpoint by its id alone: another incarnation may have it by now, so the
+        // notice lasts only while it is told.
+        if (endpoint && (share.changing || share.leaving))
             endpoint->pause(core::BootClock::now(), ToldPause);
         if (endpoint && share.failing)
             endpoint->errors.hear();
--- a/src/serving/loadexchange.cpp
+++ b/src/serving/loadexchange.cpp
@@ -102,7 +102,8 @@
         sum.backlogTokens += sign * static_cast<int64_t>(share.load.backlogTokens);
         sum.changing += share.changing ? sign : 0;
         sum.failing += share.failing ? sign : 0;
-        if (sum.running == 0 && sum.backlogTokens == 0 && sum.changing == 0 && sum.failing == 0)
+        sum.leaving += share.leaving ? sign : 0;
+        if (sum.empty())
             m_sums.erase(share.endpoint);
     }
 }
@@ -117,17 +118,20 @@
             sum.backlogTokens -= static_cast<int64_t>(share.load.backlogTokens);
             sum.changing -= share.changing ? 1 : 0;
             sum.failing -= share.failing ? 1 : 0;
+            sum.leaving -= share.leaving ? 1 : 0;
         }
     }
     std::vector<NewsShare> shares;
     shares.reserve(sums.size());
     for (const auto &[endpoint, sum] : sums) {
-        if (sum.running > 0 || sum.backlogTokens > 0 || sum.changing > 0 || sum.failing > 0)
+        if (sum.running > 0 || sum.backlogTokens > 0 || sum.changing > 0 || sum.failing > 0
+            || sum.leaving > 0)
             shares.push_back({endpoint,
                               {static_cast<uint32_t>(std::max<int64_t>(0, sum.running)),
                                static_cast<uint32_t>(std::max<int64_t>(0, sum.backlogTokens))},
                               sum.changing > 0,
-                              sum.failing > 0});
+                              sum.failing > 0,
+                              sum.leaving > 0});
     }
     return shares;
 }
--- a/src/serving/loadexchange.h
+++ b/src/serving/loadexchange.h
@@ -97,6 +97,13 @@
         int64_t backlogTokens = 0;
         int32_t changing = 0;
         int32_t failing = 0;
+        int32_t leaving = 0;
+
+        bool empty() const
+        {
+            return running == 0 && backlogTokens == 0 && changing == 0 && failing == 0
+                && leaving == 0;
+        }
     };
     std::unordered_map<uint64_t, Sum> m_sums;
     double m_promptTokens = 0;
--- a/src/serving/news.cpp
+++ b/src/serving/news.cpp
@@ -44,7 +44,8 @@
         news.shares.push_back({it.getEndpoint(),
                                {it.getRunning(), it.getBacklogTokens()},
                                it.getChanging(),
-                               it.getFailing()});
+                               it.getFailing(),
+                               it.getLeaving()});
     for (const auto it : reader.getWindows()) {
         NewsWindow &window = news.windows.emplace_back();
         window.run = it.getRun();
@@ -80,6 +81,7 @@
         shares[i].setBacklogTokens(news.shares[i].load.backlogTokens);
         shares[i].setChanging(news.shares[i].changing);
         shares[i].setFailing(news.shares[i].failing);
+        shares[i].setLeaving(news.shares[i].leaving);
     }
     auto windows = root.initWindows(static_cast<uint32_t>(news.windows.size()));
     for (uint32_t i = 0; i < windows.size(); ++i) {
--- a/src/serving/peermesh.cpp
+++ b/src/serving/peermesh.cpp
@@ -202,7 +202,7 @@
     std::vector<NewsShare> shares;
     shares.reserve(sums.size());
     for (const auto &[endpoint, sum] : sums)
-        shares.push_back({endpoint, sum, false, false});
+        shares.push_back({endpoint, sum});
     m_endpoints.setPeerShares(shares);
 }
 
--- a/src/serving/requesttypes.h
+++ b/src/serving/requesttypes.h
@@ -60,8 +60,11 @@
 struct AnswerFacts
 {
     std::optional<std::string> requestId;
-    bool sealed = false; ///< Bears the endpoint's signature of its answer.
-    bool notRun = false; ///< States that the request has not run and will not.
+    bool sealed = false;  ///< Bears the endpoint's signature of its answer.
+    bool notRun = false;  ///< States that the request has not run and will not.
+    bool leaving = false; ///< The endpoint takes no requests that come after this answer.
+    /** The endpoint, which refused, wants nothing more from this VM for so long. */
+    std::optional<core::Milliseconds> declinedFor;
     std::optional<EndpointLoad> load;
 };
 
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -337,7 +337,10 @@
     const EndpointPtr at = std::exchange(m_handleAt, nullptr);
     m_services.caller.call(
         at->record.address, platform::releaseHandleCall(m_handle.handle, at->record.id),
-        HandleReleaseTimeout, [handle = m_handle.handle](const http::CallResult &result) {
+        HandleReleaseTimeout, [at, handle = m_handle.handle](const http::CallResult &result) {
+            if (result.response.ok())
+                noteNotices(*at, platform::decodeAnswer(result.response->head),
+                            core::BootClock::now());
             if (!result.response.ok())
                 core::Event("handle.release.failed")
                     .with("handle", handle)
@@ -432,7 +435,10 @@
 Milliseconds Session::comeBack()
 {
     std::uniform_int_distribution<int64_t> spread(0, ComeBackSpread.count());
-    return ComeBackLeast + Milliseconds(spread(m_services.random));
+    const auto declined =
+        m_services.endpoints.declinedFor(m_request.service, core::BootClock::now());
+    return std::max(ComeBackLeast, declined.value_or(Milliseconds(0)))
+        + Milliseconds(spread(m_services.random));
 }
 
 } // namespace jujube::serving
--- a/src/serving/session.h
+++ b/src/serving/session.h
@@ -101,6 +101,9 @@
     void prefillFailed(const std::string &why);
     void answerEnded();
     void relayEvents(std::string &body);
+    void collect(std::string &body);
+    void relayLarge(std::string &body);
+    void holdBackEndpoint();
     void beginStream();
     void noteFirstToken();
     void runFailed(bool notRun, bool sent, const std::string &why);
@@ -119,6 +122,7 @@
     core::Milliseconds timeLeft() const;
     /** Until the client leaves if no event has reached it. */
     core::TimePoint firstEventBy() const;
+    /** When a client that is refused should return. */
     core::Milliseconds comeBack();
     /** Milliseconds from the arrival to a moment; -1 if that has not come. */
     int64_t sinceArrival(core::TimePoint at) const;
@@ -156,6 +160,7 @@
     uint64_t m_waitId = 0; ///< In the prompt scheduler; 0: not waiting there.
     bool m_prefillTried = false;
     bool m_streaming = false; ///< The client has the head of a stream.
+    bool m_relaying = false;  ///< A large answer goes to the client in pieces.
     bool m_begun = false;     ///< Counted for usage.
     bool m_mayHaveRun = false;
     bool m_detached = false; ///< The client left; the send goes on only for its effect.
--- a/src/serving/sessionanswer.cpp
+++ b/src/serving/sessionanswer.cpp
@@ -20,7 +20,16 @@
 using core::TimePoint;
 
 constexpr uint32_t MaxPrefills = 3; ///< Then the decoder reads the prompt.
-constexpr size_t MaxBufferedAnswer = 16UL << 20U;
+// An answer is held until it is whole, so that a failure can still be told as such; what is larger
+// than this goes on in pieces. A VM of 160 MB carries some two hundred requests at once.
+constexpr size_t MaxBufferedAnswer = 256UL << 10U;
+// The answer to a prompt names a handle; anything longer is none.
+constexpr size_t MaxPrefillAnswer = 64UL << 10U;
+// An event of a stream that may be resumed is held until it is whole; events have some hundred
+// bytes.
+constexpr size_t MaxPartialEvent = 256UL << 10U;
+// Unread by the client up to which an answer is read on from its endpoint.
+constexpr size_t MaxUnread = 256UL << 10U;
 
 // Statuses that promise that a request has not run. Only what states it plainly is believed.
 bool promisesNotRun(uint32_t status)
@@ -45,6 +54,7 @@
     }
     m_head = head;
     m_answer = facts;
+    noteNotices(*m_endpoint, facts, core::BootClock::now());
     return true;
 }
 
@@ -57,10 +67,57 @@
         relayEvents(body);
         return;
     }
+    if (m_relaying)
+        relayLarge(body);
+    else
+        collect(body);
+}
+
+void Session::collect(std::string &body)
+{
     m_body += body;
     body.clear();
-    if (m_body.size() > MaxBufferedAnswer)
-        onFailure(http::Failure::Malformed, "the answer is too large");
+    const bool success =
+        m_head.status >= http::status::Ok && m_head.status < http::status::FirstRedirect;
+    const size_t limit = m_purpose == Purpose::Prefill ? MaxPrefillAnswer : MaxBufferedAnswer;
+    if (m_body.size() <= limit)
+        return;
+    if (m_purpose == Purpose::Prefill || !success || !m_answer.sealed) {
+        onFailure(http::Failure::Malformed, "bytes that are no answer go on and on");
+        return;
+    }
+    m_relaying = true;
+    m_mayHaveRun = true;
+    noteBegun();
+    if (m_head.contentLength)
+        m_responder.begin(platform::encodeForClient(m_head), http::Framing::Length,
+                          *m_head.contentLength);
+    else
+        m_responder.begin(platform::encodeForClient(m_head), http::Framing::Chunked, 0);
+    m_streaming = true;
+    std::string held = std::exchange(m_body, {});
+    relayLarge(held);
+}
+
+void Session::relayLarge(std::string &body)
+{
+    m_responder.write(body);
+    body.clear();
+    holdBackEndpoint();
+}
+
+// Leaves the rest of the answer with its endpoint while the client does not read it.
+void Session::holdBackEndpoint()
+{
+    if (!m_connection || m_responder.unsent() <= MaxUnread)
+        return;
+    m_connection->pauseReading();
+    const auto weak = weak_from_this();
+    m_responder.onWritten([weak]() {
+        const auto self = weak.lock();
+        if (self && self->m_connection)
+            self->m_connection->resumeReading();
+    });
 }
 
 void Session::relayEvents(std::string &body)
@@ -72,15 +129,20 @@
     if (m_request.route->resumable) {
         const std::string events = m_frames.add(body);
         body.clear();
+        if (m_frames.partialBytes() > MaxPartialEvent) {
+            onFailure(http::Failure::Malformed, "an event goes on and on");
+            return;
+        }
         if (events.empty())
             return;
         beginStream();
         m_responder.write(events);
-        return;
+    } else {
+        beginStream();
+        m_responder.write(body);
+        body.clear();
     }
-    beginStream();
-    m_responder.write(body);
-    body.clear();
+    holdBackEndpoint();
 }
 
 // The head waits for the first bytes of the body: until then a failure can still be told as such.
@@ -182,6 +244,11 @@
     }
     noteBegun();
     noteAnswered(m_head.status >= http::status::FirstServerError);
+    if (m_relaying) {
+        release(true);
+        finishStream(true);
+        return;
+    }
     const auto duration =
         std::chrono::duration_cast<Milliseconds>(core::BootClock::now() - m_arrived);
     core::recordMetric("jujube_answer_seconds", "", duration);
@@ -263,7 +330,8 @@
     m_mayHaveRun = true;
     if (m_request.route->kind != RouteKind::Stream)
         noteBegun();
-    if (m_request.route->repeatable() && mayRunAgain() && spendExtra()) {
+    // Pieces of two answers are never joined.
+    if (m_request.route->repeatable() && !m_relaying && mayRunAgain() && spendExtra()) {
         m_frames.dropPartial();
         next();
     } else if (m_streaming) {
--- a/src/wire/news.capnp
+++ b/src/wire/news.capnp
@@ -12,6 +12,7 @@
   backlogTokens @2 :UInt32; # prompt tokens sent and not read yet
   changing @3 :Bool;        # the sender has ordered a change of stage that is not done
   failing @4 :Bool;         # the sender has ejected it
+  leaving @5 :Bool;         # it told the sender that it is leaving
 }
 
 struct TeamCount { team @0 :Text; count @1 :UInt32; }
--- a/test/fakes/workerstandin.cpp
+++ b/test/fakes/workerstandin.cpp
@@ -72,6 +72,8 @@
     head.fields.add("Request-Id", requestId);
     if (sealed)
         head.fields.add("Server-Seal", m_id + ".seal");
+    for (const http::Field &it : m_answerFields)
+        head.fields.add(it.name, it.value);
     return head;
 }
 
@@ -156,6 +158,8 @@
         return;
     }
     m_runs.insert(request.id);
+    if (endless(request, responder, fault))
+        return;
     const bool streams = request.target.starts_with("/stream");
     switch (fault) {
     case WorkerFault::LoseAnswer:
@@ -193,12 +197,52 @@
         stream(request, responder, from, fault == WorkerFault::BreakStream);
         return;
     }
-    responder.send(answerHead(request.id, 200, true), "answer to " + request.id);
+    responder.send(answerHead(request.id, 200, true),
+                   m_bodySize > 0 ? std::string(m_bodySize, 'b') : "answer to " + request.id);
     if (fault == WorkerFault::ExtraAnswer)
         responder.sendRaw("HTTP/1.1 200 OK\r\nRequest-Id: " + request.id
                           + "\r\nServer-Seal: x\r\nContent-Length: 5\r\n\r\nagain");
 }
 
+// Answers with bytes until the caller closes, if the fault is one of those.
+bool WorkerStandin::endless(const SeenRequest &request, const http::Responder &responder,
+                            WorkerFault fault)
+{
+    constexpr size_t pieceBytes = 16UL << 10U;
+    std::string piece(pieceBytes, 'x');
+    switch (fault) {
+    case WorkerFault::EndlessHead:
+        responder.sendRaw("HTTP/1.1 200 OK\r\n");
+        piece = "Filler: " + piece.substr(0, 1'000) + "\r\n";
+        break;
+    case WorkerFault::EndlessBody:
+    case WorkerFault::EndlessEvent:
+        responder.begin(answerHead(request.id, 200, true), http::Framing::None, 0);
+        break;
+    case WorkerFault::EndlessForeign:
+        responder.sendRaw("HTTP/1.1 200 OK\r\nRequest-Id: another\r\n"
+                          "Content-Length: 1000000000000\r\n\r\n");
+        break;
+    default:
+        return false;
+    }
+    m_atWork.insert(request.id);
+    responder.onClientGone([this, id = request.id]() { m_atWork.erase(m_atWork.find(id)); });
+    responder.onWritten(
+        [this, id = request.id, responder, piece]() { pour(id, responder, piece); });
+    pour(request.id, responder, piece);
+    return true;
+}
+
+void WorkerStandin::pour(const std::string &requestId, const http::Responder &responder,
+                         std::string bytes)
+{
+    if (!m_atWork.contains(requestId))
+        return;
+    m_endlessBytes += bytes.size();
+    responder.sendRaw(bytes);
+}
+
 void WorkerStandin::stream(const SeenRequest &request, const http::Responder &responder,
                            uint32_t from, bool broken)
 {
--- a/test/fakes/workerstandin.h
+++ b/test/fakes/workerstandin.h
@@ -27,7 +27,11 @@
     ExtraAnswer,   ///< A second answer follows the first.
     FalseRefusal,  ///< Runs the request and answers 503 without saying that it has not run.
     ServerError,   ///< Answers 500 after running it.
-    NoSignature    ///< A success without the worker's signature.
+    NoSignature,   ///< A success without the worker's signature.
+    EndlessHead,   ///< Head fields until the caller closes.
+    EndlessBody,   ///< A sealed success whose body goes on until the caller closes.
+    EndlessEvent,  ///< A stream whose first event never ends.
+    EndlessForeign ///< An answer to another request that goes on until the caller closes.
 };
 
 /** A request as the worker has got it. */
@@ -59,6 +63,11 @@
                       const std::string &state = "ready") const;
     /** The address that its entry tells, if a relay stands before it. */
     void setAddress(std::string address) { m_address = std::move(address); }
+    /** Fields in the head of each answer from now on. */
+    void setAnswerFields(std::vector<http::Field> fields) { m_answerFields = std::move(fields); }
+    void setBodySize(size_t bytes) { m_bodySize = bytes; }
+    /** Bytes of an endless answer that callers have taken. */
+    size_t endlessBytes() const { return m_endlessBytes; }
     /** Requests from now on meet the fault, \a count of them. */
     void setFault(WorkerFault fault, int count = 1'000'000);
     void setEventCount(uint32_t events) { m_events = events; }
@@ -76,6 +85,8 @@
     void handle(const http::Request &request, const http::Responder &responder);
     void prefill(const http::Head &head, const http::Responder &responder);
     void run(const SeenRequest &request, const http::Responder &responder);
+    bool endless(const SeenRequest &request, const http::Responder &responder, WorkerFault fault);
+    void pour(const std::string &requestId, const http::Responder &responder, std::string bytes);
     void stream(const SeenRequest &request, const http::Responder &responder, uint32_t from,
                 bool broken);
     void order(const http::Request &request, const http::Responder &responder);
@@ -93,6 +104,9 @@
     std::vector<SeenRequest> m_seen;
     std::multiset<std::string> m_runs;
     std::multiset<std::string> m_atWork;
+    std::vector<http::Field> m_answerFields;
+    size_t m_bodySize = 0; ///< 0: a short text that names the request.
+    size_t m_endlessBytes = 0;
     uint64_t m_orders = 0;
     uint64_t m_fence = 0;
     uint64_t m_nextHandle = 0;
