The split of engines is fitted to pace and mix in the first seconds; decoders read less

Cause: two constants decided for every deployment: 0.45 of the engines decode, and decoders read prompts up to 0.33 of their slots. At Muscat five engines of nine read where seven are needed, and streams beside prompts did not end in time. Change: a model of the decoders' step from the median pause between events, the readers' rate from prompts with nothing ahead, expected output told between gateways; four seconds after traffic began the split is fitted once, in one round, no stage losing more than half. Decoders read up to 0.15 of their slots. Ruled out by trials: slots in use as decoding work (streams slowed by prompts count double), a fit of the step over all pauses (two to three times the true step), tokens relayed instead of expected (lag of seconds), a quarter quantile (two thirds of the true step).

--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -56,7 +56,7 @@
     double homeShare = 0.4;
     /** Share of an engine's slots in use up to which it reads prompts between the tokens of others:
      * reading doubles the time of a step, so the streams that run there last longer. */
-    double selfReadUse = 0.33;
+    double selfReadUse = 0.15;
     double crossDomainPenalty = 0.03; ///< Of an endpoint's slots, when all else is equal.
 };
 
--- a/src/policy/stageplanner.cpp
+++ b/src/policy/stageplanner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <map>
+#include <utility>
 
 namespace jujube::policy {
 
@@ -35,6 +36,47 @@
     return static_cast<size_t>(std::clamp(prefill, 1.0, static_cast<double>(engines - 1)));
 }
 
+size_t StagePlanner::usualSplit(size_t engines, uint32_t slots) const
+{
+    if (!m_usualShare)
+        return initial(engines, slots);
+    const double prefill = std::round(*m_usualShare * static_cast<double>(engines));
+    return static_cast<size_t>(std::clamp(prefill, 1.0, static_cast<double>(engines - 1)));
+}
+
+// The mean over the time since traffic began, so that a swing in it counts by its length.
+void StagePlanner::observe(const StageDemand &demand, core::TimePoint now)
+{
+    if (m_trafficSince == core::TimePoint{})
+        m_trafficSince = m_observedAt = now;
+    const double whole = std::chrono::duration<double>(now - m_trafficSince).count();
+    const double passed = std::chrono::duration<double>(now - m_observedAt).count();
+    const double weight = whole > 0 ? passed / whole : 1;
+    const StageDemand before = std::exchange(m_mean, demand);
+    m_mean.promptTokensPerSecond = before.promptTokensPerSecond
+        + weight * (demand.promptTokensPerSecond - before.promptTokensPerSecond);
+    m_mean.streams = before.streams + weight * (demand.streams - before.streams);
+    m_observedAt = now;
+}
+
+// The split that fits the mean demand so far; none while that is not known or fits well enough.
+std::optional<size_t> StagePlanner::firstFit(size_t prefill, size_t available, core::TimePoint now)
+{
+    if (m_usualShare || !m_mean.learnt || now - m_trafficSince < m_settings.firstFit)
+        return std::nullopt;
+    // The mix of these seconds may be a swing: neither stage loses more than half of its engines.
+    const size_t fitting = std::clamp(best(available, m_mean), (prefill + 1) / 2,
+                                      available - (available - prefill + 1) / 2);
+    const double gain = 1
+        - pressure(fitting, available - fitting, m_mean)
+            / pressure(prefill, available - prefill, m_mean);
+    const size_t target = gain > m_settings.leastGain ? fitting : prefill;
+    m_usualShare = static_cast<double>(target) / static_cast<double>(available);
+    if (target == prefill)
+        return std::nullopt;
+    return target;
+}
+
 // A swing of the mix within seconds interrupts a lasting one; it must not start it afresh.
 bool StageEvidence::settled(bool wanted, bool towardsPrefill, core::TimePoint now,
                             core::Milliseconds settle)
@@ -61,7 +103,7 @@
 size_t StagePlanner::wantedSplit(size_t prefill, size_t available, const StageDemand &demand,
                                  core::TimePoint now)
 {
-    const size_t usual = initial(available, demand.slots);
+    const size_t usual = usualSplit(available, demand.slots);
     const bool lost =
         outOfBalance(prefill, usual) || outOfBalance(available - prefill, available - usual);
     const size_t fitting = best(available, demand);
@@ -72,7 +114,13 @@
     const bool lostLong = m_loss.settled(lost, usual > prefill, now, m_settings.lossSettle);
     const bool shiftedLong =
         m_shift.settled(shifted, fitting > prefill, now, m_settings.shiftSettle);
-    return lostLong ? usual : shiftedLong ? fitting : prefill;
+    if (lostLong)
+        return usual;
+    if (!shiftedLong)
+        return prefill;
+    if (m_usualShare)
+        m_usualShare = static_cast<double>(fitting) / static_cast<double>(available);
+    return fitting;
 }
 
 std::vector<StageChange> StagePlanner::plan(const std::vector<StageView> &engines,
@@ -90,6 +138,9 @@
     const bool overdue = m_lastRound == core::TimePoint{} || now - m_lastRound >= m_settings.retry;
     m_trafficSeen = m_trafficSeen || demand.promptTokensPerSecond > 0 || demand.streams > 0;
 
+    if (m_trafficSeen)
+        observe(demand, now);
+
     std::vector<StageChange> round;
     if (!m_trafficSeen) {
         if (overdue)
@@ -97,6 +148,8 @@
     } else if (prefill == 0 || prefill == available) {
         if (overdue)
             round = changes(engines, prefill == 0 ? 1 : available - 1, 1);
+    } else if (const auto fitted = firstFit(prefill, available, now)) {
+        round = changes(engines, *fitted, available);
     } else {
         const size_t target = wantedSplit(prefill, available, demand, now);
         if (target != prefill && due)
--- a/src/policy/stageplanner.h
+++ b/src/policy/stageplanner.h
@@ -26,8 +26,12 @@
 /** Load of a service over all gateways. */
 struct StageDemand
 {
-    double promptTokensPerSecond = 0;       ///< That come, without what caches hold.
-    double streams = 0;                     ///< Requests being decoded.
+    double promptTokensPerSecond = 0; ///< That come, without what caches hold.
+    /** Slots that are in use or, once the pace of decoders is learnt, would be in use in full
+     * batches for the tokens that are made (DecodePace::slotsFor): streams that are slowed by
+     * prompts read between their tokens hold more slots than they are worth. */
+    double streams = 0;
+    bool learnt = false;                    ///< The pace of decoders is learnt.
     uint32_t slots = 1;                     ///< Of one engine.
     double prefillTokensPerSecond = 65'000; ///< Of one engine, as observed.
 };
@@ -50,6 +54,9 @@
      * after 2.5 s cost more than they gained: the engine came when the swing was over
      * (docs/POLICY.md, round 17). */
     core::Milliseconds shiftSettle{12'000};
+    /** Traffic after which the split is fitted to the mix and the engines' pace, all at once:
+     * several swings of some seconds, and before most queues have grown. */
+    core::Milliseconds firstFit{4'000};
     core::Milliseconds interval{5'000}; ///< Least time between two rounds: longer than a change.
     core::Milliseconds retry{5'500};    ///< After which an order without effect is given again.
 };
@@ -75,11 +82,12 @@
 
 /** Plans changes so that neither stage is much shorter than the other.
  *
- * The first round, before traffic, sets the usual split at once: nothing is running that could be
- * lost. Later an engine moves for two reasons only, as it is away for seconds, longer than most
- * swings of the mix: a stage has lost engines, or the mix has been another one for long. Shorter
- * swings are met by decoding engines that read prompts themselves. A stage that has lost all its
- * engines gets one at once.
+ * The first round, before traffic, sets a usual split at once: nothing is running that could be
+ * lost. After some seconds of traffic the split is fitted once to what the engines turned out to be
+ * like and what they are asked for. Later an engine moves for two reasons only, as it is away for
+ * seconds, longer than most swings of the mix: a stage has lost engines, or the mix has been
+ * another one for long. Shorter swings are met by decoding engines that read prompts themselves. A
+ * stage that has lost all its engines gets one at once.
  */
 class StagePlanner
 {
@@ -92,6 +100,9 @@
 private:
     double pressure(size_t prefill, size_t decode, const StageDemand &demand) const;
     size_t initial(size_t engines, uint32_t slots) const;
+    size_t usualSplit(size_t engines, uint32_t slots) const;
+    void observe(const StageDemand &demand, core::TimePoint now);
+    std::optional<size_t> firstFit(size_t prefill, size_t available, core::TimePoint now);
     bool outOfBalance(size_t present, size_t target) const;
     size_t wantedSplit(size_t prefill, size_t available, const StageDemand &demand,
                        core::TimePoint now);
@@ -103,6 +114,10 @@
     StageEvidence m_loss;
     StageEvidence m_shift;
     core::TimePoint m_lastRound{};
+    core::TimePoint m_trafficSince{};
+    core::TimePoint m_observedAt{};
+    StageDemand m_mean;                 ///< Over the traffic so far, until the first fit.
+    std::optional<double> m_usualShare; ///< Of prefill engines, once it was fitted.
     bool m_trafficSeen = false;
 };
 
--- a/src/serving/duties.cpp
+++ b/src/serving/duties.cpp
@@ -154,8 +154,11 @@
             continue;
         std::vector<policy::StageView> views;
         policy::StageDemand demand;
+        const policy::DecodePace &pace = m_services.pace(name);
         demand.slots = std::max(1U, service.engine->slots);
-        demand.promptTokensPerSecond = m_services.promptTokensPerSecond();
+        demand.learnt = pace.learnt();
+        const TokenRates rates = m_services.tokenRates();
+        demand.promptTokensPerSecond = rates.prompt;
         demand.prefillTokensPerSecond = m_services.prefillTokensPerSecond();
         for (const EndpointPtr &it : m_services.endpoints.ofService(name)) {
             if (it->record.stage == Stage::None)
@@ -171,6 +174,8 @@
                 demand.streams += view.running;
             views.push_back(std::move(view));
         }
+        if (demand.learnt)
+            demand.streams = pace.slotsFor(rates.output, demand.slots);
         const auto changes = m_planners.try_emplace(name, policy::StagePlannerSettings())
                                  .first->second.plan(views, demand, now);
         for (const policy::StageChange &change : changes) {
@@ -178,7 +183,11 @@
                 .with("endpoint", change.id)
                 .with("prefill", change.prefill)
                 .with("prompt_tokens_per_s", demand.promptTokensPerSecond)
-                .with("streams", demand.streams);
+                .with("prefill_tokens_per_s", demand.prefillTokensPerSecond)
+                .with("output_tokens_per_s", rates.output)
+                .with("streams", demand.streams)
+                .with("step_ms", pace.stepMs(1))
+                .with("full_step_ms", pace.stepMs(demand.slots));
             if (const EndpointPtr engine = m_services.endpoints.find(change.id))
                 order(engine, change.prefill);
         }
--- a/src/serving/duties.h
+++ b/src/serving/duties.h
@@ -5,10 +5,12 @@
  */
 
 #include "http/caller.h"
+#include "policy/decodepace.h"
 #include "policy/stageplanner.h"
 #include "serving/endpoints.h"
 #include "serving/leadership.h"
 #include "serving/nodesettings.h"
+#include "serving/tokenrates.h"
 #include "serving/usagecounts.h"
 
 #include <functional>
@@ -27,9 +29,10 @@
     EndpointTable &endpoints;
     UsageCounts &usage;
     std::function<std::shared_ptr<const FleetConfig>()> config;
-    std::function<double()> promptTokensPerSecond;  ///< Given to engines by all gateways.
+    std::function<TokenRates()> tokenRates;         ///< Of all gateways.
     std::function<double()> prefillTokensPerSecond; ///< Of one engine, as observed.
-    std::function<core::Milliseconds()> wallTime;   ///< The time of day that usage follows.
+    std::function<const policy::DecodePace &(const std::string &service)> pace;
+    std::function<core::Milliseconds()> wallTime; ///< The time of day that usage follows.
     /** From the end of a usage window until all counts have been told. */
     std::function<core::Milliseconds()> countsDelay;
     std::function<const StoreItem *(const std::string &key)> mirrored;
--- a/src/serving/fleetconfig.h
+++ b/src/serving/fleetconfig.h
@@ -58,6 +58,7 @@
     uint64_t cacheTokens = 0;
     double bytesPerToken = 0;
     double linkMbps = 0;
+    uint32_t tokensPerEvent = 1;
     core::Milliseconds handleLifetime{};
     core::Milliseconds stageChange{};
 };
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -19,7 +19,7 @@
 constexpr const char *GatewayPrefix = "jujube/gateway/";
 constexpr uint16_t MetricsPort = 9464; // As stated in deploy/system.toml.
 constexpr Milliseconds TickInterval{200};
-constexpr Milliseconds PromptRateTime{2'000}; ///< Shorter than the swings of the mix seen so far.
+constexpr Milliseconds TokenRateTime{2'000}; ///< Shorter than the swings of the mix seen so far.
 // The balancer takes a process out after two failed questions a second apart. A request that comes
 // later than three seconds after the signal could not be broken off at the end of the grace time.
 constexpr Milliseconds LeaveRotation{2'700};
@@ -56,7 +56,9 @@
       m_usage(m_settings.usageWindow),
       m_apart(m_placement.apart),
       m_itself(m_placement.itself),
-      m_promptTokens(PromptRateTime),
+      m_reading(m_placement.apart),
+      m_promptTokens(TokenRateTime),
+      m_outputTokens(TokenRateTime),
       m_leadership(io, m_store, m_random, m_settings.name,
                    std::max(m_settings.leaseTime, m_settings.minLeaseTime)),
       m_peers(io, m_caller, m_endpoints,
@@ -72,12 +74,15 @@
                      m_usage,
                      [this]() { return m_config.load(); },
                      [this]() {
-                         return m_promptTokens.rate(core::BootClock::now())
-                             + m_peers.peersPromptTokens();
+                         TokenRates rates = ownRates(core::BootClock::now());
+                         return rates += m_peers.peersRates();
                      },
                      [this]() {
                          constexpr double msPerSecond = 1000;
-                         return m_placement.apart.tokensPerMs * msPerSecond;
+                         return m_reading.path().tokensPerMs * msPerSecond;
+                     },
+                     [this](const std::string &service) -> const policy::DecodePace & {
+                         return m_paces[service];
                      },
                      [this]() { return m_wallClock.at(core::BootClock::now()); },
                      [this]() { return m_peers.large() ? LargeCountsDelay : CountsDelay; },
@@ -98,6 +103,7 @@
           m_placement,
           m_apart,
           m_itself,
+          m_reading,
           m_settings.domain,
           [this](const std::string &service) -> policy::SendBudget & {
               const policy::SendBudgetSettings budget{m_settings.retryRatio, m_settings.retryWindow,
@@ -107,8 +113,10 @@
           [this]() { return m_peers.gatewayCount(core::BootClock::now()); },
           [this]() { return m_wallClock.at(core::BootClock::now()); },
           [this](double tokens) { m_promptTokens.note(tokens, core::BootClock::now()); },
+          [this](double tokens) { m_outputTokens.note(tokens, core::BootClock::now()); },
           [this]() { m_peers.loadChanged(); },
-          m_partNews},
+          m_partNews,
+          [this](const std::string &service) -> policy::DecodePace & { return m_paces[service]; }},
       m_config(nullptr),
       m_clientServer(io,
                      [this](http::Request request, http::Responder responder) {
--- a/src/serving/gateway.h
+++ b/src/serving/gateway.h
@@ -42,6 +42,7 @@
     std::string drawService(const Route &route);
 
     News composeNews();
+    TokenRates ownRates(core::TimePoint now) const;
     void addWindows(News &news);
     StorePage mirroredState() const;
     void onPeerState(const StorePage &state);
@@ -67,7 +68,10 @@
     policy::PlacementSettings m_placement;
     policy::ReadPathEstimator m_apart;
     policy::ReadPathEstimator m_itself;
+    policy::ReadPathEstimator m_reading;
+    std::map<std::string, policy::DecodePace> m_paces; ///< By service.
     policy::RateMeter m_promptTokens;
+    policy::RateMeter m_outputTokens;
     std::map<std::string, policy::SendBudget> m_budgets;
     Leadership m_leadership;
     PeerMesh m_peers;
--- a/src/serving/gatewaynews.cpp
+++ b/src/serving/gatewaynews.cpp
@@ -30,7 +30,7 @@
     news.configVersion = config ? config->version : 0;
     news.storeRevision = m_mirror->revision();
     news.wallTime = m_wallClock.at(now);
-    news.promptTokensPerSecond = m_promptTokens.rate(now);
+    news.rates = ownRates(now);
     for (const auto &[id, endpoint] : m_endpoints.all()) {
         const bool changing = now < endpoint->pausedUntil && m_leadership.held();
         const bool failing = endpoint->health.state(now) != policy::OutlierDetector::State::Healthy;
@@ -43,6 +43,11 @@
     return news;
 }
 
+TokenRates Gateway::ownRates(TimePoint now) const
+{
+    return {m_promptTokens.rate(now), m_outputTokens.rate(now)};
+}
+
 void Gateway::addWindows(News &news)
 {
     const uint64_t current = m_usage.windowAt(m_wallClock.at(core::BootClock::now()));
--- a/src/serving/loadexchange.cpp
+++ b/src/serving/loadexchange.cpp
@@ -95,7 +95,10 @@
 
 void LoadBooks::add(const News &news, int sign)
 {
-    m_promptTokens += sign * news.promptTokensPerSecond;
+    if (sign > 0)
+        m_rates += news.rates;
+    else
+        m_rates -= news.rates;
     for (const NewsShare &share : news.shares) {
         Sum &sum = m_sums[share.endpoint];
         sum.running += sign * static_cast<int64_t>(share.load.running);
@@ -136,11 +139,12 @@
     return shares;
 }
 
-double LoadBooks::promptTokensOfOthers(const std::string &name) const
+TokenRates LoadBooks::ratesOfOthers(const std::string &name) const
 {
-    const auto it = m_accounts.find(name);
-    const double own = it == m_accounts.end() ? 0 : it->second.news.promptTokensPerSecond;
-    return std::max(0.0, m_promptTokens - own);
+    TokenRates rates = m_rates;
+    if (const auto it = m_accounts.find(name); it != m_accounts.end())
+        rates -= it->second.news.rates;
+    return {std::max(0.0, rates.prompt), std::max(0.0, rates.output)};
 }
 
 } // namespace jujube::serving
--- a/src/serving/loadexchange.h
+++ b/src/serving/loadexchange.h
@@ -79,7 +79,7 @@
     void prune(core::TimePoint now);
     /** Load of all gateways but one. */
     std::vector<NewsShare> othersOf(const std::string &name) const;
-    double promptTokensOfOthers(const std::string &name) const;
+    TokenRates ratesOfOthers(const std::string &name) const;
 
 private:
     struct Account
@@ -106,7 +106,7 @@
         }
     };
     std::unordered_map<uint64_t, Sum> m_sums;
-    double m_promptTokens = 0;
+    TokenRates m_rates;
 };
 
 } // namespace jujube::serving
--- a/src/serving/news.cpp
+++ b/src/serving/news.cpp
@@ -39,7 +39,7 @@
     news.wallTime = core::Milliseconds(static_cast<int64_t>(reader.getWallMs()));
     news.configVersion = reader.getConfigVersion();
     news.storeRevision = reader.getStoreRevision();
-    news.promptTokensPerSecond = reader.getPromptTokensPerSecond();
+    news.rates = {reader.getPromptTokensPerSecond(), reader.getOutputTokensPerSecond()};
     for (const auto it : reader.getShares())
         news.shares.push_back({it.getEndpoint(),
                                {it.getRunning(), it.getBacklogTokens()},
@@ -73,7 +73,8 @@
     root.setWallMs(static_cast<uint64_t>(news.wallTime.count()));
     root.setConfigVersion(news.configVersion);
     root.setStoreRevision(news.storeRevision);
-    root.setPromptTokensPerSecond(static_cast<float>(news.promptTokensPerSecond));
+    root.setPromptTokensPerSecond(static_cast<float>(news.rates.prompt));
+    root.setOutputTokensPerSecond(static_cast<float>(news.rates.output));
     auto shares = root.initShares(static_cast<uint32_t>(news.shares.size()));
     for (uint32_t i = 0; i < shares.size(); ++i) {
         shares[i].setEndpoint(news.shares[i].endpoint);
--- a/src/serving/news.h
+++ b/src/serving/news.h
@@ -6,6 +6,7 @@
 
 #include "serving/endpoints.h"
 #include "serving/storetypes.h"
+#include "serving/tokenrates.h"
 #include "serving/usagecounts.h"
 
 #include <absl/status/statusor.h>
@@ -47,7 +48,7 @@
     uint64_t storeRevision = 0;
     core::Milliseconds wallTime{}; ///< The sender's time of day as it sent this; 0: not told.
     double processorShare = 0;
-    double promptTokensPerSecond = 0;
+    TokenRates rates;
     std::vector<NewsShare> shares;
     std::vector<NewsWindow> windows;
     std::vector<NewsPart> parts;
--- a/src/serving/peermesh.cpp
+++ b/src/serving/peermesh.cpp
@@ -180,7 +180,7 @@
         return;
     m_summaryRun = news.run;
     m_summarySequence = news.sequence;
-    m_summaryPromptTokens = news.promptTokensPerSecond;
+    m_summaryRates = news.rates;
     m_endpoints.setPeerShares(news.shares);
     m_handler.onNews(news);
 }
@@ -371,11 +371,11 @@
         if (!peer.alive)
             continue;
         summary.shares = m_books.othersOf(name);
-        summary.promptTokensPerSecond = m_books.promptTokensOfOthers(name);
+        summary.rates = m_books.ratesOfOthers(name);
         send(peer, encodeNews(summary));
     }
     m_endpoints.setPeerShares(m_books.othersOf(m_name));
-    m_summaryPromptTokens = m_books.promptTokensOfOthers(m_name);
+    m_summaryRates = m_books.ratesOfOthers(m_name);
 }
 
 std::vector<NewsPart> PeerMesh::relayedParts(TimePoint now)
@@ -406,14 +406,14 @@
     return newest;
 }
 
-double PeerMesh::peersPromptTokens() const
+TokenRates PeerMesh::peersRates() const
 {
     if (large())
-        return m_summaryPromptTokens;
-    double sum = 0;
+        return m_summaryRates;
+    TokenRates sum;
     for (const auto &[name, peer] : m_peers) {
         if (peer.alive)
-            sum += peer.news.promptTokensPerSecond;
+            sum += peer.news.rates;
     }
     return sum;
 }
--- a/src/serving/peermesh.h
+++ b/src/serving/peermesh.h
@@ -61,7 +61,7 @@
     void fetchState(uint64_t newerThan);
     /** Highest store revision a live peer has told of. */
     uint64_t newestRevision() const;
-    double peersPromptTokens() const;
+    TokenRates peersRates() const;
     const std::string &address() const { return m_address; }
 
 private:
@@ -119,7 +119,7 @@
         core::TimePoint until{};
     };
     std::deque<RelayedPart> m_relayed; ///< Parts that the hub tells all others.
-    double m_summaryPromptTokens = 0;
+    TokenRates m_summaryRates;
     uint64_t m_summaryRun = 0;
     uint64_t m_summarySequence = 0;
     core::TimePoint m_exchangedAt{};
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -150,12 +150,19 @@
         m_services.prompts.remove(m_request.service, std::exchange(m_waitId, 0));
 }
 
+double Session::expectedOutput() const
+{
+    // Without an estimate of the client: answers take up half of their limit, more or less.
+    return m_request.facts.expectedOutput.value_or(m_request.facts.maxOutputTokens / 2);
+}
+
 // An engine has room for the prompt: it reads it for another one to decode, or runs it whole.
 void Session::assigned(const ReadPlan &plan)
 {
     m_assignedAt = core::BootClock::now();
     m_plan = plan;
     m_services.notePromptTokens(plan.choice.uncachedTokens);
+    m_services.noteOutputTokens(expectedOutput());
     if (!plan.engine->prefills()) {
         m_prefillTried = true;
         sendRunTo(plan.engine);
@@ -275,6 +282,7 @@
     m_purpose = purpose;
     m_endpoint = endpoint;
     m_sentAt = core::BootClock::now();
+    m_eventAt = {};
     m_body.clear();
     m_head = {};
     m_answer = {};
--- a/src/serving/session.h
+++ b/src/serving/session.h
@@ -6,6 +6,7 @@
 
 #include "http/caller.h"
 #include "http/server.h"
+#include "policy/decodepace.h"
 #include "policy/placement.h"
 #include "policy/readpathestimator.h"
 #include "policy/sendbudget.h"
@@ -36,15 +37,18 @@
     UsageCounts &usage;
     std::mt19937_64 &random;
     const policy::PlacementSettings &placement;
-    policy::ReadPathEstimator &apart;  ///< Prompts read by engines of the prefill stage.
-    policy::ReadPathEstimator &itself; ///< Prompts read by the decoding engine.
-    std::string domain;                ///< Failure domain of this gateway.
+    policy::ReadPathEstimator &apart;   ///< Prompts read by engines of the prefill stage.
+    policy::ReadPathEstimator &itself;  ///< Prompts read by the decoding engine.
+    policy::ReadPathEstimator &reading; ///< The first part of apart, with nothing ahead.
+    std::string domain;                 ///< Failure domain of this gateway.
     std::function<policy::SendBudget &(const std::string &service)> budget;
     std::function<uint32_t()> gateways;           ///< Alive, this one included.
     std::function<core::Milliseconds()> wallTime; ///< The time of day that usage follows.
     std::function<void(double)> notePromptTokens; ///< Prompt tokens that have to be read.
+    std::function<void(double)> noteOutputTokens; ///< Expected in the answers to them.
     std::function<void()> loadChanged;
     PartNews &partNews;
+    std::function<policy::DecodePace &(const std::string &service)> pace;
 };
 
 /** A request that was admitted: known route, valid key. */
@@ -83,6 +87,7 @@
     void next();
     void waitForEngine();
     void assigned(const ReadPlan &plan);
+    double expectedOutput() const;
     void sendRun();
     void sendRunTo(const EndpointPtr &endpoint);
     uint32_t enginePriority() const;
@@ -104,6 +109,7 @@
     void collect(std::string &body);
     void relayLarge(std::string &body);
     void holdBackEndpoint();
+    void notePace(std::string_view body);
     void beginStream();
     void noteFirstToken();
     void runFailed(bool notRun, bool sent, const std::string &why);
@@ -137,6 +143,7 @@
     core::TimePoint m_assignedAt{}; ///< An engine had room for the prompt.
     core::TimePoint m_readAt{};     ///< The prompt was read.
     core::TimePoint m_firstAt{};    ///< The first event came.
+    core::TimePoint m_eventAt{};    ///< The last event of this send came.
     std::vector<policy::ChainLink> m_chain;
     policy::PromptSize m_prompt;
     std::set<std::string> m_avoid; ///< Endpoints that refused or failed this request.
--- a/src/serving/sessionanswer.cpp
+++ b/src/serving/sessionanswer.cpp
@@ -126,6 +126,7 @@
         m_endpoint->own.backlogTokens -= std::exchange(m_sentTokens, 0);
     noteBegun();
     m_mayHaveRun = true;
+    notePace(body);
     if (m_request.route->resumable) {
         const std::string events = m_frames.add(body);
         body.clear();
@@ -145,6 +146,27 @@
     holdBackEndpoint();
 }
 
+// Learns the engine's pace from the pause before an event.
+void Session::notePace(std::string_view body)
+{
+    const TimePoint now = core::BootClock::now();
+    const TimePoint before = std::exchange(m_eventAt, now);
+    size_t events = 0;
+    for (size_t at = body.find("\n\n"); at != std::string_view::npos;
+         at = body.find("\n\n", at + 2))
+        ++events;
+    const auto it = m_request.config->services.find(m_request.service);
+    const bool known = it != m_request.config->services.end() && it->second.engine.has_value();
+    if (before == TimePoint{} || events == 0 || !known)
+        return;
+    const bool reads = m_endpoint->own.backlogTokens + m_endpoint->peers.backlogTokens > 0;
+    const auto tokens = static_cast<double>(events * it->second.engine->tokensPerEvent);
+    const double ms = std::chrono::duration<double, std::milli>(now - before).count();
+    const auto running = static_cast<double>(
+        std::min(m_endpoint->own.running + m_endpoint->peers.running, m_endpoint->record.slots));
+    m_services.pace(m_request.service).note(running, ms / tokens, reads);
+}
+
 // The head waits for the first bytes of the body: until then a failure can still be told as such.
 void Session::beginStream()
 {
@@ -192,6 +214,11 @@
     noteAnswered(false);
     m_handle = std::move(*handle);
     m_readAt = core::BootClock::now();
+    // Only a prompt with nothing ahead of it tells how long reading itself takes.
+    if (m_plan.aheadTokens == 0) {
+        const double ms = std::chrono::duration<double, std::milli>(m_readAt - m_sentAt).count();
+        m_services.reading.note(m_plan.choice.uncachedTokens, ms);
+    }
     m_handleAt = m_endpoint;
     m_prefillTried = true;
     release(true);
--- a/src/wire/news.capnp
+++ b/src/wire/news.capnp
@@ -35,6 +35,7 @@
   processorShare @9 :Float32; # the best equipped gateway becomes the hub of a large deployment
   load @10 :Bool;            # load for the hub only: no windows, no revisions
   summary @11 :Bool;         # from the hub: the load of all other gateways, added up
+  outputTokensPerSecond @13 :Float32;
   wallMs @12 :UInt64;        # the sender's time of day; 0 in news that wait before they are sent
   parts @8 :List(PartSent);  # of the last moments, told several times as datagrams get lost
 }
--- a/test/correctness/loadexchange.cpp
+++ b/test/correctness/loadexchange.cpp
@@ -24,7 +24,7 @@
     news.name = name;
     news.run = 1;
     news.sequence = sequence;
-    news.promptTokensPerSecond = 100;
+    news.rates = {100, 10};
     if (running > 0)
         news.shares.push_back({17, {running, running * 10}, false, false});
     return news;
@@ -54,7 +54,8 @@
     cr_assert_eq(books.othersOf("a").front().load.running, 6U);
     cr_assert_eq(books.othersOf("b").front().load.running, 3U);
     cr_assert_eq(books.othersOf("c").front().load.running, 9U);
-    cr_assert_float_eq(books.promptTokensOfOthers("c"), 200, 0.1);
+    cr_assert_float_eq(books.ratesOfOthers("c").prompt, 200, 0.1);
+    cr_assert_float_eq(books.ratesOfOthers("c").output, 20, 0.1);
 }
 
 // A gateway is killed: its load goes from the books, though it never said so.
