Failure domains count in the cost of a placement; large deployments watch the store once a second

Cause: reading ignored the failure domain and running hardly weighed it, so bodies, caches and answers crossed between domains for no gain; each of 103 gateways asked the store four times a second while things changed. Change: 20 ms for reading and 0.15 of the slots for running elsewhere; at most one watch a second and gateway, and a gateway that is behind its peers for longer than its pace and 400 ms asks at once.

--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -54,7 +54,8 @@
         const double missing = prompt.tokens - std::min(held, prompt.tokens);
         const double expected =
             home == i ? std::min(missing, prompt.tokens * (1 - settings.homeShare)) : missing;
-        const double ms = path.fixedMs + (fetch ? settings.fetchMs : 0)
+        const double crossing = engine.domain == settings.domain ? 0 : settings.crossDomainReadMs;
+        const double ms = path.fixedMs + crossing + (fetch ? settings.fetchMs : 0)
             + (engine.backlogTokens + expected) * engine.slowness / path.tokensPerMs + tie(random);
         if (ms < best) {
             best = ms;
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -57,7 +57,11 @@
     /** Share of an engine's slots in use up to which it reads prompts between the tokens of others:
      * reading doubles the time of a step, so the streams that run there last longer. */
     double selfReadUse = 0.15;
-    double crossDomainPenalty = 0.03; ///< Of an endpoint's slots, when all else is equal.
+    // What crosses a failure domain is paid for by its bytes: the body of a prompt, its cache, and
+    // the answer. Both weights are far below the waits that a full engine causes.
+    double crossDomainPenalty = 0.15; ///< Of an endpoint's slots, for running elsewhere.
+    double crossDomainReadMs = 20;    ///< Added to the time of reading elsewhere.
+    std::string domain{};             ///< Of this gateway.
 };
 
 struct ReadChoice
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -29,10 +29,11 @@
 // All gateways together make about two and a half watch calls a second.
 constexpr Milliseconds WatchWaitPerGateway{400};
 constexpr Milliseconds LeastWatchWait{2'500};
-// A tenth of the shortest time in which a change must be in force.
+// A tenth of the shortest time in which a change must be in force, which grows with a deployment;
+// at most a quarter of that of hundreds of VMs.
 constexpr Milliseconds WatchPacePerGateway{10};
 constexpr Milliseconds LeastWatchPace{50};
-constexpr Milliseconds MostWatchPace{250};
+constexpr Milliseconds MostWatchPace{1'000};
 constexpr Milliseconds MostWatchWait{12'000};
 // From the end of a usage window until three datagrams of each gateway have told its counts; in a
 // large deployment they come once a second. The sooner, the less a store that goes away hinders.
@@ -141,6 +142,7 @@
       m_tickTimer(io),
       m_drainTimer(io)
 {
+    m_placement.domain = m_settings.domain;
     m_mirror = StoreMirror::create(io, m_store, "",
                                    {[this](const StoreItem &item) { onItem(item); }, []() {}});
 }
--- a/src/serving/gatewaynews.cpp
+++ b/src/serving/gatewaynews.cpp
@@ -12,7 +12,7 @@
 using core::TimePoint;
 
 // A peer that stays ahead this long has heard something that this gateway's watch has not.
-constexpr Milliseconds BehindLimit{400};
+constexpr Milliseconds BehindLimit{400}; // Besides the pace at which it watches.
 constexpr uint64_t WindowsTold = 2; ///< Usage windows in each datagram, besides the current one.
 // An endpoint that the leader keeps work away from is left out until its next news.
 constexpr Milliseconds ToldPause{200};
@@ -119,7 +119,7 @@
     }
     if (m_behindSince == TimePoint{})
         m_behindSince = now;
-    if (now - m_behindSince < BehindLimit)
+    if (now - m_behindSince < BehindLimit + m_mirror->watchPace())
         return;
     m_behindSince = now;
     if (m_mirror->reachable())
--- a/src/serving/storeclient.h
+++ b/src/serving/storeclient.h
@@ -61,6 +61,7 @@
     void setWatchWait(core::Milliseconds wait) { m_watchWait = wait; }
     /** Sets the least time between two watches: each change costs a call of every gateway. */
     void setWatchPace(core::Milliseconds pace) { m_watchPace = pace; }
+    core::Milliseconds watchPace() const { return m_watchPace; }
     /** Ends the wait of the present watch early: a neighbour knows something newer. */
     void hurry();
     /** Takes over a neighbour's copy, as if the store had listed it. */
--- a/test/correctness/placement.cpp
+++ b/test/correctness/placement.cpp
@@ -49,6 +49,29 @@
     cr_assert_eq(bench.choose(engines, {300, 0, 0}).index, 1U);
 }
 
+// A deployment over several failure domains: work stays in the client's while engines there are as
+// free as others, and leaves it when they are not.
+Test(placement, work_stays_in_its_failure_domain_while_it_is_served_there)
+{
+    Bench bench;
+    bench.settings.domain = "b";
+    std::vector readers{engine("near", true), engine("far", true)};
+    readers[0].domain = "b";
+    for (int i = 0; i < 20; ++i)
+        cr_assert_eq(bench.choose(readers, {4'000, 0, 0}).index, 0U);
+    readers[0].backlogTokens = 6'000;
+    cr_assert_eq(bench.choose(readers, {4'000, 0, 0}).index, 1U);
+
+    std::vector decoders{engine("near", false), engine("far", false)};
+    decoders[0].domain = "b";
+    decoders[0].running = 14;
+    decoders[1].running = 8;
+    for (int i = 0; i < 20; ++i)
+        cr_assert(policy::chooseRunner(decoders, "b", bench.settings, bench.random) == 0U);
+    decoders[0].running = 24;
+    cr_assert(policy::chooseRunner(decoders, "b", bench.settings, bench.random) == 1U);
+}
+
 // Long answers fill the decoders: they stop reading prompts themselves.
 Test(placement, busy_decoders_do_not_read_prompts)
 {
