A holder gives up when its key is gone or another's, and waits a lease time before it acts again

Cause: leases may lapse with the store while their holder's clock still counts; where workers and the platform check no fence, the old and the new holder could take turns for up to a renewal. Change: the mirror's sight of the key ends holding at once; who gave up acts no sooner than a lease time later. Test: leadership/holders_do_not_take_turns_after_a_lapse.

--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -381,7 +381,10 @@
         if (m_mirror->complete() && m_mirror->reachable() && !m_draining) {
             if (!m_registered && !m_registering)
                 registerSelf();
-            if (m_mirror->items().contains(Leadership::Key))
+            const auto leader = m_mirror->items().find(Leadership::Key);
+            const bool taken = leader != m_mirror->items().end();
+            m_leadership.observe(taken ? leader->second.revision : 0, m_mirror->revision());
+            if (taken)
                 m_leadership.keyTaken();
             else
                 m_leadership.keyFree();
--- a/src/serving/leadership.cpp
+++ b/src/serving/leadership.cpp
@@ -62,6 +62,12 @@
     });
 }
 
+void Leadership::observe(uint64_t keyRevision, uint64_t storeRevision)
+{
+    if (m_token != 0 && storeRevision >= m_token && keyRevision != m_token)
+        lost(keyRevision == 0 ? "its key is gone" : "another gateway holds the key");
+}
+
 void Leadership::contend()
 {
     const TimePoint before = core::BootClock::now();
@@ -130,6 +136,8 @@
     m_lease = 0;
     m_token = 0;
     m_validUntil = {};
+    m_actFrom = core::BootClock::now() + m_leaseTime;
+    m_timer.cancel();
 }
 
 } // namespace jujube::serving
--- a/src/serving/leadership.h
+++ b/src/serving/leadership.h
@@ -31,11 +31,19 @@
     void keyFree();
     /** Somebody holds the key. */
     void keyTaken();
+    /** The mirror of the store shows the key at a revision, or none (0), as of \a storeRevision. A
+     * holder whose key is gone or another's gives up, also before its own lease has run out: leases
+     * may lapse with the store. */
+    void observe(uint64_t keyRevision, uint64_t storeRevision);
     /** Sets how many gateways may contend; their attempts are spread accordingly. */
     void setContenders(uint32_t n) { m_contenders = n; }
     /** Stops contending and renewing. */
     void stop();
-    bool held() const { return m_token != 0 && core::BootClock::now() < m_validUntil; }
+    bool held() const
+    {
+        const core::TimePoint now = core::BootClock::now();
+        return m_token != 0 && now < m_validUntil && now >= m_actFrom;
+    }
     uint64_t fencingToken() const { return m_token; }
 
     static constexpr const char *Key = "jujube/leader";
@@ -53,6 +61,8 @@
     std::string m_holder;
     core::Milliseconds m_leaseTime;
     core::TimePoint m_validUntil{};
+    core::TimePoint
+        m_actFrom{}; ///< A lease time after it last gave up: others may have acted since.
     core::TimePoint m_startedAt{};
     uint64_t m_lease = 0;
     uint64_t m_token = 0;
--- a/test/correctness/storemirror.cpp
+++ b/test/correctness/storemirror.cpp
@@ -170,3 +170,29 @@
     it.runFor(1'050ms);
     cr_assert_not(leader.held());
 }
+
+// Leases lapse with the store; another gateway takes the key before the holder's own clock ends its
+// lease. The holder gives up as soon as it sees that, and does not act again within a lease time.
+Test(leadership, holders_do_not_take_turns_after_a_lapse)
+{
+    Bench it;
+    std::mt19937_64 random(1);
+    serving::Leadership one(it.io, it.client, random, "one", 1'000ms);
+    one.keyFree();
+    cr_assert(it.until([&]() { return one.held(); }));
+    const uint64_t token = one.fencingToken();
+    one.observe(0, token - 1);
+    cr_assert(one.held(), "the mirror is older than the key");
+    it.store.erase(serving::Leadership::Key);
+    serving::Leadership two(it.io, it.client, random, "two", 1'000ms);
+    two.keyFree();
+    cr_assert(it.until([&]() { return two.held(); }));
+    one.observe(two.fencingToken(), two.fencingToken());
+    cr_assert_not(one.held());
+    const core::TimePoint lostAt = core::BootClock::now();
+    two.stop();
+    it.store.erase(serving::Leadership::Key);
+    one.keyFree();
+    cr_assert(it.until([&]() { return one.held(); }));
+    cr_assert_geq(core::BootClock::now() - lostAt, 1'000ms);
+}
