Few gateways of a large deployment watch the store and feed the others; calls to workers have connections of their own

Answers to reports, orders and releases of handles name no call: a late second one was taken for the next call's. Change: the hub and five of the best equipped gateways watch; the others fetch what changed after their revision (deltas with a gap check, everything if removals are not known that far back), at once when a peer tells of a newer revision and every two seconds. Who is not fed by two feeders watches itself from where it was. Shares are told exactly. Tests: statefeed/*, caller/a_late_second_answer* (all new).

--- a/src/http/caller.cpp
+++ b/src/http/caller.cpp
@@ -13,9 +13,9 @@
 class PendingCall : public std::enable_shared_from_this<PendingCall>
 {
 public:
-    PendingCall(boost::asio::io_context &io, ConnectionPool &pool,
+    PendingCall(boost::asio::io_context &io, ConnectionPool &pool, Connections connections,
                 std::function<void(CallResult)> done)
-        : m_timer(io), m_pool(pool), m_done(std::move(done))
+        : m_timer(io), m_pool(pool), m_connections(connections), m_done(std::move(done))
     {
     }
 
@@ -40,7 +40,10 @@
         handler.onEnd = [self]() {
             const auto connection = self->m_connection;
             self->end({std::move(self->m_response), CallError::MaybeSent});
-            self->m_pool.put(connection);
+            if (self->m_connections == Connections::Kept)
+                self->m_pool.put(connection);
+            else
+                connection->close();
         };
         handler.onFailure = [self](Failure failure, const std::string &why) {
             self->end({absl::UnavailableError(why),
@@ -70,6 +73,7 @@
 
     boost::asio::steady_timer m_timer;
     ConnectionPool &m_pool;
+    Connections m_connections;
     std::shared_ptr<ClientConnection> m_connection;
     std::function<void(CallResult)> m_done;
     Response m_response;
@@ -116,12 +120,14 @@
 }
 
 void Caller::call(const std::string &address, Request request, core::Milliseconds timeout,
-                  std::function<void(CallResult)> done)
+                  std::function<void(CallResult)> done, Connections connections)
 {
     ++m_calls;
     request.head.fields.add("Host", address);
-    const auto pending = std::make_shared<PendingCall>(m_io, m_pool, std::move(done));
-    pending->start(m_pool.take(address), renderRequest(request.head, request.body), timeout);
+    const auto pending = std::make_shared<PendingCall>(m_io, m_pool, connections, std::move(done));
+    auto connection = connections == Connections::Kept ? m_pool.take(address)
+                                                       : ClientConnection::create(m_io, address);
+    pending->start(std::move(connection), renderRequest(request.head, request.body), timeout);
 }
 
 } // namespace jujube::http
--- a/src/http/caller.h
+++ b/src/http/caller.h
@@ -42,6 +42,14 @@
     CallError error = CallError::MaybeSent;
 };
 
+/** Which connection carries a call. */
+enum class Connections {
+    Kept, ///< One that carried others before, if there is one.
+    /** A new one: what the peer answers late, or twice, to another call cannot come on it. For
+     * peers whose answers do not name the call. */
+    Own
+};
+
 /** Makes calls whose whole response is wanted within a time limit. */
 class Caller
 {
@@ -50,7 +58,7 @@
 
     /** Calls back exactly once, never from inside this function. */
     void call(const std::string &address, Request request, core::Milliseconds timeout,
-              std::function<void(CallResult)> done);
+              std::function<void(CallResult)> done, Connections connections = Connections::Kept);
     uint64_t callCount() const { return m_calls; }
 
 private:
--- a/src/serving/duties.cpp
+++ b/src/serving/duties.cpp
@@ -198,25 +198,27 @@
 // carried out late, after newer ones, is refused by the engine.
 void StageDuty::order(const EndpointPtr &engine, bool prefill)
 {
-    m_services.caller.call(engine->record.address, platform::reportCall(engine->record.id),
-                           OrderTimeout, [this, engine, prefill](const http::CallResult &result) {
-                               if (!result.response.ok()) {
-                                   core::Event("stage.report.failed")
-                                       .with("endpoint", engine->record.id)
-                                       .with("why", result.response.status().message());
-                                   return;
-                               }
-                               noteNotices(*engine, platform::decodeAnswer(result.response->head),
-                                           core::BootClock::now());
-                               const auto report = platform::decodeReport(*result.response);
-                               if (!report.ok() || report->changing) {
-                                   core::Event("stage.report.unusable")
-                                       .with("endpoint", engine->record.id)
-                                       .with("changing", report.ok());
-                                   return;
-                               }
-                               send(engine, prefill, report->ordersAccepted);
-                           });
+    m_services.caller.call(
+        engine->record.address, platform::reportCall(engine->record.id), OrderTimeout,
+        [this, engine, prefill](const http::CallResult &result) {
+            if (!result.response.ok()) {
+                core::Event("stage.report.failed")
+                    .with("endpoint", engine->record.id)
+                    .with("why", result.response.status().message());
+                return;
+            }
+            noteNotices(*engine, platform::decodeAnswer(result.response->head),
+                        core::BootClock::now());
+            const auto report = platform::decodeReport(*result.response);
+            if (!report.ok() || report->changing) {
+                core::Event("stage.report.unusable")
+                    .with("endpoint", engine->record.id)
+                    .with("changing", report.ok());
+                return;
+            }
+            send(engine, prefill, report->ordersAccepted);
+        },
+        http::Connections::Own);
 }
 
 void StageDuty::send(const EndpointPtr &engine, bool prefill, uint64_t ordersBefore)
@@ -251,7 +253,8 @@
             core::countMetric("jujube_stage_orders_total", core::concat("status=\"", status, "\""));
             if (status == http::status::Accepted)
                 engine->pausedUntil = core::BootClock::now() + change + ChangeAllowance;
-        });
+        },
+        http::Connections::Own);
 }
 
 } // namespace jujube::serving
--- a/src/serving/gateway.h
+++ b/src/serving/gateway.h
@@ -44,7 +44,6 @@
     News composeNews();
     TokenRates ownRates(core::TimePoint now) const;
     void addWindows(News &news);
-    StorePage mirroredState() const;
     void onPeerState(const StorePage &state);
     void onNews(const News &news);
     void followPeers(core::TimePoint now);
@@ -75,6 +74,7 @@
     std::map<std::string, policy::SendBudget> m_budgets;
     Leadership m_leadership;
     PeerMesh m_peers;
+    StateFeed m_feed;
     PromptScheduler m_prompts;
     DutyServices m_dutyServices;
     UsageDuty m_usageDuty;
--- a/src/serving/gatewaynews.cpp
+++ b/src/serving/gatewaynews.cpp
@@ -30,6 +30,7 @@
     news.configVersion = config ? config->version : 0;
     news.storeRevision = m_mirror->revision();
     news.wallTime = m_wallClock.at(now);
+    news.watches = m_mirror->watching() && m_mirror->reachable();
     news.rates = ownRates(now);
     for (const auto &[id, endpoint] : m_endpoints.all()) {
         const bool changing = now < endpoint->pausedUntil && m_leadership.held();
@@ -69,15 +70,6 @@
     m_usage.forgetBefore(current - windowsRemembered);
 }
 
-StorePage Gateway::mirroredState() const
-{
-    StorePage state;
-    state.revision = m_mirror->revision();
-    for (const auto &[key, item] : m_mirror->items())
-        state.items.push_back(item);
-    return state;
-}
-
 void Gateway::onPeerState(const StorePage &state)
 {
     m_mirror->absorb(state);
@@ -109,9 +101,15 @@
     }
 }
 
-// A gateway that the store does not serve learns from its neighbours what it missed.
+// A gateway that the store does not serve, or that leaves watching to others, learns from its
+// neighbours what it missed.
 void Gateway::followPeers(TimePoint now)
 {
+    const std::vector<FeedPeer> peers = m_peers.statePeers();
+    const bool follows = !m_peers.watchesForOthers() && m_feed.fed(peers, now);
+    m_mirror->setFollowing(follows);
+    if (!m_peers.watchesForOthers() && m_feed.refreshDue(now))
+        m_feed.fetch(peers, m_mirror->revision(), now);
     const uint64_t newest = m_peers.newestRevision();
     if (newest <= m_mirror->revision()) {
         m_behindSince = {};
@@ -119,12 +117,12 @@
     }
     if (m_behindSince == TimePoint{})
         m_behindSince = now;
-    if (now - m_behindSince < BehindLimit + m_mirror->watchPace())
+    if (!follows && now - m_behindSince < BehindLimit + m_mirror->watchPace())
         return;
     m_behindSince = now;
     if (m_mirror->reachable())
         m_mirror->hurry();
-    m_peers.fetchState(m_mirror->revision());
+    m_feed.fetch(peers, m_mirror->revision(), now);
 }
 
 } // namespace jujube::serving
--- a/src/serving/news.cpp
+++ b/src/serving/news.cpp
@@ -39,6 +39,7 @@
     news.wallTime = core::Milliseconds(static_cast<int64_t>(reader.getWallMs()));
     news.configVersion = reader.getConfigVersion();
     news.storeRevision = reader.getStoreRevision();
+    news.watches = reader.getWatches();
     news.rates = {reader.getPromptTokensPerSecond(), reader.getOutputTokensPerSecond()};
     for (const auto it : reader.getShares())
         news.shares.push_back({it.getEndpoint(),
@@ -67,12 +68,13 @@
     root.setName(news.name.c_str());
     root.setLoad(news.kind == NewsKind::Load);
     root.setSummary(news.kind == NewsKind::Summary);
-    root.setProcessorShare(static_cast<float>(news.processorShare));
+    root.setProcessorShare(news.processorShare);
     root.setRun(news.run);
     root.setSequence(news.sequence);
     root.setWallMs(static_cast<uint64_t>(news.wallTime.count()));
     root.setConfigVersion(news.configVersion);
     root.setStoreRevision(news.storeRevision);
+    root.setWatches(news.watches);
     root.setPromptTokensPerSecond(static_cast<float>(news.rates.prompt));
     root.setOutputTokensPerSecond(static_cast<float>(news.rates.output));
     auto shares = root.initShares(static_cast<uint32_t>(news.shares.size()));
@@ -122,11 +124,13 @@
     capnp::MallocMessageBuilder message;
     auto root = message.initRoot<schema::GatewayState>();
     root.setRevision(state.revision);
+    root.setBase(state.base);
     auto items = root.initItems(static_cast<uint32_t>(state.items.size()));
     for (uint32_t i = 0; i < items.size(); ++i) {
         items[i].setKey(state.items[i].key.c_str());
         items[i].setValue(bytesOf(state.items[i].value));
         items[i].setRevision(state.items[i].revision);
+        items[i].setDeleted(state.items[i].deleted);
     }
     return packed(message);
 }
@@ -139,12 +143,13 @@
         const auto root = message.getRoot<schema::GatewayState>();
         StorePage state;
         state.revision = root.getRevision();
+        state.base = root.getBase();
         for (const auto it : root.getItems()) {
             const auto value = it.getValue();
             state.items.push_back({it.getKey().cStr(),
                                    {reinterpret_cast<const char *>(value.begin()), value.size()},
                                    it.getRevision(),
-                                   false});
+                                   it.getDeleted()});
         }
         return state;
     } catch (const kj::Exception &ex) {
--- a/src/serving/peermesh.cpp
+++ b/src/serving/peermesh.cpp
@@ -37,11 +37,8 @@
 // Parts that gateways sent are told by the hub in two or three rounds.
 constexpr Milliseconds RelayFor{70};
 constexpr size_t MostRelayedParts = 80;
-constexpr Milliseconds FetchInterval{400};
 // Longer than the window that budgets of repeated sends are judged over.
 constexpr Milliseconds BudgetMemory{15'000};
-constexpr Milliseconds FetchTimeout{800};
-constexpr const char *StatePath = "/state";
 
 } // namespace
 
@@ -75,11 +72,9 @@
     m_server = std::make_unique<http::Server>(
         m_io, [this](const http::Request &request, const http::Responder &responder) {
             http::Head head;
-            head.status =
-                request.head.target == StatePath ? http::status::Ok : http::status::NotFound;
-            responder.send(head,
-                           head.status == http::status::Ok ? encodeState(m_handler.state())
-                                                           : std::string());
+            const auto after = StateFeed::askedRevision(request.head.target);
+            head.status = after ? http::status::Ok : http::status::NotFound;
+            responder.send(head, after ? encodeState(m_handler.state(*after)) : std::string());
         });
     if (absl::Status status = m_server->listen(m_address); !status.ok())
         return status;
@@ -181,6 +176,11 @@
     m_summaryRun = news.run;
     m_summarySequence = news.sequence;
     m_summaryRates = news.rates;
+    if (const auto hub = m_peers.find(news.name); hub != m_peers.end()) {
+        News &known = hub->second.news;
+        known.storeRevision = std::max(known.storeRevision, news.storeRevision);
+        known.watches = news.watches;
+    }
     m_endpoints.setPeerShares(news.shares);
     m_handler.onNews(news);
 }
@@ -303,12 +303,17 @@
     return succeedsGone(m_name, names);
 }
 
-std::string PeerMesh::hub(TimePoint now)
+std::vector<HubCandidate> PeerMesh::candidates() const
 {
     std::vector<HubCandidate> candidates{{m_name, m_processorShare, true}};
     for (const auto &[name, peer] : m_peers)
         candidates.push_back({name, peer.news.processorShare, peer.alive});
-    std::string hub = m_hubChoice.choose(candidates, now);
+    return candidates;
+}
+
+std::string PeerMesh::hub(TimePoint now)
+{
+    std::string hub = m_hubChoice.choose(candidates(), now);
     if (hub == m_name)
         m_hubChoice.noteAnswer(hub, now);
     if (hub != m_hub) {
@@ -365,6 +370,7 @@
     summary.sequence = own.sequence;
     summary.configVersion = own.configVersion;
     summary.storeRevision = own.storeRevision;
+    summary.watches = own.watches;
     summary.processorShare = m_processorShare;
     summary.parts = relayedParts(now);
     for (const auto &[name, peer] : m_peers) {
@@ -434,42 +440,19 @@
     });
 }
 
-void PeerMesh::fetchState(uint64_t newerThan)
+std::vector<FeedPeer> PeerMesh::statePeers() const
 {
-    const TimePoint now = core::BootClock::now();
-    if (now - m_lastFetch < FetchInterval)
-        return;
-    const Peer *best = nullptr;
+    std::vector<FeedPeer> peers;
     for (const auto &[name, peer] : m_peers) {
-        if (peer.alive && peer.news.storeRevision > newerThan
-            && (!best || peer.news.storeRevision > best->news.storeRevision))
-            best = &peer;
+        if (peer.alive)
+            peers.push_back({name, peer.address, peer.news.storeRevision, peer.news.watches});
     }
-    if (!best)
-        return;
-    m_lastFetch = now;
-    http::Request request;
-    request.head.method = "GET";
-    request.head.target = StatePath;
-    const std::string address = best->address;
-    m_caller.call(address, std::move(request), FetchTimeout,
-                  [this, address](const http::CallResult &result) {
-                      if (!result.response.ok()) {
-                          core::Event("peer.state.failed")
-                              .with("address", address)
-                              .with("why", result.response.status().message());
-                          return;
-                      }
-                      const auto state = decodeState(result.response->body);
-                      if (!state.ok()) {
-                          core::Event("peer.state.invalid").with("address", address);
-                          return;
-                      }
-                      core::Event("peer.state.taken")
-                          .with("address", address)
-                          .with("revision", state->revision);
-                      m_handler.onState(*state);
-                  });
+    return peers;
+}
+
+bool PeerMesh::watchesForOthers() const
+{
+    return !large() || serving::watchesForOthers(m_name, m_hub, candidates());
 }
 
 } // namespace jujube::serving
--- a/src/serving/peermesh.h
+++ b/src/serving/peermesh.h
@@ -8,6 +8,7 @@
 #include "http/server.h"
 #include "serving/loadexchange.h"
 #include "serving/nodesettings.h"
+#include "serving/statefeed.h"
 
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -31,11 +32,10 @@
 public:
     struct Handler
     {
-        std::function<News()> compose;    ///< This gateway's news, to be sent now.
-        std::function<StorePage()> state; ///< What the store's mirror holds.
+        std::function<News()> compose; ///< This gateway's news, to be sent now.
+        /** What the store's mirror holds beyond a revision. */
+        std::function<StorePage(uint64_t newerThan)> state;
         std::function<void(const News &)> onNews;
-        /** State of a peer that knows more, asked for by fetchState(). */
-        std::function<void(const StorePage &)> onState;
     };
 
     PeerMesh(boost::asio::io_context &io, http::Caller &caller, EndpointTable &endpoints,
@@ -57,8 +57,10 @@
     bool large() const;
     /** Whether this gateway tells on what gone ones had told: few do, so that news stay short. */
     bool tellsOfGone() const;
-    /** Asks the peer with the newest state for it. */
-    void fetchState(uint64_t newerThan);
+    /** The live peers as sources of the store's state. */
+    std::vector<FeedPeer> statePeers() const;
+    /** Whether this gateway watches the store for others. */
+    bool watchesForOthers() const;
     /** Highest store revision a live peer has told of. */
     uint64_t newestRevision() const;
     TokenRates peersRates() const;
@@ -78,6 +80,7 @@
     void received(std::string_view bytes);
     void takeWhole(Peer &peer, News news, core::TimePoint now);
     void takeSummary(const News &news, core::TimePoint now);
+    std::vector<HubCandidate> candidates() const;
     std::string hub(core::TimePoint now);
     void schedule(core::Milliseconds delay);
     void tell();
@@ -105,7 +108,6 @@
     std::string m_hub;
     std::string m_address;
     uint64_t m_run = 0;
-    core::TimePoint m_lastFetch{};
     core::TimePoint m_summedAt{};
     core::TimePoint m_toldAt{};
     NewsRound m_round;
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -345,7 +345,8 @@
     const EndpointPtr at = std::exchange(m_handleAt, nullptr);
     m_services.caller.call(
         at->record.address, platform::releaseHandleCall(m_handle.handle, at->record.id),
-        HandleReleaseTimeout, [at, handle = m_handle.handle](const http::CallResult &result) {
+        HandleReleaseTimeout,
+        [at, handle = m_handle.handle](const http::CallResult &result) {
             if (result.response.ok())
                 noteNotices(*at, platform::decodeAnswer(result.response->head),
                             core::BootClock::now());
@@ -353,7 +354,8 @@
                 core::Event("handle.release.failed")
                     .with("handle", handle)
                     .with("why", result.response.status().message());
-        });
+        },
+        http::Connections::Own);
 }
 
 void Session::fail(uint32_t status, const std::string &why, Milliseconds retryAfter)
--- a/src/serving/storeclient.cpp
+++ b/src/serving/storeclient.cpp
@@ -20,6 +20,10 @@
 constexpr Milliseconds OutageAfter{1'000};
 // Owners that live have renewed their items by then (the platform states about two seconds).
 constexpr Milliseconds RemovalGrace{2'000};
+// A follower asks every two seconds; what was removed in the last ones is told again, as a removal
+// that was held back bears an older revision.
+constexpr Milliseconds RemovalRetold{10'000};
+constexpr size_t RemovalsKept = 1'024; // More than are removed while a gateway is out of touch.
 
 template <typename T, typename Decode>
 std::function<void(http::CallResult)> decoding(StoreClient::Callback<T> done, Decode decode)
@@ -142,6 +146,8 @@
         list(page.items.back().key);
         return;
     }
+    if (!m_complete)
+        m_removalsFrom = std::max(m_removalsFrom, m_listRevision);
     removeMissing(m_seen, m_listRevision);
     m_revision = std::max(m_revision, m_listRevision);
     m_complete = true;
@@ -151,8 +157,18 @@
 
 void StoreMirror::absorb(const StorePage &state)
 {
+    if (state.base != 0) {
+        // Changes that begin after what is known here would leave a gap.
+        if (state.base > m_revision)
+            return;
+        for (const StoreItem &item : state.items)
+            apply(item);
+        m_revision = std::max(m_revision, state.revision);
+        return;
+    }
     if (state.revision <= m_revision)
         return;
+    m_removalsFrom = std::max(m_removalsFrom, m_complete ? 0 : state.revision);
     std::set<std::string> present;
     for (const StoreItem &item : state.items) {
         present.insert(item.key);
@@ -162,8 +178,39 @@
     m_revision = state.revision;
 }
 
+StorePage StoreMirror::changesAfter(uint64_t revision) const
+{
+    StorePage page;
+    page.revision = m_revision;
+    page.base = revision >= m_removalsFrom ? revision : 0;
+    for (const auto &[key, item] : m_items) {
+        if (page.base == 0 || item.revision > revision)
+            page.items.push_back(item);
+    }
+    const TimePoint now = core::BootClock::now();
+    for (const Removal &it : m_removals) {
+        const bool told = it.revision > revision || now - it.at < RemovalRetold;
+        if (page.base != 0 && told && !m_items.contains(it.key))
+            page.items.push_back({it.key, {}, it.revision, true});
+    }
+    return page;
+}
+
+void StoreMirror::setFollowing(bool following)
+{
+    m_following = following;
+    if (!following && std::exchange(m_parked, false))
+        watch();
+}
+
 void StoreMirror::watch()
 {
+    m_parked = m_following;
+    if (m_parked) {
+        m_watching = false;
+        ++m_round;
+        return;
+    }
     m_watching = true;
     const uint64_t round = ++m_round;
     const TimePoint now = core::BootClock::now();
@@ -280,10 +327,20 @@
     StoreItem gone = it->second;
     gone.deleted = true;
     gone.revision = revision;
+    noteRemoval(key, revision);
     m_items.erase(it);
     m_handler.onItem(gone);
 }
 
+void StoreMirror::noteRemoval(const std::string &key, uint64_t revision)
+{
+    m_removals.push_back({key, revision, core::BootClock::now()});
+    if (m_removals.size() <= RemovalsKept)
+        return;
+    m_removalsFrom = std::max(m_removalsFrom, m_removals.front().revision);
+    m_removals.pop_front();
+}
+
 void StoreMirror::removeAfterOutage()
 {
     m_outageEnd = {};
--- a/src/serving/storeclient.h
+++ b/src/serving/storeclient.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -64,8 +65,13 @@
     core::Milliseconds watchPace() const { return m_watchPace; }
     /** Ends the wait of the present watch early: a neighbour knows something newer. */
     void hurry();
-    /** Takes over a neighbour's copy, as if the store had listed it. */
+    /** Takes over a neighbour's copy, as if the store had listed it, or the changes it tells. */
     void absorb(const StorePage &state);
+    /** What changed after a revision; everything if that is not known any more. */
+    StorePage changesAfter(uint64_t revision) const;
+    /** Leaves watching to neighbours, whose changes are absorbed, or takes it up again. */
+    void setFollowing(bool following);
+    bool watching() const { return m_watching; }
     bool complete() const { return m_complete; }
     uint64_t revision() const { return m_revision; }
     /** Whether the last call was answered. */
@@ -86,6 +92,7 @@
     void removeMissing(const std::set<std::string> &present, uint64_t revision);
     void removeAfterOutage();
     void remove(const std::string &key, uint64_t revision);
+    void noteRemoval(const std::string &key, uint64_t revision);
 
     boost::asio::steady_timer m_timer;
     boost::asio::steady_timer m_removal;
@@ -106,6 +113,16 @@
     bool m_reachable = false;
     bool m_complete = false;
     bool m_watching = false;
+    bool m_following = false;
+    bool m_parked = false; ///< Does not watch, as it follows.
+    struct Removal
+    {
+        std::string key;
+        uint64_t revision = 0;
+        core::TimePoint at{};
+    };
+    std::deque<Removal> m_removals; ///< The last ones, for neighbours that follow.
+    uint64_t m_removalsFrom = 0;    ///< Removals up to this revision may be missing there.
 };
 
 } // namespace jujube::serving
--- a/src/serving/storetypes.h
+++ b/src/serving/storetypes.h
@@ -25,6 +25,8 @@
     std::vector<StoreItem> items;
     uint64_t revision = 0; ///< Of the store when it answered.
     bool more = false;
+    uint64_t base =
+        0; ///< Of a peer's answer: only what changed after this revision; 0: everything.
 };
 
 struct StoreWrite
--- a/src/wire/news.capnp
+++ b/src/wire/news.capnp
@@ -32,13 +32,16 @@
   promptTokensPerSecond @5 :Float32;
   shares @6 :List(LoadShare);
   windows @7 :List(WindowCounts);
-  processorShare @9 :Float32; # the best equipped gateway becomes the hub of a large deployment
+  processorShare @9 :Float64; # the best equipped gateway becomes the hub; compared with the own figure
   load @10 :Bool;            # load for the hub only: no windows, no revisions
   summary @11 :Bool;         # from the hub: the load of all other gateways, added up
   outputTokensPerSecond @13 :Float32;
+  watches @14 :Bool;         # the sender watches the store, which answers it
   wallMs @12 :UInt64;        # the sender's time of day; 0 in news that wait before they are sent
   parts @8 :List(PartSent);  # of the last moments, told several times as datagrams get lost
 }
 
-struct StateItem { key @0 :Text; value @1 :Data; revision @2 :UInt64; }
-struct GatewayState { items @0 :List(StateItem); revision @1 :UInt64; }
+struct StateItem { key @0 :Text; value @1 :Data; revision @2 :UInt64; deleted @3 :Bool; }
+
+# All items, or those that changed after the base, if it is not 0.
+struct GatewayState { items @0 :List(StateItem); revision @1 :UInt64; base @2 :UInt64; }
--- /dev/null
+++ b/test/correctness/caller.cpp
@@ -0,0 +1,53 @@
+/** \file
+ * Tests of calls to peers that answer late or twice.
+ */
+
+#include "http/caller.h"
+#include "http/server.h"
+
+#include <criterion/criterion.h>
+
+#include <unistd.h>
+
+using namespace jujube;
+using namespace std::chrono_literals;
+
+// The second copy of an answer comes on the connection when the next call has gone out on it.
+// Answers to reports and orders name no call, so such calls have connections of their own.
+Test(caller, a_late_second_answer_is_not_taken_for_the_next_call)
+{
+    boost::asio::io_context io;
+    std::string before;
+    int calls = 0;
+    http::Server server(io, [&](const http::Request &, const http::Responder &responder) {
+        const std::string body = "answer " + std::to_string(++calls);
+        if (responder.keptConnection())
+            responder.sendRaw(before);
+        before =
+            "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+        http::Head head;
+        head.status = 200;
+        responder.send(head, body);
+    });
+    const std::string address = "127." + std::to_string(1 + getpid() / 250 % 250) + "."
+        + std::to_string(1 + getpid() % 250) + ".1:7004";
+    cr_assert(server.listen(address).ok());
+    http::Caller caller(io);
+    for (int i = 1; i <= 3; ++i) {
+        std::string got;
+        http::Request request;
+        request.head.method = "GET";
+        request.head.target = "/";
+        caller.call(
+            address, request, 1'000ms,
+            [&](const http::CallResult &result) {
+                got = result.response.ok() ? result.response->body : "none";
+            },
+            http::Connections::Own);
+        for (int n = 0; n < 200 && got.empty(); ++n) {
+            io.restart();
+            io.run_for(5ms);
+        }
+        cr_assert_str_eq(got.c_str(), ("answer " + std::to_string(i)).c_str());
+    }
+}
--- /dev/null
+++ b/test/correctness/statefeed.cpp
@@ -0,0 +1,203 @@
+/** \file
+ * Tests of the few watchers of a large deployment and of what they tell the others.
+ */
+
+#include "serving/statefeed.h"
+#include "fakes/storestandin.h"
+#include "serving/news.h"
+#include "serving/storeclient.h"
+
+#include <criterion/criterion.h>
+
+#include <set>
+#include <unistd.h>
+
+using namespace jujube;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::vector<serving::HubCandidate> gateways(size_t n, size_t strong)
+{
+    std::vector<serving::HubCandidate> result;
+    for (size_t i = 0; i < n; ++i)
+        result.push_back(
+            {"front-" + std::string(1, static_cast<char>('a' + i % 5)) + "-" + std::to_string(i),
+             i < strong ? 0.5 : 0.09, true});
+    return result;
+}
+
+std::set<std::string> watchers(const std::vector<serving::HubCandidate> &all,
+                               const std::string &hub)
+{
+    std::set<std::string> result;
+    for (const auto &it : all) {
+        if (it.alive && serving::watchesForOthers(it.name, hub, all))
+            result.insert(it.name);
+    }
+    return result;
+}
+
+/** A store and mirrors of two gateways, of which the second is fed by the first. */
+struct Bench
+{
+    boost::asio::io_context io;
+    http::Caller caller{io};
+    test::StoreStandin store{io};
+    std::string address = "127." + std::to_string(1 + getpid() / 250 % 250) + "."
+        + std::to_string(1 + getpid() % 250) + ".1:7003";
+    serving::StoreClient client{caller, address};
+    std::shared_ptr<serving::StoreMirror> feeder = mirror();
+    std::shared_ptr<serving::StoreMirror> follower = mirror();
+
+    Bench()
+    {
+        cr_assert(store.listen(address).ok());
+        store.put("k/1", "a");
+        store.put("k/2", "b");
+        feeder->start();
+        follower->start();
+        cr_assert(until([&]() { return feeder->complete() && follower->complete(); }));
+        follower->setFollowing(true);
+        // The watch that is under way ends with the next change.
+        store.put("k/3", "c");
+        cr_assert(until([&]() { return !follower->watching() && feeder->revision() == 4; }));
+    }
+
+    std::shared_ptr<serving::StoreMirror> mirror()
+    {
+        return serving::StoreMirror::create(io, client, "",
+                                            {[](const serving::StoreItem &) {}, []() {}});
+    }
+
+    bool until(const std::function<bool()> &done)
+    {
+        const core::TimePoint end = core::BootClock::now() + 3s;
+        while (!done() && core::BootClock::now() < end) {
+            io.restart();
+            io.run_for(5ms);
+        }
+        return done();
+    }
+
+    /** What goes from one to the other, in its form on the wire. */
+    serving::StorePage feed()
+    {
+        auto page =
+            serving::decodeState(serving::encodeState(feeder->changesAfter(follower->revision())));
+        cr_assert(page.ok());
+        follower->absorb(*page);
+        return *page;
+    }
+};
+
+} // namespace
+
+Test(statefeed, few_gateways_watch_whatever_the_size)
+{
+    for (const size_t n : {10, 103, 2'400}) {
+        auto all = gateways(n, 15);
+        const std::string hub = all[0].name;
+        const auto before = watchers(all, hub);
+        cr_assert_eq(before.size(), std::min<size_t>(n, 6));
+        cr_assert(before.contains(hub));
+        // One that is lost is replaced, and the others stay.
+        const std::string lost = *before.rbegin() == hub ? *before.begin() : *before.rbegin();
+        for (auto &it : all) {
+            if (it.name == lost)
+                it.alive = false;
+        }
+        const auto after = watchers(all, hub);
+        cr_assert_eq(after.size(), std::min<size_t>(n - 1, 6));
+        for (const std::string &it : before)
+            cr_assert(it == lost || after.contains(it));
+    }
+}
+
+// Settings files and workers change all the time: a follower makes no call to the store for it.
+Test(statefeed, a_follower_learns_changes_and_removals_without_the_store)
+{
+    Bench it;
+    const uint64_t calls = it.store.callCount();
+    it.store.put("k/1", "new");
+    it.store.erase("k/2");
+    cr_assert(it.until([&]() { return it.feeder->revision() == 6; }));
+    const auto page = it.feed();
+    cr_assert_eq(page.items.size(), 2U, "only what changed goes over the wire");
+    cr_assert_str_eq(it.follower->items().at("k/1").value.c_str(), "new");
+    cr_assert_not(it.follower->items().contains("k/2"));
+    cr_assert_eq(it.follower->revision(), 6U);
+    // The feeder's own watches: one for each change at most.
+    cr_assert_leq(it.store.callCount() - calls, 3U);
+}
+
+Test(statefeed, a_follower_never_goes_back)
+{
+    Bench it;
+    const auto old = it.feeder->changesAfter(0);
+    cr_assert_eq(old.base, 0U);
+    it.store.put("k/1", "new");
+    cr_assert(it.until([&]() { return it.feeder->revision() == 5; }));
+    it.feed();
+    it.follower->absorb(old);
+    cr_assert_str_eq(it.follower->items().at("k/1").value.c_str(), "new");
+    serving::StorePage gap;
+    gap.base = 9;
+    gap.revision = 10;
+    it.follower->absorb(gap);
+    cr_assert_eq(it.follower->revision(), 5U, "changes after a gap are not taken");
+}
+
+// Its feeders are gone: it watches again from where it was, and misses nothing.
+Test(statefeed, a_follower_that_is_not_fed_watches_itself)
+{
+    Bench it;
+    it.store.put("k/9", "later");
+    it.follower->setFollowing(false);
+    cr_assert(it.until([&]() { return it.follower->items().contains("k/9"); }));
+    cr_assert(it.follower->watching());
+}
+
+// A gateway that has just started knows of no removal before its own first listing.
+Test(statefeed, what_is_older_than_the_removals_known_is_told_whole)
+{
+    Bench it;
+    cr_assert_eq(it.feeder->changesAfter(1).base, 0U);
+    cr_assert_eq(it.feeder->changesAfter(3).base, 3U);
+}
+
+Test(statefeed, is_fed_only_while_several_feeders_answer)
+{
+    boost::asio::io_context io;
+    http::Caller caller(io);
+    serving::StateFeed feed(caller, [](const serving::StorePage &) {});
+    const std::vector<serving::FeedPeer> peers{{"a", "127.0.0.1:1", 5, true},
+                                               {"b", "127.0.0.1:1", 5, true}};
+    cr_assert_not(feed.fed(peers, core::BootClock::now()), "nobody has answered yet");
+    cr_assert(feed.refreshDue(core::BootClock::now()));
+    feed.fetch(peers, 5, core::BootClock::now());
+    cr_assert_not(feed.refreshDue(core::BootClock::now()));
+}
+
+Test(statefeed, malformed_questions_are_refused)
+{
+    using serving::StateFeed;
+    cr_assert(StateFeed::askedRevision("/state") == 0U);
+    cr_assert(StateFeed::askedRevision("/state?after=17") == 17U);
+    for (const char *target : {"/stat", "/state?after=", "/state?after=-1", "/state?after=1x",
+                               "/state?before=1", "/state?after=99999999999999999999999"})
+        cr_assert_not(StateFeed::askedRevision(target).has_value(), "%s", target);
+}
+
+// Gateways compare their own share with those that came over the wire: rounded ones made each of a
+// deployment of equal gateways take all others for better equipped.
+Test(statefeed, shares_of_processors_are_told_exactly)
+{
+    serving::News news;
+    for (const double share : {0.09, 0.12, 0.5}) {
+        news.processorShare = share;
+        const auto heard = serving::decodeNews(serving::encodeNews(news));
+        cr_assert(heard.ok());
+        cr_assert_eq(heard->processorShare, share);
+    }
+}
