A prompt whose reader failed it goes elsewhere, and what is sent next always counts as a repeat

A reader that had just gone got the same prompt four times in ten milliseconds, and when the budget was spent the decoder got it without being counted, though the first send had not been a prompt that was read. Change: engines that failed a prompt are left out for it unless no other is usable; after a send that reached an endpoint the next one is paid for, or the client is refused at once (nothing has run).

--- a/src/policy/promptqueue.cpp
+++ b/src/policy/promptqueue.cpp
@@ -19,6 +19,18 @@
         std::clamp(doublings, 0.0, static_cast<double>(LastEnginePriority)));
 }
 
+// The engines less those to avoid; all of them if no other can be used.
+std::vector<PlacementView> without(const std::vector<PlacementView> &engines,
+                                   const std::set<std::string> &avoid)
+{
+    std::vector<PlacementView> others = engines;
+    for (PlacementView &it : others)
+        it.usable = it.usable && !avoid.contains(std::string(it.id));
+    const bool any =
+        std::any_of(others.begin(), others.end(), [](const auto &it) { return it.usable; });
+    return any ? others : engines;
+}
+
 } // namespace
 
 void PromptQueue::add(WaitingPrompt prompt)
@@ -85,7 +97,9 @@
             engines[j].cachedTokens = tokens[j];
         PromptSize size = it->size;
         size.fetchableTokens = tokens.empty() ? 0 : *std::max_element(tokens.begin(), tokens.end());
-        const auto choice = chooseReader(engines, size, placement, random);
+        const auto choice = it->avoid.empty()
+            ? chooseReader(engines, size, placement, random)
+            : chooseReader(without(engines, it->avoid), size, placement, random);
         if (!choice || !hasRoom(engines[choice->index]))
             continue;
         PromptDispatch dispatch{std::move(*it), *choice, priorityOf(order[i].first)};
--- a/src/policy/promptqueue.h
+++ b/src/policy/promptqueue.h
@@ -10,6 +10,7 @@
 #include <list>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,7 @@
     core::TimePoint arrivedAt{};
     core::TimePoint objectiveAt{}; ///< When the first token is due.
     core::TimePoint deadlineAt{};  ///< When the answer is of no use any more.
+    std::set<std::string> avoid;   ///< Engines that failed it before.
 };
 
 struct PromptQueueSettings
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -118,6 +118,7 @@
     prompt.arrivedAt = m_arrived;
     prompt.objectiveAt = m_arrived + m_request.route->objective;
     prompt.deadlineAt = firstEventBy();
+    prompt.avoid = m_avoid;
     const Milliseconds wait = m_services.prompts.expectedWait(m_request.service, prompt);
     if (core::BootClock::now() + wait > prompt.deadlineAt) {
         fail(http::status::ServiceUnavailable, "the queue is longer than the client waits",
@@ -188,7 +189,7 @@
         m_endpoint->pause(core::BootClock::now(), SuspectPause);
         waitForPrefill(predicted * PrefillPatience + PrefillSlack - suspect, [this]() {
             noteBroken();
-            prefillFailed("no answer in time");
+            prefillFailed(true, "no answer in time");
         });
     });
 }
--- a/src/serving/session.h
+++ b/src/serving/session.h
@@ -103,7 +103,8 @@
     void onEnd();
     void onFailure(http::Failure failure, const std::string &why);
     void prefillEnded();
-    void prefillFailed(const std::string &why);
+    /** \param reached the endpoint may have got the request, which then counts as an arrival. */
+    void prefillFailed(bool reached, const std::string &why);
     void answerEnded();
     void relayEvents(std::string &body);
     void collect(std::string &body);
--- a/src/serving/sessionanswer.cpp
+++ b/src/serving/sessionanswer.cpp
@@ -203,12 +203,12 @@
 void Session::prefillEnded()
 {
     if (m_head.status != http::status::Ok) {
-        prefillFailed(m_answer.notRun ? "refused" : "failed");
+        prefillFailed(true, m_answer.notRun ? "refused" : "failed");
         return;
     }
     auto handle = platform::decodeCacheHandle(m_body);
     if (!handle.ok()) {
-        prefillFailed("the answer names no prompt");
+        prefillFailed(true, "the answer names no prompt");
         return;
     }
     noteAnswered(false);
@@ -225,7 +225,7 @@
     next();
 }
 
-void Session::prefillFailed(const std::string &why)
+void Session::prefillFailed(bool reached, const std::string &why)
 {
     core::Event("prefill.failed")
         .with("request", m_request.facts.id)
@@ -235,8 +235,14 @@
     if (m_answer.notRun)
         noteRefusal(*m_endpoint, core::BootClock::now());
     release(false);
-    // Reading elsewhere again counts as a repeated send, as running without a handle does not.
-    if (m_avoid.size() >= MaxPrefills || !spendExtra())
+    // Whatever is sent next is a repeated send, also a run without a handle: only a prompt that was
+    // read does not count. Nothing has run, so the client may be told so.
+    if (reached && !spendExtra()) {
+        fail(http::status::ServiceUnavailable,
+             "its prompt was not read, and the budget for sending it again is spent", comeBack());
+        return;
+    }
+    if (m_avoid.size() >= MaxPrefills)
         m_prefillTried = true;
     next();
 }
@@ -309,7 +315,7 @@
 {
     if (m_purpose == Purpose::Prefill) {
         noteBroken();
-        prefillFailed(why);
+        prefillFailed(failure != http::Failure::NotSent, why);
         return;
     }
     runFailed(failure == http::Failure::NotSent, failure != http::Failure::NotSent, why);
--- a/test/correctness/promptqueue.cpp
+++ b/test/correctness/promptqueue.cpp
@@ -159,3 +159,20 @@
     cr_assert_lt(document, lateDocument);
     cr_assert_leq(lateDocument, policy::LastEnginePriority);
 }
+
+// A reader that went away within milliseconds looks idle to every gateway: the prompt that it
+// failed goes to a busier one, and comes back to it only if there is no other.
+Test(promptqueue, a_reader_that_failed_a_prompt_is_not_given_it_again)
+{
+    Bench it;
+    it.engines = {reader("gone"), reader("busy", 5'000)};
+    auto failed = prompt(1, "chat", 4'000, 1);
+    failed.avoid = {"gone"};
+    it.queue.add(failed);
+    const auto other = it.take();
+    cr_assert(other && other->choice.index == 1);
+    it.engines[1].usable = false;
+    it.queue.add(failed);
+    const auto last = it.take();
+    cr_assert(last && last->choice.index == 0);
+}
--- a/test/fakes/workerstandin.cpp
+++ b/test/fakes/workerstandin.cpp
@@ -136,6 +136,10 @@
         responder.send(answerHead(id, Misdirected, false), {});
         return;
     }
+    if (m_fault == WorkerFault::LoseAnswer) {
+        responder.abort();
+        return;
+    }
     if (m_fault == WorkerFault::Silent) {
         m_atWork.insert(id);
         responder.onClientGone([this, id]() { m_atWork.erase(m_atWork.find(id)); });
