--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -136,6 +136,7 @@
                           head.fields.add("Content-Type", "text/plain; version=0.0.4");
                           responder.send(head, core::renderMetrics());
                       }),
+      m_loop(io),
       m_tickTimer(io),
       m_drainTimer(io)
 {
@@ -160,6 +161,7 @@
         !status.ok())
         return status;
     m_mirror->start();
+    m_loop.start();
     tick();
     core::Event("gateway.started")
         .with("run", m_run)
--- a/src/serving/gateway.h
+++ b/src/serving/gateway.h
@@ -8,6 +8,7 @@
 #include "http/server.h"
 #include "policy/ratemeter.h"
 #include "serving/duties.h"
+#include "serving/loopmonitor.h"
 #include "serving/peermesh.h"
 #include "serving/session.h"
 #include "serving/storemirror.h"
@@ -48,6 +49,7 @@
     void onPeerState(const StorePage &state);
     void onNews(const News &news);
     void followPeers(core::TimePoint now);
+    void logLag(const StoreVersion &newest, bool follows, core::TimePoint now);
     void logPredictions(core::TimePoint now);
     void tick();
     void drainStep();
@@ -86,11 +88,14 @@
     http::Server m_clientServer;
     http::Server m_readyServer;
     http::Server m_metricsServer;
+    LoopMonitor m_loop;
     boost::asio::steady_timer m_tickTimer;
     boost::asio::steady_timer m_drainTimer;
     std::function<void()> m_drained;
     core::TimePoint m_drainSince{};
     core::TimePoint m_behindSince{};
+    core::TimePoint m_lagSince{}; ///< A newer state than the own one is known since then.
+    core::TimePoint m_lagLogged{};
     core::TimePoint m_predictionsLogged{};
     uint64_t m_newsSequence = 0;
     bool m_draining = false;
--- a/src/serving/gatewaynews.cpp
+++ b/src/serving/gatewaynews.cpp
@@ -2,6 +2,8 @@
  * The part of a gateway that tells its neighbours what it knows and learns from them.
  */
 
+#include "core/eventlog.h"
+#include "core/metrics.h"
 #include "serving/gateway.h"
 
 namespace jujube::serving {
@@ -14,6 +16,9 @@
 // A peer that stays ahead this long has heard something that this gateway's watch has not.
 constexpr Milliseconds BehindLimit{400}; // Besides the pace at which it watches.
 constexpr uint64_t WindowsTold = 2; ///< Usage windows in each datagram, besides the current one.
+// Followers are a second behind while a change spreads; twice that is logged, and each second more.
+constexpr Milliseconds LoggedLag{2'000};
+constexpr Milliseconds LagLogInterval{1'000};
 // An endpoint that the leader keeps work away from is left out until its next news.
 constexpr Milliseconds ToldPause{200};
 
@@ -114,6 +119,7 @@
     const StoreVersion newest = m_peers.newestVersion();
     // A holder that the store does not answer hears of a restore here first.
     m_store.learnEra(newest.era);
+    logLag(newest, follows, now);
     if (newest <= m_mirror->version()) {
         m_behindSince = {};
         return;
@@ -128,4 +134,25 @@
     m_feed.fetch(peers, m_mirror->version(), now);
 }
 
+// Says how long a newer state has been known to exist that this gateway does not have.
+void Gateway::logLag(const StoreVersion &newest, bool follows, TimePoint now)
+{
+    if (newest <= m_mirror->version()) {
+        m_lagSince = {};
+        return;
+    }
+    if (m_lagSince == TimePoint{})
+        m_lagSince = m_lagLogged = now;
+    if (now - m_lagSince < LoggedLag || now - m_lagLogged < LagLogInterval)
+        return;
+    m_lagLogged = now;
+    core::countMetric("jujube_state_behind_total");
+    core::Event("state.behind")
+        .with("for_ms", std::chrono::duration_cast<Milliseconds>(now - m_lagSince).count())
+        .with("revision", m_mirror->version().revision)
+        .with("newest", newest.revision)
+        .with("follows", follows)
+        .with("reachable", m_mirror->reachable());
+}
+
 } // namespace jujube::serving
--- /dev/null
+++ b/src/serving/loopmonitor.h
@@ -0,0 +1,44 @@
+#pragma once
+
+/** \file
+ * Defines the monitor of how far an event loop is behind.
+ */
+
+#include "core/clock.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace jujube::serving {
+
+/** Measures how late the handlers of an event loop run.
+ *
+ * A timer is due at a fixed interval; the time by which its handler runs later is what every other
+ * event waits as well. Lateness is recorded as the histogram `jujube_loop_late_seconds`. From
+ * LogFrom on it is also logged, with the processor time and the elapsed time since the last check:
+ * about equal times, scaled by the processor share, mean that the processor was the limit; a small
+ * processor time means that the process was suspended.
+ */
+class LoopMonitor
+{
+public:
+    explicit LoopMonitor(boost::asio::io_context &io);
+
+    void start();
+    /** Lateness at the last check. */
+    core::Milliseconds late() const { return m_late; }
+
+    static constexpr core::Milliseconds Interval{100};
+    static constexpr core::Milliseconds LogFrom{100};
+
+private:
+    void check();
+
+    boost::asio::steady_timer m_timer;
+    core::TimePoint m_checkedAt{};
+    core::TimePoint m_due{};
+    std::chrono::nanoseconds m_processorTime{};
+    core::Milliseconds m_late{};
+};
+
+} // namespace jujube::serving
--- a/src/serving/peermesh.cpp
+++ b/src/serving/peermesh.cpp
@@ -74,7 +74,10 @@
             http::Head head;
             const auto after = StateFeed::askedVersion(request.head.target);
             head.status = after ? http::status::Ok : http::status::NotFound;
-            responder.send(head, after ? encodeState(m_handler.state(*after)) : std::string());
+            const std::string state = after ? encodeState(m_handler.state(*after)) : std::string();
+            ++m_served.requests;
+            m_served.bytes += state.size();
+            responder.send(head, state);
         });
     if (absl::Status status = m_server->listen(m_address); !status.ok())
         return status;
@@ -246,9 +249,21 @@
         core::countMetric("jujube_peer_send_errors_total");
 }
 
+// One line for all that was asked since the last one: many peers ask at the same change.
+void PeerMesh::logServed()
+{
+    const Served served = std::exchange(m_served, {});
+    if (served.requests == 0)
+        return;
+    core::countMetric("jujube_state_served_total", {}, served.requests);
+    core::countMetric("jujube_state_served_bytes_total", {}, served.bytes);
+    core::Event("state.served").with("requests", served.requests).with("bytes", served.bytes);
+}
+
 void PeerMesh::tell()
 {
     const TimePoint now = core::BootClock::now();
+    logServed();
     m_toldAt = now;
     m_hurried = false;
     const Milliseconds silence = large() ? LargePeerSilence : PeerSilence;
--- a/src/serving/peermesh.h
+++ b/src/serving/peermesh.h
@@ -85,6 +85,7 @@
     std::vector<HubCandidate> candidates() const;
     std::string hub(core::TimePoint now);
     void schedule(core::Milliseconds delay);
+    void logServed();
     void tell();
     void tellSlice();
     std::string composeWhole(bool sentAtOnce);
@@ -103,6 +104,12 @@
     boost::asio::steady_timer m_timer;
     boost::asio::steady_timer m_loadTimer;
     std::unique_ptr<http::Server> m_server;
+    struct Served
+    {
+        uint64_t requests = 0;
+        uint64_t bytes = 0;
+    };
+    Served m_served; ///< Of the store's state, since it was logged last.
     std::map<std::string, Peer> m_peers;
     boost::asio::ip::udp::endpoint m_sender;
     std::array<char, 65536> m_buf{};
