--- a/test/support/deployment.cpp
+++ b/test/support/deployment.cpp
@@ -3,8 +3,11 @@
 #include "core/eventlog.h"
 #include "core/text.h"
 
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <unistd.h>
 
 namespace jujube::test {
@@ -29,6 +32,25 @@
                         R"(,"TargetLatencyMs":300,"Priority":1,"TargetGapMs":200)", more, "}");
 }
 
+// A client's request; it carries the valid key unless \a more names one.
+http::Head requestHead(const std::string &method, const std::string &target, const std::string &id,
+                       const std::vector<http::Field> &more)
+{
+    http::Head head;
+    head.method = method;
+    head.target = target;
+    head.fields.add("Host", "test.example");
+    head.fields.add("Request-Id", id);
+    const bool keyed = std::any_of(more.begin(), more.end(), [](const http::Field &it) {
+        return http::equalNames(it.name, "X-Api-Key");
+    });
+    if (!keyed)
+        head.fields.add("X-Api-Key", "key-a");
+    for (const http::Field &it : more)
+        head.fields.add(it.name, it.value);
+    return head;
+}
+
 } // namespace
 
 Deployment::Deployment() : m_caller(m_io)
@@ -109,27 +131,34 @@
         cr_assert(runUntil([this, index]() { return readiness(index) == 200; }));
 }
 
+std::string Deployment::clientAddress(size_t gateway) const
+{
+    return address(static_cast<uint32_t>(FirstGatewayHost + gateway), ClientPort);
+}
+
+void Deployment::askAndLeave(const std::string &method, const std::string &target,
+                             const std::string &id, const std::vector<http::Field> &more,
+                             size_t gateway) const
+{
+    const std::string to = clientAddress(gateway);
+    const size_t colon = to.rfind(':');
+    boost::asio::io_context blocking;
+    boost::asio::ip::tcp::socket socket(blocking);
+    socket.connect({boost::asio::ip::make_address(to.substr(0, colon)), ClientPort});
+    boost::asio::write(
+        socket,
+        boost::asio::buffer(http::renderRequest(requestHead(method, target, id, more), {})));
+    socket.close();
+}
+
 ClientAnswer Deployment::ask(const std::string &method, const std::string &target,
                              const std::string &id, const std::vector<http::Field> &more,
                              const std::string &body, size_t gateway)
 {
-    http::Request request;
-    request.head.method = method;
-    request.head.target = target;
-    request.head.fields.add("Host", "test.example");
-    request.head.fields.add("Request-Id", id);
-    bool keyed = false;
-    for (const http::Field &it : more) {
-        keyed = keyed || http::equalNames(it.name, "X-Api-Key");
-        request.head.fields.add(it.name, it.value);
-    }
-    if (!keyed)
-        request.head.fields.add("X-Api-Key", "key-a");
-    request.body = body;
+    const http::Head request = requestHead(method, target, id, more);
     ClientAnswer answer;
     bool done = false;
-    auto connection = http::ClientConnection::create(
-        m_io, address(static_cast<uint32_t>(FirstGatewayHost + gateway), ClientPort));
+    auto connection = http::ClientConnection::create(m_io, clientAddress(gateway));
     http::ExchangeHandler handler;
     handler.onHead = [&](const http::Head &head) {
         answer.response = http::Response{head, {}};
@@ -144,7 +173,7 @@
         answer.why = why;
         done = true;
     };
-    connection->send(http::renderRequest(request.head, request.body), method == "HEAD", CallLimit,
+    connection->send(http::renderRequest(request, body), method == "HEAD", CallLimit,
                      std::move(handler));
     runUntil([&]() { return done; });
     connection->close();
@@ -157,16 +186,7 @@
                                                           const std::vector<http::Field> &more,
                                                           size_t gateway)
 {
-    http::Head head;
-    head.method = "POST";
-    head.target = target;
-    head.fields.add("Host", "test.example");
-    head.fields.add("Request-Id", id);
-    head.fields.add("X-Api-Key", "key-a");
-    for (const http::Field &it : more)
-        head.fields.add(it.name, it.value);
-    auto connection = http::ClientConnection::create(
-        m_io, address(static_cast<uint32_t>(FirstGatewayHost + gateway), ClientPort));
+    auto connection = http::ClientConnection::create(m_io, clientAddress(gateway));
     http::ExchangeHandler handler;
     handler.onHead = [answer](const http::Head &it) {
         answer->response = http::Response{it, {}};
@@ -180,7 +200,8 @@
     handler.onFailure = [answer](http::Failure, const std::string &why) {
         answer->why = why.empty() ? "?" : why;
     };
-    connection->send(http::renderRequest(head, {}), false, CallLimit, std::move(handler));
+    connection->send(http::renderRequest(requestHead("POST", target, id, more), {}), false,
+                     CallLimit, std::move(handler));
     return connection;
 }
 
--- a/test/support/deployment.h
+++ b/test/support/deployment.h
@@ -71,6 +71,9 @@
                                                   std::shared_ptr<ClientAnswer> answer,
                                                   const std::vector<http::Field> &more = {},
                                                   size_t gateway = 0);
+    /** Sends a request and closes its connection before any event loop runs. */
+    void askAndLeave(const std::string &method, const std::string &target, const std::string &id,
+                     const std::vector<http::Field> &more = {}, size_t gateway = 0) const;
     uint32_t readiness(size_t gateway = 0);
     void runFor(core::Milliseconds time);
     bool runUntil(const std::function<bool()> &done,
@@ -78,6 +81,7 @@
 
 private:
     std::string address(uint32_t host, uint16_t port) const;
+    std::string clientAddress(size_t gateway) const;
 
     boost::asio::io_context m_io;
     http::Caller m_caller;
