Nothing is sent for a client that has left: the connection is asked before each send

What callers saw: workers began on requests whose callers had already closed their connection (GONE). Cause: events are handled in the order in which the loop gets to them. On a loop that is behind, a request and its client's close wait in the same socket; the request is read first and sent in the same turn, the close is read after it. Class: a decision from queued input that does not look at newer input which has already arrived. Why it works: Session::abandoned() asks the kernel (POLLRDHUP) and the clock immediately before each send, so neither the order of events nor the lateness of the loop matters. The client's deadline is checked there as well: its timer waits behind the same queue.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <poll.h>
 
 namespace jujube::http {
 
@@ -109,6 +110,12 @@
         connection->m_onGone = std::move(callback);
 }
 
+bool Responder::clientLeft() const
+{
+    ServerConnection *connection = current();
+    return !connection || connection->peerClosed();
+}
+
 size_t Responder::unsent() const
 {
     const ServerConnection *connection = current();
@@ -371,6 +378,15 @@
     return !m_busy && m_in.empty() && !m_parser->started() && m_writing.empty();
 }
 
+// Asks the kernel: on a loop that is behind, the read that reports the close is still to come.
+bool ServerConnection::peerClosed()
+{
+    if (m_closed)
+        return true;
+    pollfd state{m_socket.native_handle(), POLLRDHUP, 0};
+    return poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 void ServerConnection::checkTimeouts(core::TimePoint now)
 {
     if (m_busy || m_closed)
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -52,6 +52,9 @@
     void sendRaw(std::string_view bytes) const;
     /** Called once if the client leaves before the response is finished. */
     void onClientGone(std::function<void()> callback) const;
+    /** Whether the client has left already. Sees a close that the event loop has not come to yet.
+     */
+    bool clientLeft() const;
     /** Bytes of the response that the client has not taken yet. */
     size_t unsent() const;
     /** Called each time that all of the response so far has gone out. */
@@ -112,6 +115,7 @@
     void close();
     bool busy() const { return m_busy; }
     bool idle() const;
+    bool peerClosed();
     /** Enforces the head and idle time-outs. */
     void checkTimeouts(core::TimePoint now);
 
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -160,6 +160,8 @@
 // An engine has room for the prompt: it reads it for another one to decode, or runs it whole.
 void Session::assigned(const ReadPlan &plan)
 {
+    if (abandoned())
+        return;
     m_assignedAt = core::BootClock::now();
     m_plan = plan;
     m_services.notePromptTokens(plan.choice.uncachedTokens);
@@ -247,6 +249,8 @@
 
 void Session::sendRunTo(const EndpointPtr &endpoint)
 {
+    if (abandoned())
+        return;
     ++m_sends;
     ++m_runs;
     SendFacts facts;
@@ -432,6 +436,24 @@
     }
 }
 
+// Events are handled in the order in which the loop gets to them: a close or a deadline may have
+// come before the event that leads to this send, and wait behind it.
+bool Session::abandoned()
+{
+    if (m_finished)
+        return true;
+    if (m_responder.clientLeft()) {
+        core::countMetric("jujube_sends_abandoned_total");
+        clientGone();
+        return true;
+    }
+    if (timeLeft().count() <= 0) {
+        timedOut();
+        return true;
+    }
+    return false;
+}
+
 TimePoint Session::firstEventBy() const
 {
     const Milliseconds patience = m_request.route->patience;
--- a/src/serving/session.h
+++ b/src/serving/session.h
@@ -127,6 +127,8 @@
     void finish(std::string_view outcome, uint32_t status);
     void clientGone();
     void timedOut();
+    /** Ends the request instead of a send if nobody waits for its answer any more. */
+    bool abandoned();
     core::Milliseconds timeLeft() const;
     /** Until the client leaves if no event has reached it. */
     core::TimePoint firstEventBy() const;
