A handler hears of it when the server cuts its client off

What could happen: a client that leaves more than 4 MiB unread is closed by the server, and the session was not told; its worker went on for nobody (GONE). Found by reading, as the same class as the incident: the end of a client that does not come as an event. Cause: close() drops the handler's callback. Now the overflow takes it first and calls it from the event loop. server/a_handler_is_told* failed before; server/a_close_is_seen* covers clientLeft() itself.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -323,8 +323,14 @@
 void ServerConnection::enqueue(std::string_view data)
 {
     m_out += data;
-    if (m_out.size() > MaxUnsent)
-        close();
+    if (m_out.size() <= MaxUnsent)
+        return;
+    // The handler is told from the event loop, not from inside its own write.
+    asio::post(m_socket.get_executor(), [gone = std::exchange(m_onGone, {})]() {
+        if (gone)
+            gone();
+    });
+    close();
 }
 
 void ServerConnection::flush()
