--- /dev/null
+++ b/src/serving/catchup.h
@@ -0,0 +1,41 @@
+#pragma once
+
+/** \file
+ * Defines when a gateway whose peers have a newer state of the store fetches it.
+ */
+
+#include "core/clock.h"
+
+namespace jujube::serving {
+
+/** Decides how a gateway that is behind its peers catches up.
+ *
+ * A gateway that watches the store gets most changes a moment after its peers by itself. So peers
+ * that are ahead are no reason to call anybody until the own watch should have told.
+ */
+class CatchUp
+{
+public:
+    /** What a gateway knows of its own position. */
+    struct Position
+    {
+        bool behind = false;    ///< A peer has a newer state.
+        bool follows = false;   ///< Fed by peers; no own watch.
+        bool reachable = false; ///< The store answered the last call.
+        core::Milliseconds watchPace{};
+    };
+
+    struct Action
+    {
+        bool fetch = false; ///< Ask a peer for the changes.
+        bool list = false;  ///< Read the store afresh: the watch has missed something.
+    };
+
+    /** Call several times a second. */
+    Action decide(const Position &position, core::TimePoint now);
+
+private:
+    core::TimePoint m_behindSince{};
+};
+
+} // namespace jujube::serving
--- a/src/serving/gateway.h
+++ b/src/serving/gateway.h
@@ -7,6 +7,7 @@
 #include "core/snapshot.h"
 #include "http/server.h"
 #include "policy/ratemeter.h"
+#include "serving/catchup.h"
 #include "serving/duties.h"
 #include "serving/loopmonitor.h"
 #include "serving/peermesh.h"
@@ -78,6 +79,7 @@
     Leadership m_leadership;
     PeerMesh m_peers;
     StateFeed m_feed;
+    CatchUp m_catchUp;
     PromptScheduler m_prompts;
     DutyServices m_dutyServices;
     UsageDuty m_usageDuty;
@@ -93,7 +95,6 @@
     boost::asio::steady_timer m_drainTimer;
     std::function<void()> m_drained;
     core::TimePoint m_drainSince{};
-    core::TimePoint m_behindSince{};
     core::TimePoint m_lagSince{}; ///< A newer state than the own one is known since then.
     core::TimePoint m_lagLogged{};
     core::TimePoint m_predictionsLogged{};
--- a/src/serving/gatewaynews.cpp
+++ b/src/serving/gatewaynews.cpp
@@ -13,8 +13,6 @@
 using core::Milliseconds;
 using core::TimePoint;
 
-// A peer that stays ahead this long has heard something that this gateway's watch has not.
-constexpr Milliseconds BehindLimit{400}; // Besides the pace at which it watches.
 constexpr uint64_t WindowsTold = 2; ///< Usage windows in each datagram, besides the current one.
 // Followers are a second behind while a change spreads; twice that is logged, and each second more.
 constexpr Milliseconds LoggedLag{2'000};
@@ -120,18 +118,13 @@
     // A holder that the store does not answer hears of a restore here first.
     m_store.learnEra(newest.era);
     logLag(newest, follows, now);
-    if (newest <= m_mirror->version()) {
-        m_behindSince = {};
-        return;
-    }
-    if (m_behindSince == TimePoint{})
-        m_behindSince = now;
-    if (!follows && now - m_behindSince < BehindLimit + m_mirror->watchPace())
-        return;
-    m_behindSince = now;
-    if (m_mirror->reachable())
+    const bool behind = newest > m_mirror->version();
+    const CatchUp::Action action =
+        m_catchUp.decide({behind, follows, m_mirror->reachable(), m_mirror->watchPace()}, now);
+    if (action.list)
         m_mirror->hurry();
-    m_feed.fetch(peers, m_mirror->version(), now);
+    if (action.fetch)
+        m_feed.fetch(peers, m_mirror->version(), now);
 }
 
 // Says how long a newer state has been known to exist that this gateway does not have.
