Followers ask gateways that watch, and not all the same one

Cause: turns began at zero everywhere, and any peer with a newer version was as good as a watcher. Now watchers come first as long as they are newer, and turns begin at a hash of the gateway's own name. Both new tests of statefeed fail without either half of the change.

--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -65,7 +65,7 @@
               {[this]() { return composeNews(); },
                [this](const StoreVersion &newerThan) { return m_mirror->changesAfter(newerThan); },
                [this](const News &news) { onNews(news); }}),
-      m_feed(m_caller, [this](const StorePage &state) { onPeerState(state); }),
+      m_feed(m_caller, m_settings.name, [this](const StorePage &state) { onPeerState(state); }),
       m_prompts(io, m_endpoints, m_placement, m_random, [this]() { return m_peers.aliveCount(); }),
       m_dutyServices{io,
                      m_caller,
--- a/src/serving/statefeed.cpp
+++ b/src/serving/statefeed.cpp
@@ -50,8 +50,36 @@
     return static_cast<size_t>(before) < Watchers;
 }
 
-StateFeed::StateFeed(http::Caller &caller, std::function<void(const StorePage &)> onState)
-    : m_caller(caller), m_onState(std::move(onState))
+std::optional<size_t> chooseFeeder(const std::vector<FeedPeer> &peers,
+                                   const StoreVersion &newerThan, size_t turn)
+{
+    const auto select = [&](const std::function<bool(const FeedPeer &)> &fits) {
+        std::vector<size_t> result;
+        for (size_t i = 0; i < peers.size(); ++i) {
+            if (fits(peers[i]))
+                result.push_back(i);
+        }
+        return result;
+    };
+    const auto newer = [&](const FeedPeer &it) { return it.storeVersion > newerThan; };
+    auto sources = select([&](const FeedPeer &it) { return it.watches && newer(it); });
+    if (sources.empty())
+        sources = select(newer);
+    if (sources.empty())
+        sources = select([](const FeedPeer &it) { return it.watches; });
+    if (sources.empty())
+        return std::nullopt;
+    return sources[turn % sources.size()];
+}
+
+size_t firstTurn(std::string_view name)
+{
+    return XXH3_64bits(name.data(), name.size());
+}
+
+StateFeed::StateFeed(http::Caller &caller, std::string_view name,
+                     std::function<void(const StorePage &)> onState)
+    : m_caller(caller), m_onState(std::move(onState)), m_turn(firstTurn(name))
 {
 }
 
@@ -98,31 +126,15 @@
     && now - m_fedAt < FeedSilence;
 }
 
-// Prefers peers with newer versions, then any feeder.
-const FeedPeer *StateFeed::choose(const std::vector<FeedPeer> &peers, const StoreVersion &newerThan)
-{
-    std::vector<const FeedPeer *> sources;
-    for (const FeedPeer &it : peers) {
-        if (it.storeVersion > newerThan)
-            sources.push_back(&it);
-    }
-    if (sources.empty()) {
-        for (const FeedPeer &it : peers) {
-            if (it.watches)
-                sources.push_back(&it);
-        }
-    }
-    return sources.empty() ? nullptr : sources[m_turn++ % sources.size()];
-}
-
 void StateFeed::fetch(const std::vector<FeedPeer> &peers, const StoreVersion &newerThan,
                       TimePoint now)
 {
     if (m_askedAt != TimePoint{} && now - m_askedAt < FetchInterval)
         return;
-    const FeedPeer *peer = choose(peers, newerThan);
-    if (!peer)
+    const auto chosen = chooseFeeder(peers, newerThan, m_turn++);
+    if (!chosen)
         return;
+    const FeedPeer *peer = &peers[*chosen];
     m_askedAt = now;
     m_caller.call(peer->address, request(newerThan), FetchTimeout,
                   [this, name = peer->name](const http::CallResult &result) {
--- a/src/serving/statefeed.h
+++ b/src/serving/statefeed.h
@@ -34,6 +34,17 @@
 bool watchesForOthers(const std::string &name, const std::string &hub,
                       const std::vector<HubCandidate> &candidates);
 
+/** The peer to ask for changes beyond a version; nothing if none can tell any.
+ *
+ * Peers with newer versions come first, and of these the ones that watch: they are the best
+ * equipped. \param turn which of several equal ones, counted on with each call.
+ */
+std::optional<size_t> chooseFeeder(const std::vector<FeedPeer> &peers,
+                                   const StoreVersion &newerThan, size_t turn);
+
+/** Where the turns of a gateway begin: all learn of a change at once, and would ask one peer. */
+size_t firstTurn(std::string_view name);
+
 /** Fetches the changes of the store's state from peers.
  *
  * Peers are an optimization only: a gateway without feeders watches the store itself.
@@ -41,7 +52,9 @@
 class StateFeed
 {
 public:
-    StateFeed(http::Caller &caller, std::function<void(const StorePage &)> onState);
+    /** \param name of this gateway. */
+    StateFeed(http::Caller &caller, std::string_view name,
+              std::function<void(const StorePage &)> onState);
 
     /** Requests the changes since a version from one peer, at a limited rate. */
     void fetch(const std::vector<FeedPeer> &peers, const StoreVersion &newerThan,
@@ -58,13 +71,11 @@
     static std::optional<StoreVersion> askedVersion(std::string_view target);
 
 private:
-    const FeedPeer *choose(const std::vector<FeedPeer> &peers, const StoreVersion &newerThan);
-
     http::Caller &m_caller;
     std::function<void(const StorePage &)> m_onState;
     core::TimePoint m_askedAt{};
     core::TimePoint m_fedAt{};
-    size_t m_turn = 0; ///< Peers are asked in turn, so that one that fails is left after a call.
+    size_t m_turn; ///< Peers are asked in turn, so that one that fails is left after a call.
 };
 
 } // namespace jujube::serving
--- a/test/correctness/statefeed.cpp
+++ b/test/correctness/statefeed.cpp
@@ -10,6 +10,7 @@
 
 #include <criterion/criterion.h>
 
+#include <map>
 #include <set>
 
 using namespace jujube;
@@ -191,7 +192,7 @@
 {
     boost::asio::io_context io;
     http::Caller caller(io);
-    serving::StateFeed feed(caller, [](const serving::StorePage &) {});
+    serving::StateFeed feed(caller, "self", [](const serving::StorePage &) {});
     const std::vector<serving::FeedPeer> peers{{"a", "127.0.0.1:1", {0, 5}, true},
                                                {"b", "127.0.0.1:1", {0, 5}, true}};
     cr_assert_not(feed.fed(peers, core::BootClock::now()), "nobody has answered yet");
@@ -200,6 +201,35 @@
     cr_assert_not(feed.refreshDue(core::BootClock::now()));
 }
 
+// Guards against requests and leavers that are late because one small gateway is asked by all
+// others at once (GONE, DRAIN): those that watch are asked as long as they are as new.
+Test(statefeed, gateways_that_watch_are_asked_before_small_ones)
+{
+    const std::vector<serving::FeedPeer> peers{{"small-1", "", {0, 9}, false},
+                                               {"strong", "", {0, 8}, true},
+                                               {"small-2", "", {0, 9}, false}};
+    for (size_t turn = 0; turn < 5; ++turn) {
+        cr_assert_eq(serving::chooseFeeder(peers, {0, 7}, turn).value(), 1U);
+        cr_assert_neq(serving::chooseFeeder(peers, {0, 8}, turn).value(), 1U, "it has no more");
+        cr_assert_eq(serving::chooseFeeder(peers, {0, 9}, turn).value(), 1U);
+    }
+    cr_assert_not(serving::chooseFeeder({}, {0, 7}, 0).has_value());
+}
+
+// The same: a hundred gateways hear of a change in the same moment.
+Test(statefeed, gateways_do_not_all_ask_the_same_feeder)
+{
+    const std::vector<serving::FeedPeer> feeders(6, {"feeder", "", {0, 8}, true});
+    std::map<size_t, size_t> asked;
+    constexpr size_t followers = 97;
+    for (size_t i = 0; i < followers; ++i) {
+        const std::string name = "front-accra-" + std::to_string(i);
+        ++asked[serving::chooseFeeder(feeders, {0, 7}, serving::firstTurn(name)).value()];
+    }
+    for (const auto &[feeder, n] : asked)
+        cr_assert_leq(n, 2 * followers / feeders.size());
+}
+
 Test(statefeed, malformed_questions_are_refused)
 {
     using serving::StateFeed;
