A resumed stream that ends with an error is ended as incomplete, not with a second head

What callers saw: bytes that are no answer in the middle of a stream (MIXED). Cause: the final answer of a run was sent without asking whether the client had the head of a stream already. Class: two writers of one answer.

--- a/src/serving/sessionanswer.cpp
+++ b/src/serving/sessionanswer.cpp
@@ -272,9 +272,10 @@
     }
     noteBegun();
     noteAnswered(m_head.status >= http::status::FirstServerError);
-    if (m_relaying) {
+    if (m_streaming) {
+        // The client has the head of the first run: another one would be taken for its body.
         release(true);
-        finishStream(true);
+        finishStream(m_relaying);
         return;
     }
     const auto duration =
