--- a/src/serving/loopmonitor.cpp
+++ b/src/serving/loopmonitor.cpp
@@ -43,13 +43,14 @@
 {
     const TimePoint now = core::BootClock::now();
     const auto late = std::max(now - m_due, core::BootClock::duration(0));
-    m_late = std::chrono::duration_cast<Milliseconds>(late);
+    const auto lateMs = std::chrono::duration_cast<Milliseconds>(late);
+    m_worst = std::max(m_worst, lateMs);
     core::recordMetric("jujube_loop_late_seconds", {}, late);
-    if (m_late >= LogFrom) {
+    if (lateMs >= LogFrom) {
         const auto used =
             std::chrono::duration_cast<Milliseconds>(processorTime() - m_processorTime);
         core::Event("loop.late")
-            .with("late_ms", m_late.count())
+            .with("late_ms", lateMs.count())
             .with("processor_ms", used.count())
             .with("elapsed_ms",
                   std::chrono::duration_cast<Milliseconds>(now - m_checkedAt).count());
--- a/src/serving/loopmonitor.h
+++ b/src/serving/loopmonitor.h
@@ -25,8 +25,8 @@
     explicit LoopMonitor(boost::asio::io_context &io);
 
     void start();
-    /** Lateness at the last check. */
-    core::Milliseconds late() const { return m_late; }
+    /** Largest lateness so far. */
+    core::Milliseconds worst() const { return m_worst; }
 
     static constexpr core::Milliseconds Interval{100};
     static constexpr core::Milliseconds LogFrom{100};
@@ -38,7 +38,7 @@
     core::TimePoint m_checkedAt{};
     core::TimePoint m_due{};
     std::chrono::nanoseconds m_processorTime{};
-    core::Milliseconds m_late{};
+    core::Milliseconds m_worst{};
 };
 
 } // namespace jujube::serving
--- a/test/fakes/workerstandin.cpp
+++ b/test/fakes/workerstandin.cpp
@@ -111,6 +111,7 @@
         return;
     }
     SeenRequest seen;
+    seen.at = core::BootClock::now();
     seen.id = field("Request-Id");
     seen.team = field("Tenant");
     seen.method = request.head.method;
--- a/test/fakes/workerstandin.h
+++ b/test/fakes/workerstandin.h
@@ -46,6 +46,7 @@
     std::string lastEvent;
     std::string cacheSource;
     std::string fetchFrom;
+    core::TimePoint at{}; ///< When it was read.
     int64_t timeLeftMs = 0;
     bool prefill = false;
     bool keyed = false; ///< The client's key was passed on.
--- a/test/soak/disturbances.h
+++ b/test/soak/disturbances.h
@@ -6,6 +6,7 @@
 
 #include "core/clock.h"
 
+#include <algorithm>
 #include <limits>
 #include <vector>
 
@@ -28,24 +29,17 @@
     /** Whether a gateway was undisturbed over a time and for a moment before it. */
     bool calm(size_t gateway, core::TimePoint from, core::TimePoint to) const
     {
-        for (const Span &it : m_spans) {
-            const bool concerns = it.gateway == AllGateways || it.gateway == gateway;
-            const bool over = it.to != core::TimePoint::max() && it.to + Aftermath < from;
-            if (concerns && it.from <= to && !over)
-                return false;
-        }
-        return true;
+        return undisturbed(gateway, from, to) && undisturbed(AllGateways, from, to);
     }
 
-    /** Whether a gateway's own process was undisturbed, whatever befell those around it. */
+    /** Whether a gateway's own process was undisturbed, whatever befell those around it; for
+     * AllGateways: whether what all of them use was. */
     bool undisturbed(size_t gateway, core::TimePoint from, core::TimePoint to) const
     {
-        for (const Span &it : m_spans) {
+        return std::none_of(m_spans.begin(), m_spans.end(), [&](const Span &it) {
             const bool over = it.to != core::TimePoint::max() && it.to + Aftermath < from;
-            if (it.gateway == gateway && it.from <= to && !over)
-                return false;
-        }
-        return true;
+            return it.gateway == gateway && it.from <= to && !over;
+        });
     }
 
 private:
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -6,6 +6,7 @@
  */
 
 #include "core/eventlog.h"
+#include "serving/loopmonitor.h"
 #include "soak/faults.h"
 #include "soak/promises.h"
 
@@ -67,6 +68,9 @@
     callerSettings.count = FLAGS_callers;
     callerSettings.seed = FLAGS_seed;
     soak::Callers callers(io, std::move(callerSettings));
+    // Workers and clients live on this loop: while it stands still, so do they.
+    serving::LoopMonitor loop(io);
+    loop.start();
     const std::chrono::seconds length(FLAGS_seconds);
     std::vector<soak::Fault> faults = soak::drawFaults(FLAGS_seed, length);
     if (FLAGS_drills)
@@ -98,6 +102,8 @@
         std::printf("%s\n", it.c_str());
     std::printf("served after the last fault: %.3f of at least %.3f\n", served, ServedShare);
     breaches += served < ServedShare ? 1 : 0;
+    std::printf("loop of the soak late by at most: %lld ms\n",
+                static_cast<long long>(loop.worst().count()));
     std::printf("seed %llu: %zu calls, %zu breaches\n", static_cast<unsigned long long>(FLAGS_seed),
                 callers.records().size(), breaches);
     return breaches == 0 ? 0 : 1;
--- a/test/soak/promises.cpp
+++ b/test/soak/promises.cpp
@@ -154,6 +154,30 @@
         [&](const CallRecord &it) { return !atWork(it, site); });
 }
 
+// Holds after a gateway was suspended as well: what waited in its sockets has been left by then.
+Finding nothingForTheGone(const Callers &callers, Site &site)
+{
+    Finding finding;
+    finding.promise = "nothing is sent for a client that has left";
+    std::map<std::string, const CallRecord *> left;
+    for (const CallRecord &it : callers.records()) {
+        if (it.left)
+            left.emplace(it.id, &it);
+    }
+    for (const SoakedWorker &worker : site.workers()) {
+        for (const test::SeenRequest &it : worker.worker->seen()) {
+            const auto call = left.find(it.id);
+            if (call == left.end()
+                || !site.disturbances().undisturbed(AllGateways, call->second->sentAt, it.at))
+                continue;
+            ++finding.examined;
+            if (it.at > call->second->endedAt + LeavingTime)
+                finding.breaches.push_back(describe(*call->second, site));
+        }
+    }
+    return finding;
+}
+
 Finding answered(const Callers &callers, Site &site, TimePoint now)
 {
     constexpr Milliseconds limit = Site::RouteTimeout + AnswerSlack;
@@ -202,9 +226,10 @@
 
 std::vector<Finding> checkPromises(const Callers &callers, Site &site, TimePoint now)
 {
-    return {wholeAnswers(callers, site),  notRun(callers, site),   comesBack(callers, site),
-            atMostOnce(callers, site),    keysStay(site, callers), leaving(callers, site, now),
-            answered(callers, site, now), reportedOnce(site)};
+    return {
+        wholeAnswers(callers, site),      notRun(callers, site),        comesBack(callers, site),
+        atMostOnce(callers, site),        keysStay(site, callers),      leaving(callers, site, now),
+        nothingForTheGone(callers, site), answered(callers, site, now), reportedOnce(site)};
 }
 
 double servedSince(const Callers &callers, TimePoint since)
