--- a/src/http/server.h
+++ b/src/http/server.h
@@ -52,8 +52,7 @@
     void sendRaw(std::string_view bytes) const;
     /** Called once if the client leaves before the response is finished. */
     void onClientGone(std::function<void()> callback) const;
-    /** Whether the client has left already. Sees a close that the event loop has not come to yet.
-     */
+    /** Whether the client has left, even if the event loop has not read its close yet. */
     bool clientLeft() const;
     /** Bytes of the response that the client has not taken yet. */
     size_t unsent() const;
--- a/src/serving/loopmonitor.h
+++ b/src/serving/loopmonitor.h
@@ -13,11 +13,11 @@
 
 /** Measures how late the handlers of an event loop run.
  *
- * A timer is due at a fixed interval; the time by which its handler runs later is what every other
- * event waits as well. Lateness is recorded as the histogram `jujube_loop_late_seconds`. From
- * LogFrom on it is also logged, with the processor time and the elapsed time since the last check:
- * about equal times, scaled by the processor share, mean that the processor was the limit; a small
- * processor time means that the process was suspended.
+ * A timer is due at a fixed interval; by as much as its handler runs later, every other event waits
+ * as well. Lateness is recorded as the histogram `jujube_loop_late_seconds`. From LogFrom on it is
+ * also logged, with the processor time and the elapsed time since the last check. Their ratio tells
+ * the reason: near the processor share of the VM, the process computed; far below, it was
+ * suspended.
  */
 class LoopMonitor
 {
@@ -29,6 +29,7 @@
     core::Milliseconds worst() const { return m_worst; }
 
     static constexpr core::Milliseconds Interval{100};
+    /** A fifth of the shortest bound that a late loop can break, half a second. */
     static constexpr core::Milliseconds LogFrom{100};
 
 private:
