Log what a failed transfer of state had received

Callers were served by old configurations (CONFIG); the logs did not tell whether fetches failed for lack of bytes or for lack of time. Failed fetches now state bytes, age and fetches beside them; failed store calls state bytes.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -57,6 +57,7 @@
     void appendBody(std::string &body)
     {
         m_response.body += body;
+        m_receivedBytes += body.size();
         body.clear();
         if (m_response.body.size() > MaxResponseBodyBytes) {
             m_connection->close();
@@ -69,6 +70,7 @@
     {
         m_timer.cancel();
         m_connection = nullptr;
+        result.receivedBytes = m_receivedBytes;
         if (const auto done = std::exchange(m_done, {}))
             done(std::move(result));
     }
@@ -79,6 +81,7 @@
     std::shared_ptr<ClientConnection> m_connection;
     std::function<void(CallResult)> m_done;
     Response m_response;
+    size_t m_receivedBytes = 0;
 };
 
 } // namespace
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -41,6 +41,8 @@
 {
     absl::StatusOr<Response> response = absl::UnknownError("no result");
     CallError error = CallError::MaybeSent;
+    size_t receivedBytes =
+        0; ///< Size of the body as far as it was received, also of a failed call.
 };
 
 /** Selects the connection that carries a call. */
--- a/src/serving/statefeed.cpp
+++ b/src/serving/statefeed.cpp
@@ -137,31 +137,39 @@
         return;
     const FeedPeer *peer = &peers[*chosen];
     m_requestedAt = now;
-    m_httpClient.call(peer->address, request(newerThan), FetchTimeout,
-                      [this, name = peer->name](const http::CallResult &result) {
-                          if (!result.response.ok()) {
-                              core::Event("peer.state.failed")
-                                  .with("peer", name)
-                                  .with("why", result.response.status().message());
-                              return;
-                          }
-                          const auto state = decodeState(result.response->body);
-                          if (!state.ok()) {
-                              core::Event("peer.state.invalid")
-                                  .with("peer", name)
-                                  .with("why", state.status().message());
-                              return;
-                          }
-                          m_lastStateAt = core::BootClock::now();
-                          if (!state->items.empty())
-                              core::Event("peer.state.taken")
-                                  .with("peer", name)
-                                  .with("era", state->version.era)
-                                  .with("revision", state->version.revision)
-                                  .with("changes_after", state->baseRevision)
-                                  .with("items", state->items.size());
-                          m_onState(*state);
-                      });
+    ++m_inProgress;
+    m_httpClient.call(
+        peer->address, request(newerThan), FetchTimeout,
+        [this, name = peer->name, now](const http::CallResult &result) {
+            --m_inProgress;
+            if (!result.response.ok()) {
+                core::Event("peer.state.failed")
+                    .with("peer", name)
+                    .with("why", result.response.status().message())
+                    .with("received_bytes", result.receivedBytes)
+                    .with("after_ms",
+                          std::chrono::duration_cast<Milliseconds>(core::BootClock::now() - now)
+                              .count())
+                    .with("others_in_progress", m_inProgress);
+                return;
+            }
+            const auto state = decodeState(result.response->body);
+            if (!state.ok()) {
+                core::Event("peer.state.invalid")
+                    .with("peer", name)
+                    .with("why", state.status().message());
+                return;
+            }
+            m_lastStateAt = core::BootClock::now();
+            if (!state->items.empty())
+                core::Event("peer.state.taken")
+                    .with("peer", name)
+                    .with("era", state->version.era)
+                    .with("revision", state->version.revision)
+                    .with("changes_after", state->baseRevision)
+                    .with("items", state->items.size());
+            m_onState(*state);
+        });
 }
 
 } // namespace jujube::serving
--- a/src/serving/statefeed.h
+++ b/src/serving/statefeed.h
@@ -78,6 +78,7 @@
     std::function<void(const StorePage &)> m_onState;
     core::TimePoint m_requestedAt{};
     core::TimePoint m_lastStateAt{};
+    size_t m_inProgress = 0; ///< Requests whose response is pending.
     size_t m_turn; ///< Rotates over the peers, so that a failing one is used for one call only.
 };
 
--- a/src/serving/storeclient.cpp
+++ b/src/serving/storeclient.cpp
@@ -28,6 +28,10 @@
     return [this, done = std::move(done), eraCheck, decode,
             sentInEra = m_era](const http::CallResult &result) {
         if (!result.response.ok()) {
+            if (result.receivedBytes > 0)
+                core::Event("store.call.cut")
+                    .with("why", result.response.status().message())
+                    .with("received_bytes", result.receivedBytes);
             done(result.response.status());
             return;
         }
