A transfer is given up when it makes no progress, not after a fixed time

What callers saw: requests handled by a replaced configuration, 404 and 401 for what had been added (CONFIG). Cause: every call to the store and to peers ended after a fixed time (0.8 s, 1 s, wait + 0.6 s) whatever the size of the answer, and began again from its first byte. 585 KB do not get through 10 Mbit/s in that time beside other traffic. Why this works: the limit holds until the first bytes; after them a response may not pause for a second and has to arrive at 64 KB/s on average, so a stalled or dripping one still ends (caller/a_response_that_*).

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,5 +1,7 @@
 #include "http/client.h"
 
+#include <algorithm>
+
 namespace jujube::http {
 
 namespace {
@@ -8,6 +10,17 @@
 
 // The largest response is a peer's copy of the store: some hundred bytes for each of 2,000 items.
 constexpr uint64_t MaxResponseBodyBytes = 4UL << 20U;
+// A response that has begun is waited for while it makes progress: it must not pause for longer
+// than this, and bytes have to arrive at this rate on average. The slowest links carry twenty times
+// as much.
+constexpr core::Milliseconds MaxTransferPause{1'000};
+constexpr uint64_t MinTransferBytesPerSecond = 64UL * 1024;
+
+core::Milliseconds transferAllowance(size_t receivedBytes)
+{
+    constexpr uint64_t msPerSecond = 1'000;
+    return core::Milliseconds(receivedBytes * msPerSecond / MinTransferBytesPerSecond);
+}
 
 // A call in progress. It ends with the response, a failure or the timeout, whichever is first.
 class PendingCall : public std::enable_shared_from_this<PendingCall>
@@ -23,15 +36,10 @@
                core::Milliseconds timeout)
     {
         m_connection = std::move(connection);
+        m_timeout = timeout;
+        m_startedAt = core::BootClock::now();
         const auto self = shared_from_this();
-        m_timer.expires_after(timeout);
-        m_timer.async_wait([self](const ErrorCode &ec) {
-            if (ec || !self->m_done)
-                return;
-            self->m_connection->close();
-            self->finish(
-                {absl::DeadlineExceededError("no response in time"), CallError::MaybeSent});
-        });
+        waitUntil(m_startedAt + timeout);
         ExchangeHandler handler;
         handler.onHead = [self](const Head &head) {
             self->m_response.head = head;
@@ -54,10 +62,36 @@
     }
 
 private:
+    void waitUntil(core::TimePoint at)
+    {
+        m_timer.expires_after(at - core::BootClock::now());
+        m_timer.async_wait([self = shared_from_this()](const ErrorCode &ec) {
+            if (ec || !self->m_done)
+                return;
+            if (const core::TimePoint due = self->deadline(); due > core::BootClock::now()) {
+                self->waitUntil(due);
+                return;
+            }
+            self->m_connection->close();
+            self->finish(
+                {absl::DeadlineExceededError("no response in time"), CallError::MaybeSent});
+        });
+    }
+
+    // A fixed limit would end the transfer of a large response over a slow link at every attempt.
+    core::TimePoint deadline() const
+    {
+        if (m_receivedBytes == 0)
+            return m_startedAt + m_timeout;
+        return std::min(m_receivedAt + std::min(m_timeout, MaxTransferPause),
+                        m_startedAt + m_timeout + transferAllowance(m_receivedBytes));
+    }
+
     void appendBody(std::string &body)
     {
         m_response.body += body;
         m_receivedBytes += body.size();
+        m_receivedAt = core::BootClock::now();
         body.clear();
         if (m_response.body.size() > MaxResponseBodyBytes) {
             m_connection->close();
@@ -81,6 +115,9 @@
     std::shared_ptr<ClientConnection> m_connection;
     std::function<void(CallResult)> m_done;
     Response m_response;
+    core::Milliseconds m_timeout{};
+    core::TimePoint m_startedAt{};
+    core::TimePoint m_receivedAt{}; ///< Time of the last bytes of the body.
     size_t m_receivedBytes = 0;
 };
 
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -62,6 +62,8 @@
     /** Sends a request. Invokes \a done exactly once, never from inside this function.
      *
      * \param address IPv4 address and port.
+     * \param timeout Time until the first bytes of the response's body. A response that has begun
+     * may take longer while it makes progress.
      */
     void call(const std::string &address, Request request, core::Milliseconds timeout,
               std::function<void(CallResult)> done, ConnectionMode mode = ConnectionMode::Pooled);
--- a/test/correctness/client.cpp
+++ b/test/correctness/client.cpp
@@ -89,3 +89,68 @@
     cr_assert(closed);
     cr_assert_leq(sent, 16UL << 20U);
 }
+
+namespace {
+
+/** Calls a server that sends \a first bytes and then one byte in each interval. \return the time
+ * until the call failed; nothing if it has not failed within three seconds. */
+std::optional<core::Milliseconds> timeUntilFailure(uint16_t port, size_t first,
+                                                   core::Milliseconds interval,
+                                                   core::Milliseconds timeout)
+{
+    boost::asio::io_context io;
+    std::optional<http::Responder> response;
+    http::Server server(io, [&](const http::Request &, const http::Responder &responder) {
+        http::Head head;
+        head.status = 200;
+        responder.begin(head, http::Framing::Chunked, 0);
+        if (first > 0)
+            responder.write(std::string(first, 'x'));
+        response = responder;
+    });
+    const std::string address = test::loopbackAddress(port);
+    cr_assert(server.listen(address).ok());
+    http::Client client(io);
+    std::optional<absl::Status> status;
+    http::Request request;
+    request.head.method = "GET";
+    request.head.target = "/";
+    const core::TimePoint begin = core::BootClock::now();
+    client.call(address, request, timeout,
+                [&](const http::CallResult &result) { status = result.response.status(); });
+    core::TimePoint writeAt = begin + interval;
+    while (!status && core::BootClock::now() < begin + 3s) {
+        io.restart();
+        io.run_for(5ms);
+        if (response && core::BootClock::now() >= writeAt) {
+            response->write("x");
+            writeAt += interval;
+        }
+    }
+    if (!status)
+        return std::nullopt;
+    cr_assert(absl::IsDeadlineExceeded(*status));
+    return std::chrono::duration_cast<core::Milliseconds>(core::BootClock::now() - begin);
+}
+
+} // namespace
+
+// Guards against calls that never end: bytes now and then do not count as progress.
+Test(caller, a_response_that_drips_fails_the_call)
+{
+    const auto time = timeUntilFailure(7006, 0, 20ms, 300ms);
+    cr_assert(time.has_value());
+    cr_assert_leq(time->count(), 600);
+}
+
+// Guards against a long wait for a peer that stops in the middle of a large response: what it has
+// sent earns the rest a limited time only.
+Test(caller, a_response_that_stops_fails_the_call)
+{
+    const auto stops = timeUntilFailure(7007, 200'000, 5'000ms, 300ms);
+    cr_assert(stops.has_value());
+    cr_assert_leq(stops->count(), 900);
+    const auto drips = timeUntilFailure(7008, 60'000, 20ms, 300ms);
+    cr_assert(drips.has_value());
+    cr_assert_leq(drips->count(), 1'800);
+}
