One transfer of the state at a time

Cause: a gateway that was behind asked another peer every 0.4 s, while the first answer was still arriving; up to eight copies of 585 KB shared one link (others_in_progress of the failed fetches). Another peer is now asked beside a transfer only if that has paused for 0.4 s. Evidence: slowtransfers/a_transfer_that_makes_progress* failed before (half a link, nothing received in 3 s); a_feeder_that_does_not_answer* holds in both. Why it works: a link that is shared with itself needs as many times longer as there are copies.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -27,8 +27,12 @@
 {
 public:
     PendingCall(boost::asio::io_context &io, ConnectionPool &pool, ConnectionMode mode,
-                std::function<void(CallResult)> done)
-        : m_timer(io), m_pool(pool), m_mode(mode), m_done(std::move(done))
+                std::function<void(CallResult)> done, std::function<void()> onProgress)
+        : m_timer(io),
+          m_pool(pool),
+          m_mode(mode),
+          m_done(std::move(done)),
+          m_onProgress(std::move(onProgress))
     {
     }
 
@@ -93,6 +97,8 @@
         m_receivedBytes += body.size();
         m_receivedAt = core::BootClock::now();
         body.clear();
+        if (m_onProgress)
+            m_onProgress();
         if (m_response.body.size() > MaxResponseBodyBytes) {
             m_connection->close();
             finish(
@@ -114,6 +120,7 @@
     ConnectionMode m_mode;
     std::shared_ptr<ClientConnection> m_connection;
     std::function<void(CallResult)> m_done;
+    std::function<void()> m_onProgress;
     Response m_response;
     core::Milliseconds m_timeout{};
     core::TimePoint m_startedAt{};
@@ -162,11 +169,13 @@
 }
 
 void Client::call(const std::string &address, Request request, core::Milliseconds timeout,
-                  std::function<void(CallResult)> done, ConnectionMode mode)
+                  std::function<void(CallResult)> done, ConnectionMode mode,
+                  std::function<void()> onProgress)
 {
     ++m_calls;
     request.head.fields.add("Host", address);
-    const auto pending = std::make_shared<PendingCall>(m_io, m_pool, mode, std::move(done));
+    const auto pending =
+        std::make_shared<PendingCall>(m_io, m_pool, mode, std::move(done), std::move(onProgress));
     auto connection = mode == ConnectionMode::Pooled ? m_pool.acquire(address)
                                                      : ClientConnection::create(m_io, address);
     pending->start(std::move(connection), renderRequest(request.head, request.body), timeout);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -64,9 +64,11 @@
      * \param address IPv4 address and port.
      * \param timeout Time until the first bytes of the response's body. A response that has begun
      * may take longer while it makes progress.
+     * \param onProgress invoked with each part of the response's body; may be empty.
      */
     void call(const std::string &address, Request request, core::Milliseconds timeout,
-              std::function<void(CallResult)> done, ConnectionMode mode = ConnectionMode::Pooled);
+              std::function<void(CallResult)> done, ConnectionMode mode = ConnectionMode::Pooled,
+              std::function<void()> onProgress = {});
     uint64_t callCount() const { return m_calls; }
 
 private:
--- a/src/serving/statefeed.cpp
+++ b/src/serving/statefeed.cpp
@@ -132,6 +132,9 @@
 {
     if (m_requestedAt != TimePoint{} && now - m_requestedAt < FetchInterval)
         return;
+    // A second transfer would take half of the link from one that makes progress.
+    if (m_inProgress > 0 && now - m_receivedAt < FetchInterval)
+        return;
     const auto chosen = chooseFeeder(peers, newerThan, m_turn++);
     if (!chosen)
         return;
@@ -142,34 +145,39 @@
         peer->address, request(newerThan), FetchTimeout,
         [this, name = peer->name, now](const http::CallResult &result) {
             --m_inProgress;
-            if (!result.response.ok()) {
-                core::Event("peer.state.failed")
-                    .with("peer", name)
-                    .with("why", result.response.status().message())
-                    .with("received_bytes", result.receivedBytes)
-                    .with("after_ms",
-                          std::chrono::duration_cast<Milliseconds>(core::BootClock::now() - now)
-                              .count())
-                    .with("others_in_progress", m_inProgress);
-                return;
-            }
-            const auto state = decodeState(result.response->body);
-            if (!state.ok()) {
-                core::Event("peer.state.invalid")
-                    .with("peer", name)
-                    .with("why", state.status().message());
-                return;
-            }
-            m_lastStateAt = core::BootClock::now();
-            if (!state->items.empty())
-                core::Event("peer.state.taken")
-                    .with("peer", name)
-                    .with("era", state->version.era)
-                    .with("revision", state->version.revision)
-                    .with("changes_after", state->baseRevision)
-                    .with("items", state->items.size());
-            m_onState(*state);
-        });
+            handleResponse(name, now, result);
+        },
+        http::ConnectionMode::Pooled, [this]() { m_receivedAt = core::BootClock::now(); });
+}
+
+void StateFeed::handleResponse(const std::string &peer, TimePoint requestedAt,
+                               const http::CallResult &result)
+{
+    if (!result.response.ok()) {
+        const auto elapsed =
+            std::chrono::duration_cast<Milliseconds>(core::BootClock::now() - requestedAt);
+        core::Event("peer.state.failed")
+            .with("peer", peer)
+            .with("why", result.response.status().message())
+            .with("received_bytes", result.receivedBytes)
+            .with("after_ms", elapsed.count())
+            .with("others_in_progress", m_inProgress);
+        return;
+    }
+    const auto state = decodeState(result.response->body);
+    if (!state.ok()) {
+        core::Event("peer.state.invalid").with("peer", peer).with("why", state.status().message());
+        return;
+    }
+    m_lastStateAt = core::BootClock::now();
+    if (!state->items.empty())
+        core::Event("peer.state.taken")
+            .with("peer", peer)
+            .with("era", state->version.era)
+            .with("revision", state->version.revision)
+            .with("changes_after", state->baseRevision)
+            .with("items", state->items.size());
+    m_onState(*state);
 }
 
 } // namespace jujube::serving
--- a/src/serving/statefeed.h
+++ b/src/serving/statefeed.h
@@ -59,7 +59,8 @@
     StateFeed(http::Client &httpClient, std::string_view name,
               std::function<void(const StorePage &)> onState);
 
-    /** Requests the changes since a version from one peer, at a limited rate. */
+    /** Requests the changes since a version from one peer, at a limited rate and not beside a
+     * transfer that makes progress. */
     void fetch(const std::vector<FeedPeer> &peers, const StoreVersion &newerThan,
                core::TimePoint now);
     /** Whether a periodic request is due, independent of announced revisions. */
@@ -74,9 +75,13 @@
     static std::optional<StoreVersion> requestedVersion(std::string_view target);
 
 private:
+    void handleResponse(const std::string &peer, core::TimePoint requestedAt,
+                        const http::CallResult &result);
+
     http::Client &m_httpClient;
     std::function<void(const StorePage &)> m_onState;
     core::TimePoint m_requestedAt{};
+    core::TimePoint m_receivedAt{}; ///< Time of the last bytes of a response.
     core::TimePoint m_lastStateAt{};
     size_t m_inProgress = 0; ///< Requests whose response is pending.
     size_t m_turn; ///< Rotates over the peers, so that a failing one is used for one call only.
--- a/test/correctness/slowtransfers.cpp
+++ b/test/correctness/slowtransfers.cpp
@@ -48,8 +48,10 @@
     std::string slowFeederAddress = test::loopbackAddress(7024);
     std::shared_ptr<serving::StoreMirror> feederMirror;
     serving::StoreClient feederClient{httpClient, storeAddress};
+    size_t fetches = 0; ///< Requests that the feeder received.
     http::Server feeder{
         io, [this](const http::Request &request, const http::Responder &responder) {
+            ++fetches;
             const auto after = serving::StateFeed::requestedVersion(request.head.target);
             http::Head head;
             head.status = http::status::Ok;
@@ -140,3 +142,47 @@
                  ChangeInForce));
     cr_assert(mirror->reachable());
 }
+
+// Guards against an old configuration in force (CONFIG) at gateways with slow links: a gateway that
+// was behind began another transfer every 0.4 s, and all of them shared its link.
+Test(slowtransfers, a_transfer_that_makes_progress_has_the_link_to_itself)
+{
+    Bench it;
+    std::optional<serving::StorePage> received;
+    serving::StateFeed feed(it.httpClient, "follower",
+                            [&](const serving::StorePage &state) { received = state; });
+    it.store.put("op/config", randomBytes(LargeValueBytes));
+    cr_assert(it.until([&]() { return it.feederMirror->version().revision == 2; }, 3s));
+    it.feederLink.setRate(SlowLinkRate / 2); // Requests take the other half.
+    const std::vector<serving::FeedPeer> peers{
+        {"feeder", it.slowFeederAddress, it.feederMirror->version(), true}};
+    const core::TimePoint begin = core::BootClock::now();
+    while (!received && core::BootClock::now() < begin + ChangeInForce) {
+        feed.fetch(peers, {0, 1}, core::BootClock::now());
+        it.until([&]() { return received.has_value(); }, 200ms);
+    }
+    cr_assert(received.has_value());
+    cr_assert_eq(it.fetches, 1U);
+}
+
+// Guards against a wait for a feeder that has stopped: another peer is asked before the request to
+// the first one has failed.
+Test(slowtransfers, a_feeder_that_does_not_answer_is_not_waited_for)
+{
+    Bench it;
+    std::optional<serving::StorePage> received;
+    serving::StateFeed feed(it.httpClient, "follower",
+                            [&](const serving::StorePage &state) { received = state; });
+    http::Server silent(it.io, [](const http::Request &, const http::Responder &) {});
+    const std::string silentAddress = test::loopbackAddress(7025);
+    cr_assert(silent.listen(silentAddress).ok());
+    std::vector<serving::FeedPeer> peers(2, {"silent", silentAddress, {0, 9}, true});
+    peers.push_back({"feeder", it.slowFeederAddress, {0, 9}, true});
+    const core::TimePoint begin = core::BootClock::now();
+    while (!received && core::BootClock::now() < begin + 2s) {
+        feed.fetch(peers, {0, 0}, core::BootClock::now());
+        it.until([&]() { return received.has_value(); }, 50ms);
+    }
+    cr_assert(received.has_value());
+    cr_assert_lt(core::BootClock::now() - begin, 1'200ms);
+}
