States for peers are compressed, and encoded once for all who ask

What callers saw: old configurations at small gateways (CONFIG); worth lost to bytes between failure domains. Cause: each change of the configuration moved the whole of it, 585 KB, to each of 19 followers, encoded anew each time. Evidence: slowtransfers/a_configuration_is_compressed* fails without (five copies take two seconds of a link).

--- a/src/serving/peermesh.cpp
+++ b/src/serving/peermesh.cpp
@@ -60,7 +60,8 @@
       m_handler(std::move(handler)),
       m_socket(io),
       m_timer(io),
-      m_loadTimer(io)
+      m_loadTimer(io),
+      m_stateServer(io, m_handler.state)
 {
 }
 
@@ -79,17 +80,7 @@
     if (ec)
         return absl::UnavailableError(
             core::concat("cannot bind the gossip socket to ", m_address, ": ", ec.message()));
-    m_server = std::make_unique<http::Server>(
-        m_io, [this](const http::Request &request, const http::Responder &responder) {
-            http::Head head;
-            const auto after = StateFeed::requestedVersion(request.head.target);
-            head.status = after ? http::status::Ok : http::status::NotFound;
-            const std::string state = after ? encodeState(m_handler.state(*after)) : std::string();
-            ++m_servedState.requests;
-            m_servedState.bytes += state.size();
-            responder.send(head, state);
-        });
-    if (absl::Status status = m_server->listen(m_address); !status.ok())
+    if (absl::Status status = m_stateServer.listen(m_address); !status.ok())
         return status;
     receive();
     broadcast();
@@ -260,21 +251,10 @@
         core::incrementCounter("jujube_peer_send_errors_total");
 }
 
-// Logs one line for all state requests since the last line, as many peers request the same change.
-void PeerMesh::logServedState()
-{
-    const ServedState served = std::exchange(m_servedState, {});
-    if (served.requests == 0)
-        return;
-    core::incrementCounter("jujube_state_served_total", {}, served.requests);
-    core::incrementCounter("jujube_state_served_bytes_total", {}, served.bytes);
-    core::Event("state.served").with("requests", served.requests).with("bytes", served.bytes);
-}
-
 void PeerMesh::broadcast()
 {
     const TimePoint now = core::BootClock::now();
-    logServedState();
+    m_stateServer.logServed();
     m_lastBroadcastAt = now;
     m_earlyBroadcastPending = false;
     const Milliseconds timeout = isLarge() ? LargePeerTimeout : PeerTimeout;
--- a/src/serving/peermesh.h
+++ b/src/serving/peermesh.h
@@ -5,10 +5,10 @@
  */
 
 #include "http/client.h"
-#include "http/server.h"
 #include "serving/loadexchange.h"
 #include "serving/nodesettings.h"
 #include "serving/statefeed.h"
+#include "serving/stateserver.h"
 
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -33,8 +33,7 @@
     struct Handler
     {
         std::function<GossipMessage()> compose; ///< Returns the message to send now.
-        /** Returns the changes of the mirrored store since a version. */
-        std::function<StorePage(const StoreVersion &newerThan)> state;
+        StateSource state;                      ///< The mirrored store.
         std::function<void(const GossipMessage &)> onGossip;
     };
 
@@ -89,7 +88,6 @@
     std::vector<HubCandidate> candidates() const;
     std::string selectHub(core::TimePoint now);
     void scheduleBroadcast(core::Milliseconds delay);
-    void logServedState();
     void broadcast();
     void broadcastToNextPeers();
     std::string composeFull(bool sentAtOnce);
@@ -107,13 +105,7 @@
     boost::asio::ip::udp::socket m_socket;
     boost::asio::steady_timer m_timer;
     boost::asio::steady_timer m_loadTimer;
-    std::unique_ptr<http::Server> m_server;
-    struct ServedState
-    {
-        uint64_t requests = 0;
-        uint64_t bytes = 0;
-    };
-    ServedState m_servedState; ///< Store state served to peers since the last log line.
+    StateServer m_stateServer;
     std::map<std::string, Peer> m_peers;
     boost::asio::ip::udp::endpoint m_sender;
     std::array<char, 65536> m_buf{};
--- a/src/serving/statefeed.cpp
+++ b/src/serving/statefeed.cpp
@@ -1,11 +1,9 @@
 #include "serving/statefeed.h"
 
 #include "core/eventlog.h"
-#include "core/text.h"
-#include "serving/gossip.h"
+#include "serving/stateserver.h"
 
 #include <algorithm>
-#include <charconv>
 #include <xxhash.h>
 
 namespace jujube::serving {
@@ -25,8 +23,6 @@
 constexpr Milliseconds RefreshInterval{2'000};
 // Slightly longer than two missed refreshes.
 constexpr Milliseconds FeedTimeout{5'000};
-constexpr std::string_view AfterParameter = "?after="; ///< Followed by "ERA.REVISION".
-constexpr char VersionSeparator = '.';
 
 } // namespace
 
@@ -84,36 +80,6 @@
 {
 }
 
-http::Request StateFeed::request(const StoreVersion &newerThan)
-{
-    http::Request request;
-    request.head.method = "GET";
-    request.head.target =
-        core::concat(Path, AfterParameter, newerThan.era, ".", newerThan.revision);
-    return request;
-}
-
-std::optional<StoreVersion> StateFeed::requestedVersion(std::string_view target)
-{
-    if (!target.starts_with(Path))
-        return std::nullopt;
-    target.remove_prefix(std::string_view(Path).size());
-    if (target.empty())
-        return StoreVersion();
-    if (!target.starts_with(AfterParameter))
-        return std::nullopt;
-    target.remove_prefix(AfterParameter.size());
-    StoreVersion version;
-    const char *end = target.data() + target.size();
-    const auto era = std::from_chars(target.data(), end, version.era);
-    if (era.ec != std::errc() || era.ptr == end || *era.ptr != VersionSeparator)
-        return std::nullopt;
-    const auto revision = std::from_chars(era.ptr + 1, end, version.revision);
-    if (revision.ec != std::errc() || revision.ptr != end)
-        return std::nullopt;
-    return version;
-}
-
 bool StateFeed::refreshDue(TimePoint now) const
 {
     return now - m_requestedAt >= RefreshInterval;
@@ -142,7 +108,7 @@
     m_requestedAt = now;
     ++m_inProgress;
     m_httpClient.call(
-        peer->address, request(newerThan), FetchTimeout,
+        peer->address, stateRequest(newerThan), FetchTimeout,
         [this, name = peer->name, now](const http::CallResult &result) {
             --m_inProgress;
             handleResponse(name, now, result);
@@ -164,7 +130,7 @@
             .with("others_in_progress", m_inProgress);
         return;
     }
-    const auto state = decodeState(result.response->body);
+    const auto state = decodeStateResponse(*result.response);
     if (!state.ok()) {
         core::Event("peer.state.invalid").with("peer", peer).with("why", state.status().message());
         return;
--- a/src/serving/statefeed.h
+++ b/src/serving/statefeed.h
@@ -68,12 +68,6 @@
     /** Whether there are at least two feeders and one has responded recently. */
     bool isFed(const std::vector<FeedPeer> &peers, core::TimePoint now) const;
 
-    static constexpr const char *Path = "/state";
-    /** Returns the HTTP request for the changes since a version. */
-    static http::Request request(const StoreVersion &newerThan);
-    /** Parses the version in a request target; nothing if it is another or a malformed request. */
-    static std::optional<StoreVersion> requestedVersion(std::string_view target);
-
 private:
     void handleResponse(const std::string &peer, core::TimePoint requestedAt,
                         const http::CallResult &result);
--- a/test/correctness/catchup.cpp
+++ b/test/correctness/catchup.cpp
@@ -75,7 +75,8 @@
     serving::EndpointTable endpoints;
     serving::PeerMesh mesh(io, httpClient, endpoints,
                            {[]() { return serving::GossipMessage(); },
-                            [](const serving::StoreVersion &) { return serving::StorePage(); },
+                            {[]() { return serving::StoreVersion(); },
+                             [](const serving::StoreVersion &) { return serving::StorePage(); }},
                             [](const serving::GossipMessage &) {}});
     const std::string address = test::loopbackAddress(MeshPort);
     serving::NodeSettings settings;
--- a/test/correctness/slowtransfers.cpp
+++ b/test/correctness/slowtransfers.cpp
@@ -6,6 +6,7 @@
 #include "fakes/fakestore.h"
 #include "serving/gossip.h"
 #include "serving/statefeed.h"
+#include "serving/stateserver.h"
 #include "serving/storemirror.h"
 #include "support/loopback.h"
 #include "support/slowlink.h"
@@ -48,15 +49,13 @@
     std::string slowFeederAddress = test::loopbackAddress(7024);
     std::shared_ptr<serving::StoreMirror> feederMirror;
     serving::StoreClient feederClient{httpClient, storeAddress};
-    size_t fetches = 0; ///< Requests that the feeder received.
-    http::Server feeder{
-        io, [this](const http::Request &request, const http::Responder &responder) {
-            ++fetches;
-            const auto after = serving::StateFeed::requestedVersion(request.head.target);
-            http::Head head;
-            head.status = http::status::Ok;
-            responder.send(head, serving::encodeState(feederMirror->changesAfter(*after)));
-        }};
+    size_t encoded = 0; ///< States that the feeder has encoded.
+    serving::StateServer feeder{io,
+                                {[this]() { return feederMirror->version(); },
+                                 [this](const serving::StoreVersion &newerThan) {
+                                     ++encoded;
+                                     return feederMirror->changesAfter(newerThan);
+                                 }}};
     test::SlowLink storeLink{io, storeAddress, SlowLinkRate};
     test::SlowLink feederLink{io, feederAddress, SlowLinkRate};
 
@@ -162,7 +161,7 @@
         it.until([&]() { return received.has_value(); }, 200ms);
     }
     cr_assert(received.has_value());
-    cr_assert_eq(it.fetches, 1U);
+    cr_assert_eq(it.encoded, 1U);
 }
 
 // Guards against a wait for a feeder that has stopped: another peer is asked before the request to
@@ -186,3 +185,88 @@
     cr_assert(received.has_value());
     cr_assert_lt(core::BootClock::now() - begin, 1'200ms);
 }
+
+namespace {
+
+/** A configuration as operators write it, with as many routes. */
+std::string configurationOf(size_t routes)
+{
+    std::string text = R"({"Version":7,"Routes":[)";
+    std::mt19937 random(1);
+    for (size_t i = 0; i < routes; ++i)
+        text += core::concat(i == 0 ? "" : ",", R"({"Name":"r-)", random(), R"(","Host":"h)",
+                             i % 40, R"(.example","PathPrefix":"/p)", random(),
+                             R"(/","Kind":"idempotent","Service":"app","TimeoutMs":2000,)",
+                             R"("TargetLatencyMs":300,"MaxAttempts":2,"Priority":)", i % 3, "}");
+    return text + "]}";
+}
+
+} // namespace
+
+// Guards against links that are filled by each change of a large configuration, at the cost of
+// requests and of other gateways that wait for the same change.
+Test(slowtransfers, a_configuration_is_compressed_once_for_all_peers)
+{
+    Bench it;
+    const std::string config = configurationOf(4'200);
+    it.store.put("op/config", config);
+    cr_assert(it.until([&]() { return it.feederMirror->version().revision == 2; }, 3s));
+    it.encoded = 0;
+    const std::vector<serving::FeedPeer> peers{
+        {"feeder", it.slowFeederAddress, it.feederMirror->version(), true}};
+    size_t received = 0;
+    std::vector<std::unique_ptr<serving::StateFeed>> followers;
+    for (int i = 0; i < 5; ++i)
+        followers.push_back(std::make_unique<serving::StateFeed>(
+            it.httpClient, "follower", [&](const serving::StorePage &state) {
+                cr_assert_eq(state.items.size(), 1U);
+                cr_assert(state.items.front().value == config);
+                ++received;
+            }));
+    const core::TimePoint begin = core::BootClock::now();
+    for (const auto &feed : followers)
+        feed->fetch(peers, {0, 1}, begin);
+    cr_assert(it.until([&]() { return received == followers.size(); }, ChangeInForce));
+    // Five copies of half a megabyte would occupy the link for two seconds.
+    cr_assert_lt(core::BootClock::now() - begin, 1s);
+    cr_assert_eq(it.encoded, 1U);
+}
+
+// Guards against peers of an earlier version, which know no compressed states, and against bytes
+// that are no compressed state.
+Test(slowtransfers, states_are_compressed_only_for_peers_that_ask_and_checked_when_they_arrive)
+{
+    Bench it;
+    it.store.put("op/config", configurationOf(500));
+    cr_assert(it.until([&]() { return it.feederMirror->version().revision == 2; }, 3s));
+    const auto fetch = [&](bool asks) {
+        http::Request request = serving::stateRequest({0, 1});
+        if (!asks)
+            request.head.fields.remove("Accept-Encoding");
+        std::optional<http::Response> response;
+        it.httpClient.call(it.feederAddress, request, 1s, [&](const http::CallResult &result) {
+            cr_assert(result.response.ok());
+            response = *result.response;
+        });
+        cr_assert(it.until([&]() { return response.has_value(); }, 3s));
+        return *response;
+    };
+    http::Response plain = fetch(false);
+    cr_assert_not(plain.head.fields.find("Content-Encoding").has_value());
+    cr_assert(serving::decodeStateResponse(plain).ok());
+    const http::Response compressed = fetch(true);
+    cr_assert_lt(compressed.body.size(), plain.body.size() / 2);
+    cr_assert(serving::decodeStateResponse(compressed).ok());
+    http::Response wrong = compressed;
+    wrong.body.resize(wrong.body.size() / 2);
+    cr_assert_not(serving::decodeStateResponse(wrong).ok());
+    for (const char *size : {"", "-1", "7", "1x", "99999999999", "18446744073709551615"}) {
+        wrong = compressed;
+        wrong.head.fields.remove("Plain-Size");
+        wrong.head.fields.add("Plain-Size", size);
+        cr_assert_not(serving::decodeStateResponse(wrong).ok(), "%s", size);
+    }
+    wrong = plain;
+    wrong.head.status = 404;
+    cr_assert_not(serving::decodeStateResponse(wrong).ok());
+}
--- a/test/correctness/statefeed.cpp
+++ b/test/correctness/statefeed.cpp
@@ -5,6 +5,7 @@
 #include "serving/statefeed.h"
 #include "fakes/fakestore.h"
 #include "serving/gossip.h"
+#include "serving/stateserver.h"
 #include "serving/storemirror.h"
 #include "support/loopback.h"
 
@@ -234,15 +235,15 @@
 
 Test(statefeed, malformed_requests_are_refused)
 {
-    using serving::StateFeed;
+    using serving::requestedStateVersion;
     using serving::StoreVersion;
-    cr_assert(StateFeed::requestedVersion("/state") == StoreVersion());
-    cr_assert(StateFeed::requestedVersion("/state?after=3.17") == StoreVersion({3, 17}));
+    cr_assert(requestedStateVersion("/state") == StoreVersion());
+    cr_assert(requestedStateVersion("/state?after=3.17") == StoreVersion({3, 17}));
     for (const char *target :
          {"/stat", "/state?after=", "/state?after=-1", "/state?after=1x", "/state?after=17",
           "/state?after=1.", "/state?after=.1", "/state?after=1.2.3", "/state?after=1.-2",
           "/state?before=1", "/state?after=1.99999999999999999999999"})
-        cr_assert_not(StateFeed::requestedVersion(target).has_value(), "%s", target);
+        cr_assert_not(requestedStateVersion(target).has_value(), "%s", target);
 }
 
 // Guards against processor shares rounded on the wire: each of several equal gateways would
