--- a/test/support/deployment.cpp
+++ b/test/support/deployment.cpp
@@ -185,10 +185,9 @@
     return answer;
 }
 
-std::shared_ptr<http::ClientConnection>
-Deployment::startRequest(const std::string &target, const std::string &id,
-                         std::shared_ptr<ClientResponse> answer,
-                         const std::vector<http::Field> &extraFields, size_t gateway)
+std::shared_ptr<http::ClientConnection> Deployment::startRequest(
+    const std::string &target, const std::string &id, std::shared_ptr<ClientResponse> answer,
+    const std::vector<http::Field> &extraFields, size_t gateway, const std::string &body)
 {
     auto connection = http::ClientConnection::create(m_io, clientAddress(gateway));
     http::ExchangeHandler handler;
@@ -204,7 +203,7 @@
     handler.onFailure = [answer](http::Failure, const std::string &why) {
         answer->error = why.empty() ? "?" : why;
     };
-    connection->send(http::renderRequest(requestHead("POST", target, id, extraFields), {}), false,
+    connection->send(http::renderRequest(requestHead("POST", target, id, extraFields), body), false,
                      CallTimeout, std::move(handler));
     return connection;
 }
--- a/test/support/deployment.h
+++ b/test/support/deployment.h
@@ -73,11 +73,10 @@
                                const std::string &body = {}, size_t gateway = 0);
     /** Starts a POST without waiting; \a answer is filled in while the loop runs. close() on the
      * returned connection disconnects the client. */
-    std::shared_ptr<http::ClientConnection> startRequest(const std::string &target,
-                                                         const std::string &id,
-                                                         std::shared_ptr<ClientResponse> answer,
-                                                         const std::vector<http::Field> &more = {},
-                                                         size_t gateway = 0);
+    std::shared_ptr<http::ClientConnection>
+    startRequest(const std::string &target, const std::string &id,
+                 std::shared_ptr<ClientResponse> answer, const std::vector<http::Field> &more = {},
+                 size_t gateway = 0, const std::string &body = {});
     /** Sends a request and closes its connection before the event loop runs again. */
     void sendAndDisconnect(const std::string &method, const std::string &target,
                            const std::string &id, const std::vector<http::Field> &more = {},
--- a/test/support/slowlink.cpp
+++ b/test/support/slowlink.cpp
@@ -30,20 +30,26 @@
 
 struct SlowLink::Pair
 {
-    explicit Pair(asio::io_context &io) : client(io), target(io), timer(io) { }
+    struct Side
+    {
+        explicit Side(asio::io_context &io) : socket(io), timer(io) { }
+
+        tcp::socket socket;
+        asio::steady_timer timer;
+        std::array<char, ChunkBytes> buffer{};
+    };
+
+    explicit Pair(asio::io_context &io) : client(io), target(io) { }
 
     void close()
     {
         ErrorCode ec;
-        client.close(ec);
-        target.close(ec);
+        client.socket.close(ec);
+        target.socket.close(ec);
     }
 
-    tcp::socket client;
-    tcp::socket target;
-    asio::steady_timer timer;
-    std::array<char, ChunkBytes> requestBuffer{};
-    std::array<char, ChunkBytes> responseBuffer{};
+    Side client;
+    Side target;
 };
 
 SlowLink::SlowLink(asio::io_context &io, std::string target, double bytesPerSecond)
@@ -68,63 +74,53 @@
 void SlowLink::accept()
 {
     const auto pair = std::make_shared<Pair>(m_io);
-    m_acceptor.async_accept(pair->client, [this, pair](const ErrorCode &ec) {
+    m_acceptor.async_accept(pair->client.socket, [this, pair](const ErrorCode &ec) {
         if (ec)
             return;
         accept();
+        const asio::socket_base::receive_buffer_size receiveBuffer(SocketBufferBytes);
+        const asio::socket_base::send_buffer_size sendBuffer(SocketBufferBytes);
         ErrorCode ignored;
-        pair->target.open(m_target.protocol(), ignored);
-        pair->target.set_option(asio::socket_base::receive_buffer_size(SocketBufferBytes), ignored);
-        pair->client.set_option(asio::socket_base::send_buffer_size(SocketBufferBytes), ignored);
-        pair->target.async_connect(m_target, [this, pair](const ErrorCode &connectError) {
+        pair->target.socket.open(m_target.protocol(), ignored);
+        for (tcp::socket *it : {&pair->client.socket, &pair->target.socket}) {
+            it->set_option(receiveBuffer, ignored);
+            it->set_option(sendBuffer, ignored);
+        }
+        pair->target.socket.async_connect(m_target, [this, pair](const ErrorCode &connectError) {
             if (connectError) {
                 pair->close();
                 return;
             }
-            forwardRequests(pair);
-            forwardResponses(pair);
+            forward(pair, true);
+            forward(pair, false);
         });
     });
 }
 
-void SlowLink::forwardRequests(const std::shared_ptr<Pair> &pair)
-{
-    pair->client.async_read_some(
-        asio::buffer(pair->requestBuffer), [this, pair](const ErrorCode &ec, size_t n) {
-            if (ec) {
-                pair->close();
-                return;
-            }
-            asio::async_write(pair->target, asio::buffer(pair->requestBuffer, n),
-                              [this, pair](const ErrorCode &writeError, size_t) {
-                                  if (writeError)
-                                      pair->close();
-                                  else
-                                      forwardRequests(pair);
-                              });
-        });
-}
-
-void SlowLink::forwardResponses(const std::shared_ptr<Pair> &pair)
+void SlowLink::forward(const std::shared_ptr<Pair> &pair, bool toTarget)
 {
-    pair->target.async_read_some(
-        asio::buffer(pair->responseBuffer), [this, pair](const ErrorCode &ec, size_t n) {
+    Pair::Side &from = toTarget ? pair->client : pair->target;
+    Pair::Side &to = toTarget ? pair->target : pair->client;
+    from.socket.async_read_some(
+        asio::buffer(from.buffer),
+        [this, pair, toTarget, &from, &to](const ErrorCode &ec, size_t n) {
             if (ec) {
                 pair->close();
                 return;
             }
             const core::TimePoint now = core::BootClock::now();
-            m_freeAt = std::max(m_freeAt, now)
-                + std::chrono::microseconds(
-                           static_cast<int64_t>(static_cast<double>(n) / m_bytesPerSecond * 1e6));
-            pair->timer.expires_after(m_freeAt - now);
-            pair->timer.async_wait([this, pair, n](const ErrorCode &) {
-                asio::async_write(pair->client, asio::buffer(pair->responseBuffer, n),
-                                  [this, pair](const ErrorCode &writeError, size_t) {
+            core::TimePoint &freeAt = m_freeAt.at(toTarget ? 1 : 0);
+            const double seconds = static_cast<double>(n) / m_bytesPerSecond;
+            freeAt = std::max(freeAt, now)
+                + std::chrono::microseconds(static_cast<int64_t>(seconds * 1e6));
+            from.timer.expires_after(freeAt - now);
+            from.timer.async_wait([this, pair, toTarget, &from, &to, n](const ErrorCode &) {
+                asio::async_write(to.socket, asio::buffer(from.buffer, n),
+                                  [this, pair, toTarget](const ErrorCode &writeError, size_t) {
                                       if (writeError)
                                           pair->close();
                                       else
-                                          forwardResponses(pair);
+                                          forward(pair, toTarget);
                                   });
             });
         });
--- a/test/support/slowlink.h
+++ b/test/support/slowlink.h
@@ -9,34 +9,35 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <array>
 #include <memory>
 #include <string>
 
 namespace jujube::test {
 
-/** Forwards connections to a target. The bytes from the target share one bandwidth, in the order in
- * which they are read; requests to the target are not delayed. */
+/** Forwards connections to a target. All connections share the bandwidth of each direction, in the
+ * order in which their bytes are read. */
 class SlowLink
 {
 public:
     SlowLink(boost::asio::io_context &io, std::string target, double bytesPerSecond);
 
+    void setRate(double bytesPerSecond) { m_bytesPerSecond = bytesPerSecond; }
     /** Starts to listen on "address:port". \return whether that succeeded. */
     bool listen(const std::string &address);
-    void setRate(double bytesPerSecond) { m_bytesPerSecond = bytesPerSecond; }
 
 private:
     struct Pair;
 
     void accept();
-    void forwardRequests(const std::shared_ptr<Pair> &pair);
-    void forwardResponses(const std::shared_ptr<Pair> &pair);
+    void forward(const std::shared_ptr<Pair> &pair, bool toTarget);
 
     boost::asio::io_context &m_io;
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::ip::tcp::endpoint m_target;
     double m_bytesPerSecond;
-    core::TimePoint m_freeAt{}; ///< When the link has sent all bytes read so far.
+    /** When the link has sent all bytes read so far, to the client and to the target. */
+    std::array<core::TimePoint, 2> m_freeAt{};
 };
 
 } // namespace jujube::test
