An abandoned send is reset, so that what waits in the kernel is not delivered

What callers saw: work went on for callers that had left (GONE). Cause: the connection of an abandoned send was closed in order: the kernel went on sending what the gateway had written, a whole request at times, and the endpoint learnt of the end only behind it. Evidence: abandonedsends/* failed before (request delivered 1.3 s after its client had left), passes now. Why it works: a reset discards what has not left this host and tells the endpoint at once. Calls that are given up after their time limit are reset, too. Connections that are only idle are closed as before.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -76,7 +76,7 @@
                 self->waitUntil(due);
                 return;
             }
-            self->m_connection->close();
+            self->m_connection->reset();
             self->finish(
                 {absl::DeadlineExceededError("no response in time"), CallError::MaybeSent});
         });
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -276,6 +276,13 @@
     closeSocket();
 }
 
+void ClientConnection::reset()
+{
+    ErrorCode ec;
+    m_socket.set_option(asio::socket_base::linger(true, 0), ec);
+    close();
+}
+
 void ClientConnection::closeSocket()
 {
     m_closed = true;
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -54,8 +54,12 @@
     /** Applies back pressure: stops reading from the socket until resumeReading(). */
     void pauseReading() { m_readPaused = true; }
     void resumeReading();
-    /** Closes the connection immediately; no callback is invoked afterwards. */
+    /** Closes the connection immediately; no callback is invoked afterwards. The kernel still sends
+     * what was written. */
     void close();
+    /** Like close(), but discards what the kernel has not sent yet, such as a request that waits on
+     * a slow link. */
+    void reset();
 
     /** Whether the connection is open and idle, and its idle timeout has not expired. */
     bool isReusable() const
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -331,7 +331,7 @@
                        ConnectTimeout, std::move(handler));
 }
 
-// Closing the connection makes the endpoint stop its work on the request.
+// The end of its connection makes the endpoint stop its work on the request.
 void Session::endSend(bool keepConnection)
 {
     m_prefillTimer.cancel();
@@ -346,7 +346,7 @@
         if (keepConnection)
             m_services.pool.release(connection);
         else
-            connection->close();
+            connection->reset();
     }
 }
 
