--- a/src/state/kvclient.cpp
+++ b/src/state/kvclient.cpp
@@ -9,6 +9,8 @@
 
 constexpr int MaxUpdateAttempts = 8;
 constexpr core::Milliseconds WatchTimeoutMargin{1'000};
+// A listing grows with the deployment; it is waited for while it arrives at this rate.
+constexpr uint64_t MinBytesPerSecond = 64UL * 1024;
 
 std::string percentEncoded(const std::string &text)
 {
@@ -78,6 +80,7 @@
     wire::HttpLimits limits;
     limits.totalTimeout = timeout;
     limits.progressTimeout = timeout;
+    limits.minBytesPerSecond = MinBytesPerSecond;
     const auto response = co_await m_http.send(std::move(request), limits);
     if (!response.ok())
         co_return absl::UnavailableError(core::concat("KV: ", response.status().message()));
--- a/src/wire/httpclient.cpp
+++ b/src/wire/httpclient.cpp
@@ -54,6 +54,14 @@
     return result;
 }
 
+core::Milliseconds transferAllowance(const HttpLimits &limits, size_t receivedBytes)
+{
+    constexpr uint64_t msPerSecond = 1'000;
+    if (limits.minBytesPerSecond == 0)
+        return {};
+    return core::Milliseconds(receivedBytes * msPerSecond / limits.minBytesPerSecond);
+}
+
 // Sends one request on a connected stream and passes the body to onBytes as it arrives.
 Task<absl::StatusOr<HttpResponse>> runExchange(IoContext &io, const kj::HttpHeaderTable &table,
                                                kj::Own<kj::AsyncIoStream> connection,
@@ -81,7 +89,8 @@
         char buf[ReadBufferBytes];
         size_t received = 0;
         while (true) {
-            const auto wait = std::min(limits.progressTimeout, timeLeft(deadline));
+            const auto wait = std::min(limits.progressTimeout,
+                                       timeLeft(deadline + transferAllowance(limits, received)));
             const size_t n =
                 co_await io.withTimeout(wait, response.body->tryRead(buf, 1, sizeof(buf)));
             if (n == 0)
--- a/src/wire/httpclient.h
+++ b/src/wire/httpclient.h
@@ -56,7 +56,10 @@
 /** Time and size limits of one exchange. */
 struct HttpLimits
 {
-    core::Milliseconds totalTimeout{5'000};    ///< For the whole exchange.
+    core::Milliseconds totalTimeout{5'000}; ///< For the whole exchange.
+    /** If it is not 0, totalTimeout is extended by the time that the received part of the body
+     * takes at this rate. */
+    uint64_t minBytesPerSecond = 0;
     core::Milliseconds progressTimeout{5'000}; ///< Between two reads of a streamed body.
     size_t maxBodyBytes = 16UL << 20U;
 };
--- a/test/correctness/slowtransfers.cpp
+++ b/test/correctness/slowtransfers.cpp
@@ -4,16 +4,20 @@
 
 #include "core/text.h"
 #include "fakes/fakestore.h"
+#include "fakes/platformstandin.h"
 #include "serving/gossip.h"
 #include "serving/statefeed.h"
 #include "serving/stateserver.h"
 #include "serving/storemirror.h"
+#include "state/kvclient.h"
+#include "support/loop.h"
 #include "support/loopback.h"
 #include "support/slowlink.h"
 
 #include <criterion/criterion.h>
 
 #include <random>
+#include <thread>
 
 using namespace jujube;
 using namespace std::chrono_literals;
@@ -201,8 +205,49 @@
     return text + "]}";
 }
 
+/** Runs an asio loop on a thread of its own, beside a KJ loop. */
+struct BackgroundLoop
+{
+    boost::asio::io_context io;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work =
+        boost::asio::make_work_guard(io);
+    std::thread thread;
+
+    void start()
+    {
+        thread = std::thread([this]() { io.run(); });
+    }
+    ~BackgroundLoop()
+    {
+        io.stop();
+        thread.join();
+    }
+};
+
 } // namespace
 
+// The same fault as above in the other way into the system: its store client gave up a listing
+// after a fixed time.
+Test(slowtransfers, the_entrys_store_client_waits_for_a_listing_that_makes_progress)
+{
+    test::Loop loop;
+    test::FakePlatform platform({});
+    BackgroundLoop background;
+    test::SlowLink link(background.io, platform.start(), SlowLinkRate);
+    const std::string address = test::loopbackAddress(7026);
+    cr_assert(link.listen(address));
+    background.start();
+    wire::HttpClient http(loop.io());
+    state::KvClient writer(http, address, 2s);
+    const std::string value(LargeValueBytes, 'x');
+    const auto written = loop.wait(writer.compareAndSwap("fleet/config/profiles", 0, value));
+    cr_assert(written.ok(), "%s", std::string(written.status().message()).c_str());
+    state::KvClient reader(http, address, 300ms);
+    const auto listing = loop.wait(reader.list("fleet/"));
+    cr_assert(listing.ok(), "%s", std::string(listing.status().message()).c_str());
+    cr_assert_eq(listing->entries.size(), 1U);
+}
+
 // Guards against links that are filled by each change of a large configuration, at the cost of
 // requests and of other gateways that wait for the same change.
 Test(slowtransfers, a_configuration_is_compressed_once_for_all_peers)
