--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -1,5 +1,7 @@
 #include "http/client.h"
 
+#include "http/transferrate.h"
+
 #include <algorithm>
 
 namespace jujube::http {
@@ -10,17 +12,8 @@
 
 // The largest response is a peer's copy of the store: some hundred bytes for each of 2,000 items.
 constexpr uint64_t MaxResponseBodyBytes = 4UL << 20U;
-// A response that has begun is waited for while it makes progress: it must not pause for longer
-// than this, and bytes have to arrive at this rate on average. The slowest links carry twenty times
-// as much.
+// A response that has begun must not pause for longer than this.
 constexpr core::Milliseconds MaxTransferPause{1'000};
-constexpr uint64_t MinTransferBytesPerSecond = 64UL * 1024;
-
-core::Milliseconds transferAllowance(size_t receivedBytes)
-{
-    constexpr uint64_t msPerSecond = 1'000;
-    return core::Milliseconds(receivedBytes * msPerSecond / MinTransferBytesPerSecond);
-}
 
 // A call in progress. It ends with the response, a failure or the timeout, whichever is first.
 class PendingCall : public std::enable_shared_from_this<PendingCall>
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -2,6 +2,7 @@
 
 #include "core/eventlog.h"
 #include "http/clientconnection.h"
+#include "http/transferrate.h"
 
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/write.hpp>
@@ -409,7 +410,8 @@
             close();
     } else if (!m_parser->headDone() && now - m_phaseStart > limits.headTimeout) {
         refuse(status::RequestTimeout);
-    } else if (now - m_phaseStart > limits.headTimeout + limits.idleTimeout) {
+    } else if (now - m_phaseStart > limits.headTimeout + limits.idleTimeout
+                   + transferAllowance(m_parser->body().size())) {
         close();
     }
 }
--- a/test/correctness/server.cpp
+++ b/test/correctness/server.cpp
@@ -79,3 +79,52 @@
     io.run_for(20ms);
     cr_assert(notified);
 }
+
+namespace {
+
+/** Sends a request with a body of \a pieces parts, one in each interval. \return whether the
+ * handler received it before the connection was closed. */
+bool uploadArrives(size_t pieces, size_t pieceBytes, core::Milliseconds interval)
+{
+    boost::asio::io_context io;
+    boost::asio::io_context blocking;
+    bool arrived = false;
+    http::Server server(io,
+                        [&](const http::Request &, const http::Responder &) { arrived = true; });
+    http::ServerLimits limits;
+    limits.headTimeout = 200ms;
+    limits.idleTimeout = 200ms;
+    server.setLimits(limits);
+    const std::string address = test::loopbackAddress(Port);
+    cr_assert(server.listen(address).ok());
+    tcp::socket socket(blocking);
+    socket.connect({boost::asio::ip::make_address(address.substr(0, address.rfind(':'))), Port});
+    boost::system::error_code ec;
+    boost::asio::write(socket,
+                       boost::asio::buffer("POST / HTTP/1.1\r\nHost: test\r\nContent-Length: "
+                                           + std::to_string(pieces * pieceBytes) + "\r\n\r\n"),
+                       ec);
+    for (size_t i = 0; i < pieces && !ec; ++i) {
+        io.restart();
+        io.run_for(interval);
+        boost::asio::write(socket, boost::asio::buffer(std::string(pieceBytes, 'x')), ec);
+    }
+    io.restart();
+    io.run_for(100ms);
+    return arrived;
+}
+
+} // namespace
+
+// Guards against uploads over slow links that are cut: the limit did not depend on how much of the
+// body had arrived.
+Test(server, a_body_that_arrives_slowly_is_accepted)
+{
+    cr_assert(uploadArrives(30, 20'000, 50ms));
+}
+
+// Guards against connections that are held open by a body that drips.
+Test(server, a_body_that_drips_is_not_waited_for)
+{
+    cr_assert_not(uploadArrives(30, 1, 50ms));
+}
