--- a/src/serving/eventframer.cpp
+++ b/src/serving/eventframer.cpp
@@ -61,4 +61,20 @@
     }
 }
 
+void EventCounter::add(std::string_view bytes)
+{
+    for (const char c : bytes) {
+        const bool endsEvent = c == '\n' && m_ending != Ending::Other;
+        if (endsEvent)
+            ++m_count;
+        m_partial = !endsEvent;
+        if (c == '\n')
+            m_ending = endsEvent ? Ending::Other : Ending::LineFeed;
+        else if (c == '\r' && m_ending == Ending::LineFeed)
+            m_ending = Ending::LineFeedCarriageReturn;
+        else
+            m_ending = Ending::Other;
+    }
+}
+
 } // namespace jujube::serving
--- a/src/serving/eventframer.h
+++ b/src/serving/eventframer.h
@@ -38,4 +38,22 @@
     uint64_t m_events = 0;
 };
 
+/** Counts the complete events of a stream that is relayed as it arrives. */
+class EventCounter
+{
+public:
+    void add(std::string_view bytes);
+    uint64_t count() const { return m_count; }
+    /** Whether the bytes so far end inside an event. */
+    bool partial() const { return m_partial; }
+
+private:
+    /** What the bytes so far end with. */
+    enum class Ending { Other, LineFeed, LineFeedCarriageReturn };
+
+    Ending m_ending = Ending::Other;
+    bool m_partial = false;
+    uint64_t m_count = 0;
+};
+
 } // namespace jujube::serving
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -5,6 +5,7 @@
 #include "core/text.h"
 #include "platform/requestcodec.h"
 
+#include <absl/strings/str_cat.h>
 #include <algorithm>
 
 namespace jujube::serving {
@@ -296,6 +297,7 @@
     m_endpoint = endpoint;
     m_sentAt = core::BootClock::now();
     m_lastEventAt = {};
+    m_events = {};
     m_body.clear();
     m_head = {};
     m_answer = {};
@@ -405,6 +407,15 @@
     core::incrementCounter("jujube_requests_total", core::concat("outcome=\"", outcome, "\""));
 }
 
+std::string Session::sharedBlockIds() const
+{
+    std::string text;
+    const auto &blocks = m_request.metadata.prefixBlocks;
+    for (size_t i = 0; i + 1 < blocks.size(); ++i)
+        text += core::concat(i == 0 ? "" : ",", absl::Hex(blocks[i].id));
+    return text;
+}
+
 int64_t Session::msSinceArrival(TimePoint at) const
 {
     return at == TimePoint{} ? -1
--- a/src/serving/session.h
+++ b/src/serving/session.h
@@ -147,6 +147,8 @@
     core::TimePoint firstEventDeadline() const;
     /** Delay for the Retry-After header of a refusal. */
     core::Milliseconds retryAfterDelay();
+    /** Ids of the prompt's shared blocks in hexadecimal, separated by commas. */
+    std::string sharedBlockIds() const;
     /** Milliseconds from the arrival to a time; -1 if the time is not set. */
     int64_t msSinceArrival(core::TimePoint at) const;
 
@@ -172,6 +174,7 @@
     core::TimePoint m_sentAt{};
     PrefillPlan m_prefillPlan;        ///< Without an engine: no plan.
     uint32_t m_sentBacklogTokens = 0; ///< This send's part of the endpoint's backlog.
+    EventCounter m_events;            ///< Events of this send's answer.
     http::Head m_head;
     AnswerMetadata m_answer;
     std::string m_body;
--- a/src/serving/sessionanswer.cpp
+++ b/src/serving/sessionanswer.cpp
@@ -130,6 +130,7 @@
     countForUsage();
     m_mayHaveRun = true;
     recordStepTime(body);
+    m_events.add(body);
     if (m_request.route->resumable) {
         const std::string events = m_eventFramer.add(body);
         body.clear();
@@ -339,6 +340,8 @@
         .with("not_run", notRun)
         .with("sent", sent)
         .with("status", m_head.status)
+        .with("events", m_events.count())
+        .with("blocks", sharedBlockIds())
         .with("why", why);
     m_avoidedEndpoints.insert(m_endpoint->record.id);
     if (!notRun || !sent)
