--- a/test/fakes/fakeendpoint.cpp
+++ b/test/fakes/fakeendpoint.cpp
@@ -11,6 +11,17 @@
 
 constexpr uint32_t Unavailable = 503;
 constexpr uint32_t Misdirected = 421;
+constexpr core::Milliseconds CrashDelay{20}; // From the head of the answer to the crash.
+
+// Whether a prompt "ID:TOKENS,..." has a block other than as its last one.
+bool hasBlock(const std::string &blocks, const std::string &id)
+{
+    const size_t last = blocks.rfind(',');
+    if (id.empty() || last == std::string::npos)
+        return false;
+    const std::string shared = "," + blocks.substr(0, last + 1);
+    return shared.find("," + id + ":") != std::string::npos;
+}
 
 } // namespace
 
@@ -32,7 +43,7 @@
 
 absl::Status FakeEndpoint::listen(const std::string &address)
 {
-    m_address = address;
+    m_address = m_listenAddress = address;
     return m_server.listen(address);
 }
 
@@ -46,7 +57,7 @@
                        {"Slots", 64},
                        {"State", wire::qstring(state)},
                        {"ColdLeftMs", 0},
-                       {"born", qint64(1'800'000'000'000)},
+                       {"born", qint64(m_bornMs)},
                        {"Sequence", ++m_lastEntrySequence}};
     if (m_stage != serving::Stage::None)
         object.insert("Stage", m_stage == serving::Stage::Prefill ? "prefill" : "decode");
@@ -59,6 +70,28 @@
     m_faultsLeft = count;
 }
 
+absl::Status FakeEndpoint::restart(std::string id)
+{
+    m_id = std::move(id);
+    ++m_bornMs;
+    m_crashed = false;
+    return m_server.listen(m_listenAddress);
+}
+
+void FakeEndpoint::crash()
+{
+    m_crashed = true;
+    m_runningRequests.clear();
+    m_server.stopListening();
+    for (const http::Responder &it : std::exchange(m_responders, {})) {
+        it.onDisconnect({});
+        it.abort();
+    }
+    m_server.closeIdleConnections();
+    if (m_onCrash)
+        m_onCrash();
+}
+
 size_t FakeEndpoint::runCount(const std::string &requestId) const
 {
     return m_startedRequests.count(requestId);
@@ -120,10 +153,13 @@
     received.lastEventId = field("Last-Event-Id");
     received.cacheSource = field("Kv-Source");
     received.fetchFrom = field("Kv-Fetch");
+    received.blocks = field("Prompt-Prefix");
     received.timeLeftMs = std::stoll("0" + field("Deadline-Ms"));
     received.prefill = field("Stage") == "prefill";
     received.hasApiKey = request.head.fields.find("X-Api-Key").has_value();
     m_receivedRequests.push_back(received);
+    if (!m_crashingBlock.empty())
+        m_responders.push_back(responder);
     if (received.prefill)
         handlePrefill(request.head, responder);
     else
@@ -199,6 +235,14 @@
         http::Head head = responseHead(request.id, 200, true);
         head.fields.add("Content-Type", "text/event-stream");
         responder.begin(head, http::Framing::Chunked, 0);
+        if (hasBlock(request.blocks, m_crashingBlock)) {
+            const auto timer = std::make_shared<boost::asio::steady_timer>(m_io, CrashDelay);
+            timer->async_wait([this, timer](const auto &) {
+                if (!m_crashed)
+                    crash();
+            });
+            return;
+        }
         m_runningRequests.insert(request.id);
         responder.onDisconnect(
             [this, id = request.id]() { m_runningRequests.erase(m_runningRequests.find(id)); });
--- a/test/fakes/fakeendpoint.h
+++ b/test/fakes/fakeendpoint.h
@@ -9,6 +9,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -46,6 +47,7 @@
     std::string lastEventId;
     std::string cacheSource;
     std::string fetchFrom;
+    std::string blocks;   ///< Of the prompt.
     core::TimePoint at{}; ///< Time at which it was read.
     int64_t timeLeftMs = 0;
     bool prefill = false;
@@ -78,6 +80,14 @@
     /** Applies a fault to the next \a count requests. A prefill is subject only to LoseResponse and
      * Silent, regardless of \a count. */
     void setFault(EndpointFault fault, int count = 1'000'000);
+    /** Makes the endpoint crash when it begins to answer a prompt that has this block other than as
+     * its last one. All its connections close, and it stops to listen. */
+    void setCrashingBlock(std::string id) { m_crashingBlock = std::move(id); }
+    /** Sets a callback that is invoked after each crash. */
+    void onCrash(std::function<void()> callback) { m_onCrash = std::move(callback); }
+    bool crashed() const { return m_crashed; }
+    /** Starts again after a crash, as another incarnation. */
+    absl::Status restart(std::string id);
     void setEventCount(uint32_t events) { m_eventCount = events; }
     void setEventGap(core::Milliseconds gap) { m_eventGap = gap; }
 
@@ -94,6 +104,7 @@
 
 private:
     void handle(const http::Request &request, const http::Responder &responder);
+    void crash();
     void handlePrefill(const http::Head &head, const http::Responder &responder);
     void runRequest(const ReceivedRequest &request, const http::Responder &responder);
     bool startEndlessResponse(const ReceivedRequest &request, const http::Responder &responder,
@@ -115,6 +126,12 @@
     int m_faultsLeft = 0;
     uint32_t m_eventCount = 3;
     core::Milliseconds m_eventGap{5};
+    std::string m_crashingBlock;
+    std::function<void()> m_onCrash;
+    std::vector<http::Responder> m_responders; ///< Of the requests since the last start.
+    bool m_crashed = false;
+    int64_t m_bornMs = 1'800'000'000'000;
+    std::string m_listenAddress;
     std::vector<ReceivedRequest> m_receivedRequests;
     std::multiset<std::string> m_startedRequests;
     std::multiset<std::string> m_runningRequests;
