Blocks of prompts that crash engines are put in quarantine

What callers saw: requests of one kind kept ending back ends, one after the other, and took 4 to 48 sound requests with each (BUDGET). Cause: nothing tied the loss of an engine to what it had been given; each gateway saw a share of the losses, sent the next request with the same block, and repeated resumable ones on the next engine. Class: an input that ends its worker is handed to worker after worker. Why this works: a run that is lost after its answer began and before its first event is evidence against each shared block of its prompt (in the record one such run a crash, all others were streaming). Gateways exchange the evidence and complete answers by gossip; three engines lost without an answer in between put a block in quarantine (six where it was answered within a minute). Sound blocks are answered all the time, which clears them. The store keeps a quarantine for ten minutes under a lease for gateways that start later; an answer refutes it. Such requests get 503 and when to come back before anything is sent, and a lost one is not repeated once two engines ended under it.

--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -57,6 +57,7 @@
       m_httpClient(io),
       m_pool(io),
       m_store(m_httpClient, m_settings.storeAddress),
+      m_quarantine(m_store, m_settings.name),
       m_usage(m_settings.usageWindow),
       m_disaggregatedPrefill(m_placement.disaggregatedPrefill),
       m_colocatedPrefill(m_placement.colocatedPrefill),
@@ -121,6 +122,7 @@
           [this](double tokens) { m_outputTokens.note(tokens, core::BootClock::now()); },
           [this]() { m_peers.loadChanged(); },
           m_sentBlocks,
+          m_quarantine,
           [this](const std::string &service) -> policy::DecodeStepEstimator & {
               return m_decodeSteps[service];
           }},
@@ -200,6 +202,8 @@
         onPeer(item);
     else if (item.key.starts_with(UsageDuty::Prefix))
         m_usageDuty.onSealItem(item);
+    else if (item.key.starts_with(QuarantineKeeper::Prefix))
+        m_quarantine.onItem(item);
 }
 
 void Gateway::onConfig(const StoreItem &item)
@@ -407,6 +411,7 @@
             m_leadership.follow(leader == m_mirror->items().end() ? nullptr : &leader->second,
                                 m_mirror->version());
         }
+        m_quarantine.tick(m_mirror->complete() && m_mirror->reachable() && !m_draining);
         m_usageDuty.tick();
         m_stageDuty.tick();
         core::flushEventLog();
--- a/src/serving/gateway.h
+++ b/src/serving/gateway.h
@@ -66,6 +66,7 @@
     http::ConnectionPool m_pool;
     StoreClient m_store;
     EndpointTable m_endpoints;
+    QuarantineKeeper m_quarantine;
     UsageCounts m_usage;
     PrefixBlockGossip m_sentBlocks;
     policy::PlacementSettings m_placement;
--- a/src/serving/gatewaygossip.cpp
+++ b/src/serving/gatewaygossip.cpp
@@ -47,6 +47,7 @@
     }
     addUsageWindows(gossip);
     gossip.prefixBlocks = m_sentBlocks.blocksToSend(now);
+    gossip.blocks = m_quarantine.report();
     return gossip;
 }
 
@@ -84,6 +85,7 @@
 void Gateway::onGossip(const GossipMessage &gossip)
 {
     m_promptScheduler.scheduleDispatch();
+    m_quarantine.merge(gossip.blocks);
     if (gossip.wallTime.count() > 0)
         m_wallClock.recordPeerTime(gossip.name, gossip.wallTime, core::BootClock::now());
     for (const GossipUsageWindow &it : gossip.windows) {
--- a/src/serving/gossip.cpp
+++ b/src/serving/gossip.cpp
@@ -57,9 +57,34 @@
     }
     for (const auto it : reader.getParts())
         gossip.prefixBlocks.push_back({it.getEndpoint(), {it.getLink(), it.getTokens()}});
+    for (const auto it : reader.getBlockCrashes())
+        gossip.blocks.crashes.push_back(
+            {it.getBlock(), it.getEngine(), core::Milliseconds(it.getAgeMs())});
+    for (const auto it : reader.getBlockSuccesses())
+        gossip.blocks.successes.push_back({it.getBlock(), core::Milliseconds(it.getAgeMs())});
+    for (const uint64_t block : reader.getQuarantinedBlocks())
+        gossip.blocks.quarantined.push_back(block);
     return gossip;
 }
 
+void writeBlocks(const policy::BlockReport &blocks, schema::GatewayNews::Builder root)
+{
+    auto crashes = root.initBlockCrashes(static_cast<uint32_t>(blocks.crashes.size()));
+    for (uint32_t i = 0; i < crashes.size(); ++i) {
+        crashes[i].setBlock(blocks.crashes[i].block);
+        crashes[i].setEngine(blocks.crashes[i].engine);
+        crashes[i].setAgeMs(static_cast<uint32_t>(blocks.crashes[i].age.count()));
+    }
+    auto successes = root.initBlockSuccesses(static_cast<uint32_t>(blocks.successes.size()));
+    for (uint32_t i = 0; i < successes.size(); ++i) {
+        successes[i].setBlock(blocks.successes[i].block);
+        successes[i].setAgeMs(static_cast<uint32_t>(blocks.successes[i].age.count()));
+    }
+    auto quarantined = root.initQuarantinedBlocks(static_cast<uint32_t>(blocks.quarantined.size()));
+    for (uint32_t i = 0; i < quarantined.size(); ++i)
+        quarantined.set(i, blocks.quarantined[i]);
+}
+
 } // namespace
 
 std::string encodeGossip(const GossipMessage &gossip)
@@ -108,6 +133,7 @@
         prefixBlocks[i].setLink(gossip.prefixBlocks[i].link.hash);
         prefixBlocks[i].setTokens(gossip.prefixBlocks[i].link.tokens);
     }
+    writeBlocks(gossip.blocks, root);
     return packedBytes(message);
 }
 
--- a/src/serving/gossip.h
+++ b/src/serving/gossip.h
@@ -4,6 +4,7 @@
  * Defines the gossip messages between gateways and their encoding.
  */
 
+#include "policy/blockquarantine.h"
 #include "serving/endpoints.h"
 #include "serving/storetypes.h"
 #include "serving/tokenrates.h"
@@ -56,6 +57,7 @@
     std::vector<GossipLoadShare> shares;
     std::vector<GossipUsageWindow> windows;
     std::vector<GossipPrefixBlock> prefixBlocks;
+    policy::BlockReport blocks; ///< Blocks that are suspected of crashing engines.
 };
 
 /** Serializes a message into one datagram. */
--- a/src/serving/peermesh.cpp
+++ b/src/serving/peermesh.cpp
@@ -379,6 +379,7 @@
     summary.watchesStore = local.watchesStore;
     summary.processorShare = m_processorShare;
     summary.prefixBlocks = relayedBlocks(now);
+    summary.blocks = local.blocks;
     for (const auto &[name, peer] : m_peers) {
         if (!peer.alive)
             continue;
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -29,16 +29,11 @@
 constexpr Milliseconds SuspectPause{400};
 // Failed connection attempts are not charged to the retry budget; this limit bounds them.
 constexpr uint32_t MaxSends = 8;
-// Retry-After of a refusal: this minimum, or the service's remaining back-off if that is longer,
-// plus a random part of the spread, so that refused clients do not return in one burst.
-constexpr Milliseconds MinRetryAfter{400};
-constexpr Milliseconds RetryAfterSpread{1'200};
 constexpr uint32_t BaseEnginePriority = 3; ///< Leaves more urgent levels to requests in progress.
 // Lowers the priority of a request that became late after its dispatch by as much as that of one
 // that became late in the queue: two doublings of its key
 // (policy::PromptQueueSettings::lateFactor).
 constexpr uint32_t LatePriorityStep = 2;
-constexpr Milliseconds HandleReleaseTimeout{1'000};
 
 } // namespace
 
@@ -65,6 +60,8 @@
     for (const PrefixBlock &part : m_request.metadata.prefixBlocks)
         policy::appendPrefixLink(m_chain, part.id, part.tokens);
     m_promptInfo.tokens = m_request.metadata.promptTokens;
+    m_sharedBlocks =
+        QuarantineKeeper::sharedBlocks(m_request.service, m_request.metadata.prefixBlocks);
     // The last block belongs to this request alone; the one before is the last that requests share.
     if (m_chain.size() > 1)
         m_promptInfo.prefixHash = m_chain[m_chain.size() - 2].hash;
@@ -101,6 +98,8 @@
         onDeadline();
         return;
     }
+    if (endIfQuarantined())
+        return;
     if (needsPrefill())
         queuePrompt();
     else
@@ -166,7 +165,7 @@
 // request.
 void Session::dispatchPrompt(const PrefillPlan &plan)
 {
-    if (endIfAbandoned())
+    if (endIfPointless())
         return;
     m_assignedAt = core::BootClock::now();
     m_prefillPlan = plan;
@@ -258,7 +257,7 @@
 
 void Session::sendRunTo(const EndpointPtr &endpoint)
 {
-    if (endIfAbandoned())
+    if (endIfPointless())
         return;
     ++m_runSends;
     ++m_runs;
@@ -352,144 +351,4 @@
     }
 }
 
-void Session::releaseCacheHandle()
-{
-    if (!m_prefillEngine || m_runSends > 0)
-        return;
-    const EndpointPtr at = std::exchange(m_prefillEngine, nullptr);
-    m_services.httpClient.call(
-        at->record.address, platform::encodeHandleRelease(m_cacheHandle.handle, at->record.id),
-        HandleReleaseTimeout,
-        [at, handle = m_cacheHandle.handle](const http::CallResult &result) {
-            if (result.response.ok())
-                applyAnswerNotices(*at, platform::decodeResponseHead(result.response->head),
-                                   core::BootClock::now());
-            if (!result.response.ok())
-                core::Event("handle.release.failed")
-                    .with("handle", handle)
-                    .with("why", result.response.status().message());
-        },
-        http::ConnectionMode::Dedicated);
-}
-
-void Session::fail(uint32_t status, const std::string &why, Milliseconds retryAfter)
-{
-    if (m_finished)
-        return;
-    core::Event("request.failed")
-        .with("request", m_request.metadata.id)
-        .with("status", status)
-        .with("why", why)
-        .with("config", m_request.config->version)
-        .with("retry_after_ms", retryAfter.count());
-    m_responder.send(platform::gatewayResponseHead(status, m_request.metadata.id, retryAfter), {});
-    finish("failed", status);
-}
-
-void Session::finish(std::string_view outcome, uint32_t status)
-{
-    if (std::exchange(m_finished, true))
-        return;
-    leavePromptQueue();
-    releaseCacheHandle();
-    endSend(false);
-    m_deadlineTimer.cancel();
-    core::Event("request.end")
-        .with("request", m_request.metadata.id)
-        .with("route", m_request.route->name)
-        .with("outcome", outcome)
-        .with("status", status)
-        .with("sends", m_runSends)
-        .with("assigned_ms", msSinceArrival(m_assignedAt))
-        .with("read_ms", msSinceArrival(m_prefilledAt))
-        .with("first_ms", msSinceArrival(m_firstEventAt))
-        .with("ms", msSinceArrival(core::BootClock::now()));
-    core::incrementCounter("jujube_requests_total", core::concat("outcome=\"", outcome, "\""));
-}
-
-std::string Session::sharedBlockIds() const
-{
-    std::string text;
-    const auto &blocks = m_request.metadata.prefixBlocks;
-    for (size_t i = 0; i + 1 < blocks.size(); ++i)
-        text += core::concat(i == 0 ? "" : ",", absl::Hex(blocks[i].id));
-    return text;
-}
-
-int64_t Session::msSinceArrival(TimePoint at) const
-{
-    return at == TimePoint{} ? -1
-                             : std::chrono::duration_cast<Milliseconds>(at - m_arrivedAt).count();
-}
-
-void Session::onClientDisconnected()
-{
-    if (m_finished)
-        return;
-    // A request that must not run twice is not cancelled: after a cancellation it would be unknown
-    // whether it took effect.
-    if (m_connection && m_purpose == Purpose::Run
-        && m_request.route->kind == RouteKind::AtMostOnce) {
-        m_clientDetached = true;
-        return;
-    }
-    endSend(false);
-    finish("client-left", 0);
-}
-
-void Session::onDeadline()
-{
-    if (m_finished)
-        return;
-    const bool running = m_connection && m_purpose == Purpose::Run;
-    endSend(false);
-    if (m_streaming) {
-        m_responder.abort();
-        finish("timed-out", m_head.status);
-    } else if (running || m_mayHaveRun) {
-        fail(http::status::GatewayTimeout, "no answer before the deadline");
-    } else {
-        fail(http::status::ServiceUnavailable,
-             "no endpoint accepted the request before the deadline", retryAfterDelay());
-    }
-}
-
-// The event loop handles one event after another: a disconnect or a deadline may have occurred
-// before the event that leads to this send and still be queued behind it.
-bool Session::endIfAbandoned()
-{
-    if (m_finished)
-        return true;
-    if (m_responder.clientDisconnected()) {
-        core::incrementCounter("jujube_sends_abandoned_total");
-        onClientDisconnected();
-        return true;
-    }
-    if (timeLeft().count() <= 0) {
-        onDeadline();
-        return true;
-    }
-    return false;
-}
-
-TimePoint Session::firstEventDeadline() const
-{
-    const Milliseconds patience = m_request.route->eventTimeout;
-    return patience.count() > 0 ? std::min(m_deadline, m_arrivedAt + patience) : m_deadline;
-}
-
-Milliseconds Session::timeLeft() const
-{
-    return std::chrono::floor<Milliseconds>(m_deadline - core::BootClock::now());
-}
-
-Milliseconds Session::retryAfterDelay()
-{
-    std::uniform_int_distribution<int64_t> spread(0, RetryAfterSpread.count());
-    const auto backoff =
-        m_services.endpoints.remainingBackoff(m_request.service, core::BootClock::now());
-    return std::max(MinRetryAfter, backoff.value_or(Milliseconds(0)))
-        + Milliseconds(spread(m_services.random));
-}
-
 } // namespace jujube::serving
--- a/src/serving/session.h
+++ b/src/serving/session.h
@@ -16,6 +16,7 @@
 #include "serving/eventframer.h"
 #include "serving/prefixblockgossip.h"
 #include "serving/promptscheduler.h"
+#include "serving/quarantinekeeper.h"
 #include "serving/requesttypes.h"
 #include "serving/usagecounts.h"
 
@@ -52,6 +53,7 @@
         recordExpectedOutputTokens;      ///< Takes the expected output of an admitted prompt.
     std::function<void()> onLoadChanged; ///< Called when the load of an endpoint has changed.
     PrefixBlockGossip &prefixBlockGossip;
+    QuarantineKeeper &quarantine;
     std::function<policy::DecodeStepEstimator &(const std::string &service)> decodeSteps;
 };
 
@@ -134,14 +136,18 @@
     void countForUsage();
     void recordEndpointAnswer(bool failed);
     void recordLostAnswer();
+    /** Whether a run that was lost now may be the cause of the loss. */
+    bool mayHaveCrashedEndpoint() const;
     void releaseCacheHandle();
     void fail(uint32_t status, const std::string &why, core::Milliseconds retryAfter = {});
     void finish(std::string_view outcome, uint32_t status);
     void onClientDisconnected();
     void onDeadline();
-    /** Ends the request if its client has disconnected or its deadline has passed; checked before
-     * each send. \return whether the request has ended. */
-    bool endIfAbandoned();
+    /** Ends the request if its client has disconnected, its deadline has passed or its prompt is in
+     * quarantine; checked before each send. \return whether the request has ended. */
+    bool endIfPointless();
+    /** Ends the request if its prompt crashes engines. \return whether the request has ended. */
+    bool endIfQuarantined();
     core::Milliseconds timeLeft() const;
     /** Time by which the client needs the first event, or it disconnects. */
     core::TimePoint firstEventDeadline() const;
@@ -164,6 +170,7 @@
     core::TimePoint m_firstEventAt{}; ///< The first event was received.
     core::TimePoint m_lastEventAt{};  ///< The last event of this send was received.
     std::vector<policy::PrefixLink> m_chain;
+    std::vector<uint64_t> m_sharedBlocks; ///< Keys of the blocks but the last one.
     policy::PromptInfo m_promptInfo;
     std::set<std::string> m_avoidedEndpoints; ///< Refused or failed this request.
 
--- a/src/serving/sessionanswer.cpp
+++ b/src/serving/sessionanswer.cpp
@@ -259,6 +259,8 @@
 void Session::handleRunAnswer()
 {
     const bool success = http::status::isSuccess(m_head.status);
+    if (success && m_answer.hasSignature)
+        m_services.quarantine.recordSuccess(m_sharedBlocks);
     if (m_streaming && success && m_answer.hasSignature) {
         recordEndpointAnswer(false);
         endSend(true);
@@ -329,9 +331,19 @@
         handlePrefillFailure(failure != http::Failure::NotSent, why);
         return;
     }
+    if (failure == http::Failure::ConnectionLost && mayHaveCrashedEndpoint())
+        m_services.quarantine.recordCrash(m_sharedBlocks, m_endpoint->record,
+                                          m_request.metadata.id);
     handleRunFailure(failure == http::Failure::NotSent, failure != http::Failure::NotSent, why);
 }
 
+// An engine that crashes on a prompt does so when it begins to answer. Runs that had sent an event
+// are victims, and runs without an answer had not begun.
+bool Session::mayHaveCrashedEndpoint() const
+{
+    return http::status::isSuccess(m_head.status) && m_events.count() == 0;
+}
+
 void Session::handleRunFailure(bool notRun, bool sent, const std::string &why)
 {
     core::Event("run.failed")
@@ -378,7 +390,7 @@
         countForUsage();
     // A large answer that is being relayed is never continued with that of another run.
     if (m_request.route->repeatable() && !m_relayingLargeAnswer && mayRunAgain()
-        && spendRetryBudget()) {
+        && !m_services.quarantine.suspects(m_sharedBlocks) && spendRetryBudget()) {
         m_eventFramer.dropPartial();
         startNextStep();
     } else if (m_streaming) {
--- a/src/wire/news.capnp
+++ b/src/wire/news.capnp
@@ -23,6 +23,12 @@
 # Requests that started in one usage window, as counted by one incarnation of a gateway.
 struct WindowCounts { run @0 :UInt64; window @1 :UInt64; counts @2 :List(TeamCount); }
 
+# An engine that was lost while it began to answer a prompt with a block.
+struct BlockCrash { block @0 :UInt64; engine @1 :UInt64; ageMs @2 :UInt32; }
+
+# A suspected block with which a prompt was answered to its end.
+struct BlockSuccess { block @0 :UInt64; ageMs @1 :UInt32; }
+
 struct GatewayNews {
   name @0 :Text;
   run @1 :UInt64;            # incarnation of the sender
@@ -40,6 +46,9 @@
   readTokensPerSecond @16 :Float32; # rate of a prefill engine as observed by the sender
   watches @14 :Bool;         # the sender watches the store, and the store responds
   wallMs @12 :UInt64;        # wall-clock time of the sender; 0 while the message is queued
+  blockCrashes @17 :List(BlockCrash);
+  blockSuccesses @18 :List(BlockSuccess);
+  quarantinedBlocks @19 :List(UInt64);
   parts @8 :List(PartSent);  # blocks sent recently; repeated because datagrams may be lost
 }
 
