A block that many prompts share is not held for another one's crashes

What callers would see: all sound prompts of a route refused for minutes (LOST). Cause: the evidence did not tell shared blocks from the one that crashes until an answer was complete. Now the first event of a run clears its blocks, as only runs without an event count against them; crashes that one block explains do not count against others, never answered and later blocks first; engines lost within 0.15 s count once, so an outage is no evidence; a block that was answered within a minute is held for 30 s only.

--- a/src/policy/blockquarantine.cpp
+++ b/src/policy/blockquarantine.cpp
@@ -1,6 +1,7 @@
 #include "policy/blockquarantine.h"
 
 #include <algorithm>
+#include <tuple>
 #include <xxhash.h>
 
 namespace jujube::policy {
@@ -10,8 +11,8 @@
 using core::Milliseconds;
 using core::TimePoint;
 
-// Engines that a block has to end before it is quarantined. A block that was answered within
-// SuccessMemory has shown that it can be, so it needs more.
+// Crashes before a block is quarantined. A block that was answered within SuccessMemory has shown
+// that it can be, so it needs more.
 constexpr size_t CrashesOfUnprovenBlock = 3;
 constexpr size_t CrashesOfProvenBlock = 6;
 // Engines that a prompt's blocks may have ended for the prompt to be sent again after a loss.
@@ -22,10 +23,14 @@
 constexpr Milliseconds SuccessMemory{60'000};
 // After it a block is sent again, in case that the engines' software has been replaced.
 constexpr Milliseconds QuarantineTime{600'000};
+// A block that was answered before is tried again sooner, as the decision may be wrong while the
+// whole fleet fails.
+constexpr Milliseconds QuarantineTimeOfProvenBlock{30'000};
 // Peers repeat a quarantine at least every two seconds.
 constexpr Milliseconds HeardLifetime{6'000};
-// Several engines lost at almost the same time point at the network of this gateway.
-constexpr Milliseconds SameFaultInterval{30};
+// Engines that are lost within this time have a cause in common that is no prompt, such as a
+// network or a power supply.
+constexpr Milliseconds SameFaultInterval{150};
 constexpr size_t MaxSuspectedBlocks = 1'024;
 constexpr size_t MaxRememberedSuccesses = 8'192;
 // A success is recorded once in this interval, as busy blocks have hundreds per second.
@@ -62,26 +67,21 @@
     return last != TimePoint{} && now - last < SuccessMemory ? last : TimePoint{};
 }
 
-void BlockQuarantine::addCrash(uint64_t block, uint64_t engine, TimePoint at, TimePoint now)
+void BlockQuarantine::addCrash(const BlockReport::Crash &crash, TimePoint now)
 {
-    if (now - at >= EvidenceLifetime
-        || (m_evidence.size() >= MaxSuspectedBlocks && !m_evidence.contains(block)))
+    if (crash.age >= EvidenceLifetime
+        || (m_evidence.size() >= MaxSuspectedBlocks && !m_evidence.contains(crash.block)))
         return;
-    evidenceOf(block, now).crashes.try_emplace(engine, at);
+    Evidence &evidence = evidenceOf(crash.block, now);
+    evidence.crashes.try_emplace(crash.engine, now - crash.age);
+    evidence.position = std::max(evidence.position, crash.position);
 }
 
 void BlockQuarantine::recordCrash(const std::vector<uint64_t> &blocks, uint64_t engine,
                                   TimePoint now)
 {
-    for (const uint64_t block : blocks) {
-        const auto known = m_evidence.find(block);
-        if (known != m_evidence.end() && known->second.lastOwnCrashAt != TimePoint{}
-            && now - known->second.lastOwnCrashAt < SameFaultInterval)
-            continue;
-        addCrash(block, engine, now, now);
-        if (const auto it = m_evidence.find(block); it != m_evidence.end())
-            it->second.lastOwnCrashAt = now;
-    }
+    for (uint32_t i = 0; i < blocks.size(); ++i)
+        addCrash({blocks[i], engine, i, {}}, now);
 }
 
 void BlockQuarantine::recordSuccess(const std::vector<uint64_t> &blocks, TimePoint now)
@@ -108,7 +108,7 @@
 void BlockQuarantine::merge(const BlockReport &report, TimePoint now)
 {
     for (const BlockReport::Crash &it : report.crashes)
-        addCrash(it.block, it.engine, now - it.age, now);
+        addCrash(it, now);
     for (const BlockReport::Success &it : report.successes) {
         if (m_evidence.contains(it.block)) {
             Evidence &evidence = m_evidence[it.block];
@@ -137,52 +137,109 @@
         evidence.storedAt = now;
 }
 
-std::vector<TimePoint> BlockQuarantine::crashesSince(const Evidence &evidence, TimePoint since)
+size_t BlockQuarantine::countCrashes(const Evidence &evidence, TimePoint since,
+                                     const std::set<uint64_t> &explained)
 {
-    std::vector<TimePoint> result;
+    std::vector<TimePoint> times;
     for (const auto &[engine, at] : evidence.crashes) {
-        if (at > since)
-            result.push_back(at);
+        if (at > since && !explained.contains(engine))
+            times.push_back(at);
     }
-    return result;
+    std::sort(times.begin(), times.end());
+    size_t n = 0;
+    TimePoint counted{};
+    for (const TimePoint at : times) {
+        if (n > 0 && at - counted < SameFaultInterval)
+            continue;
+        counted = at;
+        ++n;
+    }
+    return n;
+}
+
+Milliseconds BlockQuarantine::quarantineTime(const Evidence &evidence) const
+{
+    return evidence.proven ? QuarantineTimeOfProvenBlock : QuarantineTime;
 }
 
 std::optional<TimePoint> BlockQuarantine::quarantinedUntil(const Evidence &evidence,
                                                            TimePoint now) const
 {
-    // A complete answer refutes each of the three, as a block that crashes engines has none.
+    // An answer refutes each of the three, as a block that crashes engines has none.
     std::optional<TimePoint> until;
     const auto extend = [&](TimePoint since, TimePoint end) {
-        if (since != TimePoint{} && evidence.lastSuccessAt <= since && end > now)
+        if (since != TimePoint{} && evidence.clearedAt() <= since && end > now)
             until = std::max(until.value_or(end), end);
     };
-    extend(evidence.decidedAt, evidence.decidedAt + QuarantineTime);
+    extend(evidence.decidedAt, evidence.decidedAt + quarantineTime(evidence));
     // The store removes an entry at its end.
     extend(evidence.storedAt, std::max(evidence.storedAt + QuarantineTime, now + HeardLifetime));
     extend(evidence.heardSince, evidence.heardAt + HeardLifetime);
     return until;
 }
 
+// Blocks that were never answered come first, then those that stand later in their prompts: prompts
+// begin with what many of them share.
+std::vector<BlockQuarantine::Candidate> BlockQuarantine::candidates(TimePoint now)
+{
+    std::vector<Candidate> result;
+    for (auto &[block, evidence] : m_evidence) {
+        const bool proven = lastSuccess(block, now) != TimePoint{};
+        result.push_back(
+            {block, &evidence, proven ? CrashesOfProvenBlock : CrashesOfUnprovenBlock});
+    }
+    std::sort(result.begin(), result.end(), [](const Candidate &a, const Candidate &b) {
+        return std::tuple(a.needed, b.evidence->position, a.block)
+            < std::tuple(b.needed, a.evidence->position, b.block);
+    });
+    return result;
+}
+
 std::vector<uint64_t> BlockQuarantine::update(TimePoint now)
 {
+    expire(now);
     std::vector<uint64_t> begun;
+    std::set<uint64_t> explained;
+    for (const Candidate &it : candidates(now)) {
+        Evidence &evidence = *it.evidence;
+        const TimePoint success = lastSuccess(it.block, now);
+        const bool decided = evidence.decidedAt != TimePoint{};
+        if (countCrashes(evidence, success, explained) < it.needed) {
+            // Without crashes left to judge by, a decision stands until its end.
+            if (decided && countCrashes(evidence, success, {}) >= it.needed) {
+                evidence.decidedAt = {};
+                evidence.explainedAt = now;
+            }
+            continue;
+        }
+        TimePoint first = now;
+        for (const auto &[engine, at] : evidence.crashes) {
+            if (at > success)
+                explained.insert(engine);
+            if (at > success)
+                first = std::min(first, at);
+        }
+        if (!decided && now - first >= DecisionDelay) {
+            evidence.decidedAt = now;
+            evidence.proven = it.needed == CrashesOfProvenBlock;
+            begun.push_back(it.block);
+        }
+    }
+    return begun;
+}
+
+void BlockQuarantine::expire(TimePoint now)
+{
     for (auto it = m_evidence.begin(); it != m_evidence.end();) {
         Evidence &evidence = it->second;
         std::erase_if(evidence.crashes,
                       [&](const auto &crash) { return now - crash.second >= EvidenceLifetime; });
-        const bool decided = evidence.decidedAt != TimePoint{};
-        if (decided
-            && (now - evidence.decidedAt >= QuarantineTime
-                || evidence.lastSuccessAt > evidence.decidedAt))
+        if (evidence.decidedAt != TimePoint{}
+            && (now - evidence.decidedAt >= quarantineTime(evidence)
+                || evidence.lastSuccessAt > evidence.decidedAt)) {
             evidence.decidedAt = {};
-        const TimePoint success = lastSuccess(it->first, now);
-        const auto crashes = crashesSince(evidence, success);
-        const size_t needed =
-            success == TimePoint{} ? CrashesOfUnprovenBlock : CrashesOfProvenBlock;
-        if (!decided && crashes.size() >= needed
-            && now - *std::min_element(crashes.begin(), crashes.end()) >= DecisionDelay) {
-            evidence.decidedAt = now;
-            begun.push_back(it->first);
+            // The next decision needs new crashes.
+            evidence.crashes.clear();
         }
         const bool heard =
             evidence.heardAt != TimePoint{} && now - evidence.heardAt < HeardLifetime;
@@ -190,7 +247,6 @@
             && evidence.storedAt == TimePoint{} && !heard;
         it = needless ? m_evidence.erase(it) : std::next(it);
     }
-    return begun;
 }
 
 std::optional<Milliseconds> BlockQuarantine::timeLeft(const std::vector<uint64_t> &blocks,
@@ -216,15 +272,15 @@
             return false;
         const TimePoint success = lastSuccess(block, now);
         return success == TimePoint{}
-        && crashesSince(it->second, success).size() >= CrashesBeforeNoRetry;
+        && countCrashes(it->second, success, {}) >= CrashesBeforeNoRetry;
     });
 }
 
-std::vector<uint64_t> BlockQuarantine::decided() const
+std::vector<uint64_t> BlockQuarantine::lasting() const
 {
     std::vector<uint64_t> blocks;
     for (const auto &[block, evidence] : m_evidence) {
-        if (evidence.decidedAt != TimePoint{})
+        if (evidence.decidedAt != TimePoint{} && !evidence.proven)
             blocks.push_back(block);
     }
     return blocks;
@@ -234,7 +290,7 @@
 {
     const auto it = m_evidence.find(block);
     return it != m_evidence.end() && it->second.storedAt != TimePoint{}
-    && it->second.lastSuccessAt > it->second.storedAt;
+    && it->second.clearedAt() > it->second.storedAt;
 }
 
 BlockReport BlockQuarantine::report(TimePoint now) const
@@ -242,7 +298,7 @@
     BlockReport report;
     for (const auto &[block, evidence] : m_evidence) {
         for (const auto &[engine, at] : evidence.crashes)
-            report.crashes.push_back({block, engine, age(at, now)});
+            report.crashes.push_back({block, engine, evidence.position, age(at, now)});
         if (const TimePoint success = lastSuccess(block, now); success != TimePoint{})
             report.successes.push_back({block, age(success, now)});
         // What was only heard is not repeated, as it would never end.
--- a/src/policy/blockquarantine.h
+++ b/src/policy/blockquarantine.h
@@ -6,10 +6,12 @@
 
 #include "core/clock.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
@@ -24,10 +26,11 @@
     struct Crash
     {
         uint64_t block = 0;
-        uint64_t engine = 0; ///< Identifies one incarnation of an engine.
+        uint64_t engine = 0;   ///< Identifies one incarnation of an engine.
+        uint32_t position = 0; ///< Of the block in the prompt.
         core::Milliseconds age{};
     };
-    /** An engine has answered a prompt with this block to its end. */
+    /** An engine has sent an event of its answer to a prompt with this block. */
     struct Success
     {
         uint64_t block = 0;
@@ -46,16 +49,17 @@
  *
  * A lost run does not show which of its blocks was the cause, nor whether it was the cause at all:
  * a crash ends all runs of an engine. Only runs that had begun to answer and had not sent an event
- * are evidence. A block is quarantined after crashes of several engines without a complete answer
- * in between, on any gateway. Blocks that are shared with sound prompts are answered all the time,
- * so they are cleared again and again.
+ * are evidence. A block is quarantined after several crashes, one after the other, without an event
+ * in between on any gateway. Blocks that are shared with sound prompts have events all the time, so
+ * they are cleared again and again. Crashes that one block explains do not count against others.
  */
 class BlockQuarantine
 {
 public:
-    /** Records the loss of an engine by a run that had begun to answer without an event. */
+    /** Records the loss of an engine by a run that had begun to answer without an event.
+     * \param blocks in the order of the prompt. */
     void recordCrash(const std::vector<uint64_t> &blocks, uint64_t engine, core::TimePoint now);
-    /** Records a complete answer. */
+    /** Records an event of an answer. */
     void recordSuccess(const std::vector<uint64_t> &blocks, core::TimePoint now);
     /** Applies the report of a peer. */
     void merge(const BlockReport &report, core::TimePoint now);
@@ -71,9 +75,10 @@
                                                core::TimePoint now) const;
     /** Whether a prompt that has lost its engine should not be given to another one. */
     bool suspects(const std::vector<uint64_t> &blocks, core::TimePoint now) const;
-    /** Blocks that this gateway has put into quarantine. */
-    std::vector<uint64_t> decided() const;
-    /** Whether the store holds a quarantine that an answer has refuted since. */
+    /** Blocks that this gateway has put into quarantine and that gateways which start later have to
+     * know. */
+    std::vector<uint64_t> lasting() const;
+    /** Whether the store holds a quarantine that has been refuted since. */
     bool refuted(uint64_t block) const;
     /** Returns what peers need to know, the newest first and bounded. */
     BlockReport report(core::TimePoint now) const;
@@ -82,21 +87,36 @@
     struct Evidence
     {
         std::map<uint64_t, core::TimePoint> crashes; ///< By engine.
-        core::TimePoint lastOwnCrashAt{};
+        uint32_t position = 0;
         core::TimePoint lastSuccessAt{};
-        core::TimePoint decidedAt{}; ///< By this gateway.
-        core::TimePoint storedAt{};  ///< When the store's entry was first seen.
-        core::TimePoint heardAt{};   ///< When a peer last stated the quarantine.
+        core::TimePoint explainedAt{}; ///< When another block explained its crashes.
+        core::TimePoint decidedAt{};   ///< By this gateway.
+        bool proven = false;           ///< When decided: it was answered shortly before.
+        core::TimePoint storedAt{};    ///< When the store's entry was first seen.
+        core::TimePoint heardAt{};     ///< When a peer last stated the quarantine.
         core::TimePoint heardSince{};
+
+        core::TimePoint clearedAt() const { return std::max(lastSuccessAt, explainedAt); }
+    };
+    /** A block whose crashes suffice for a quarantine. */
+    struct Candidate
+    {
+        uint64_t block = 0;
+        Evidence *evidence = nullptr;
+        size_t needed = 0; ///< Crashes.
     };
 
     Evidence &evidenceOf(uint64_t block, core::TimePoint now);
-    void addCrash(uint64_t block, uint64_t engine, core::TimePoint at, core::TimePoint now);
+    void addCrash(const BlockReport::Crash &crash, core::TimePoint now);
     /** Returns the time of the last answer; TimePoint{} if it is too long ago. */
     core::TimePoint lastSuccess(uint64_t block, core::TimePoint now) const;
-    /** Returns the times of the crashes after the last answer. */
-    static std::vector<core::TimePoint> crashesSince(const Evidence &evidence,
-                                                     core::TimePoint since);
+    /** Counts the crashes after a time that are not \a explained; several at almost the same time
+     * count once. */
+    static size_t countCrashes(const Evidence &evidence, core::TimePoint since,
+                               const std::set<uint64_t> &explained);
+    std::vector<Candidate> candidates(core::TimePoint now);
+    void expire(core::TimePoint now);
+    core::Milliseconds quarantineTime(const Evidence &evidence) const;
     std::optional<core::TimePoint> quarantinedUntil(const Evidence &evidence,
                                                     core::TimePoint now) const;
 
--- a/src/serving/gossip.cpp
+++ b/src/serving/gossip.cpp
@@ -59,7 +59,7 @@
         gossip.prefixBlocks.push_back({it.getEndpoint(), {it.getLink(), it.getTokens()}});
     for (const auto it : reader.getBlockCrashes())
         gossip.blocks.crashes.push_back(
-            {it.getBlock(), it.getEngine(), core::Milliseconds(it.getAgeMs())});
+            {it.getBlock(), it.getEngine(), it.getPosition(), core::Milliseconds(it.getAgeMs())});
     for (const auto it : reader.getBlockSuccesses())
         gossip.blocks.successes.push_back({it.getBlock(), core::Milliseconds(it.getAgeMs())});
     for (const uint64_t block : reader.getQuarantinedBlocks())
@@ -73,6 +73,7 @@
     for (uint32_t i = 0; i < crashes.size(); ++i) {
         crashes[i].setBlock(blocks.crashes[i].block);
         crashes[i].setEngine(blocks.crashes[i].engine);
+        crashes[i].setPosition(static_cast<uint16_t>(blocks.crashes[i].position));
         crashes[i].setAgeMs(static_cast<uint32_t>(blocks.crashes[i].age.count()));
     }
     auto successes = root.initBlockSuccesses(static_cast<uint32_t>(blocks.successes.size()));
--- a/src/serving/quarantinekeeper.cpp
+++ b/src/serving/quarantinekeeper.cpp
@@ -130,14 +130,14 @@
     if (!mayWrite)
         return;
     const TimePoint now = core::BootClock::now();
-    const std::vector<uint64_t> decided = m_quarantine.decided();
-    for (const uint64_t block : decided) {
+    const std::vector<uint64_t> lasting = m_quarantine.lasting();
+    for (const uint64_t block : lasting) {
         if (!m_storedRevisions.contains(block) && !m_inProgress.contains(block)
             && now >= m_writeFrom[block])
             write(block);
     }
     std::erase_if(m_writeFrom, [&](const auto &it) {
-        return std::find(decided.begin(), decided.end(), it.first) == decided.end();
+        return std::find(lasting.begin(), lasting.end(), it.first) == lasting.end();
     });
     for (const auto &[block, revision] : m_storedRevisions) {
         if (!m_quarantine.refuted(block) || !m_inProgress.insert(block).second)
--- a/src/serving/quarantinekeeper.h
+++ b/src/serving/quarantinekeeper.h
@@ -39,7 +39,7 @@
      */
     void recordCrash(const std::vector<uint64_t> &blocks, const EndpointRecord &endpoint,
                      const std::string &requestId);
-    /** Records that a run was answered to its end. */
+    /** Records that a run has sent an event, or an answer to its end. */
     void recordSuccess(const std::vector<uint64_t> &blocks);
     /** Returns for how long no request with these blocks is sent; nothing if it may be sent. */
     std::optional<core::Milliseconds> timeLeft(const std::vector<uint64_t> &blocks) const;
--- a/src/serving/sessionanswer.cpp
+++ b/src/serving/sessionanswer.cpp
@@ -130,7 +130,10 @@
     countForUsage();
     m_mayHaveRun = true;
     recordStepTime(body);
+    const bool firstEvent = m_events.count() == 0;
     m_events.add(body);
+    if (firstEvent && m_events.count() > 0)
+        m_services.quarantine.recordSuccess(m_sharedBlocks);
     if (m_request.route->resumable) {
         const std::string events = m_eventFramer.add(body);
         body.clear();
@@ -259,7 +262,7 @@
 void Session::handleRunAnswer()
 {
     const bool success = http::status::isSuccess(m_head.status);
-    if (success && m_answer.hasSignature)
+    if (success && m_answer.hasSignature && !m_streaming)
         m_services.quarantine.recordSuccess(m_sharedBlocks);
     if (m_streaming && success && m_answer.hasSignature) {
         recordEndpointAnswer(false);
--- a/src/wire/news.capnp
+++ b/src/wire/news.capnp
@@ -24,9 +24,9 @@
 struct WindowCounts { run @0 :UInt64; window @1 :UInt64; counts @2 :List(TeamCount); }
 
 # An engine that was lost while it began to answer a prompt with a block.
-struct BlockCrash { block @0 :UInt64; engine @1 :UInt64; ageMs @2 :UInt32; }
+struct BlockCrash { block @0 :UInt64; engine @1 :UInt64; ageMs @2 :UInt32; position @3 :UInt16; }
 
-# A suspected block with which a prompt was answered to its end.
+# A suspected block with which a prompt was answered.
 struct BlockSuccess { block @0 :UInt64; ageMs @1 :UInt32; }
 
 struct GatewayNews {
