soak: prompts that crash the engines which answer them

Beside them go sound prompts that share the team and the first block. Two promises are checked beside all others, under kills, pauses, planned stops and cuts: no more than three such requests reach engines from undisturbed gateways 3 s after the fifth crash, and half of the sound ones begin.

--- a/test/soak/invariants.cpp
+++ b/test/soak/invariants.cpp
@@ -18,6 +18,13 @@
 // Time beyond a route's time limit in which the response may still arrive.
 constexpr Milliseconds ResponseSlack{500};
 constexpr uint32_t ReadAttempts = 2;
+// From the fifth crash on which prompts with the same block until all gateways know of it, and
+// how many more may be sent then.
+constexpr Milliseconds ContactTime{3'000};
+constexpr size_t CrashesUntilKnown = 5;
+constexpr size_t AllowedCrashingSends = 3;
+constexpr size_t MinSoundRequests = 20;
+constexpr double MinSoundShare = 0.5;
 constexpr uint32_t ResumeAttempts = 3;
 
 size_t runCount(const RequestRecord &request, SoakDeployment &deployment)
@@ -232,6 +239,66 @@
     return result;
 }
 
+TimePoint quarantineDue(const SoakDeployment &deployment)
+{
+    const auto &crashes = deployment.crashes();
+    return crashes.size() < CrashesUntilKnown ? TimePoint::max()
+                                              : crashes[CrashesUntilKnown - 1] + ContactTime;
+}
+
+InvariantResult checkCrashingPrompts(const LoadGenerator &load, SoakDeployment &deployment)
+{
+    InvariantResult result;
+    result.invariant = "prompts that crash engines are not sent once the gateways can know";
+    std::map<std::string, const RequestRecord *> crashing;
+    for (const RequestRecord &it : load.records()) {
+        if (it.kind == RequestKind::CrashingPrompt)
+            crashing.emplace(it.id, &it);
+    }
+    const TimePoint due = quarantineDue(deployment);
+    std::vector<std::string> sent;
+    for (const SoakedEndpoint &endpoint : deployment.endpoints()) {
+        for (const test::ReceivedRequest &it : endpoint.fake->receivedRequests()) {
+            const auto request = crashing.find(it.id);
+            if (request == crashing.end())
+                continue;
+            ++result.examinedCount;
+            // Only gateways whose processes and connections have worked for ContactTime count.
+            if (it.at > due
+                && deployment.disturbances().pathUndisturbed(request->second->gateway, it.at,
+                                                             it.at))
+                sent.push_back(core::concat(describe(*request->second, deployment), ", to ",
+                                            endpoint.fake->id()));
+        }
+    }
+    if (sent.size() > AllowedCrashingSends)
+        result.breaches = sent;
+    return result;
+}
+
+InvariantResult checkSoundPrompts(const LoadGenerator &load, SoakDeployment &deployment)
+{
+    InvariantResult result;
+    result.invariant = "sound prompts that share blocks with crashing ones are served";
+    const auto &crashes = deployment.crashes();
+    if (crashes.empty())
+        return result;
+    const TimePoint due =
+        crashes[std::min(crashes.size(), CrashesUntilKnown) - 1] + 2 * ContactTime;
+    size_t begun = 0;
+    for (const RequestRecord &it : load.records()) {
+        if (it.kind != RequestKind::Prompt || !it.ended || it.disconnected || it.sentAt < due
+            || !deployment.disturbances().pathUndisturbed(it.gateway, it.sentAt, it.endedAt))
+            continue;
+        ++result.examinedCount;
+        begun += success(it) ? 1 : 0;
+    }
+    if (result.examinedCount >= MinSoundRequests
+        && static_cast<double>(begun) < MinSoundShare * static_cast<double>(result.examinedCount))
+        result.breaches.push_back(core::concat(begun, " of ", result.examinedCount, " begun"));
+    return result;
+}
+
 } // namespace
 
 std::vector<InvariantResult> checkInvariants(const LoadGenerator &load, SoakDeployment &deployment,
@@ -245,7 +312,9 @@
             checkCancellation(load, deployment, now),
             checkNoSendAfterDisconnect(load, deployment),
             checkResponseTime(load, deployment, now),
-            checkUsageReports(deployment)};
+            checkUsageReports(deployment),
+            checkCrashingPrompts(load, deployment),
+            checkSoundPrompts(load, deployment)};
 }
 
 double successShareSince(const LoadGenerator &load, TimePoint since)
@@ -253,7 +322,8 @@
     size_t answeredCount = 0;
     size_t succeeded = 0;
     for (const RequestRecord &it : load.records()) {
-        if (it.sentAt < since || !it.ended || it.disconnected)
+        if (it.sentAt < since || !it.ended || it.disconnected
+            || it.kind == RequestKind::CrashingPrompt)
             continue;
         ++answeredCount;
         succeeded += success(it) && it.complete ? 1 : 0;
--- a/test/soak/loadgenerator.cpp
+++ b/test/soak/loadgenerator.cpp
@@ -16,6 +16,7 @@
 constexpr Milliseconds MaxPause{60};
 constexpr Milliseconds MaxStay{200}; ///< Of clients that disconnect early.
 constexpr double DisconnectShare = 0.05;
+constexpr double CrashingShare = 0.05; ///< Of all requests, where crashing prompts are sent.
 constexpr double ReconnectShare =
     0.05; ///< Of requests that open a new connection although the old one is reusable.
 
@@ -39,6 +40,8 @@
         return "resumable stream";
     case RequestKind::Prompt:
         return "prompt";
+    case RequestKind::CrashingPrompt:
+        return "crashing prompt";
     }
     return "?";
 }
@@ -107,13 +110,17 @@
     case RequestKind::StreamResume:
         head.target = "/stream/resume/1";
         break;
-    case RequestKind::Prompt: {
+    case RequestKind::Prompt:
+    case RequestKind::CrashingPrompt: {
         head.target = "/stream/prompt/1";
         std::uniform_int_distribution<int> shared(1, 20);
         head.fields.add("Token-Count", "3000,40");
-        head.fields.add(
-            "Prompt-Prefix",
-            core::concat("a1:800,b", shared(m_random), ":1200,c", ++m_promptCount, ":1000"));
+        head.fields.add("Prompt-Prefix",
+                        core::concat("a1:800,",
+                                     record.kind == RequestKind::CrashingPrompt
+                                         ? m_settings.crashingBlock
+                                         : core::concat("b", shared(m_random)),
+                                     ":1200,c", ++m_promptCount, ":1000"));
         break;
     }
     }
@@ -127,11 +134,14 @@
         scheduleNext(client);
         return;
     }
-    constexpr int kinds = 5;
-    std::uniform_int_distribution<int> kind(0, kinds - 1);
+    constexpr int soundKinds = 5;
+    std::uniform_int_distribution<int> kind(0, soundKinds - 1);
+    std::bernoulli_distribution crashes(CrashingShare);
     RequestRecord &record = m_records.emplace_back();
     record.id = core::concat("s", m_settings.seed, "-", m_records.size());
-    record.kind = static_cast<RequestKind>(kind(m_random));
+    record.kind = !m_settings.crashingBlock.empty() && crashes(m_random)
+        ? RequestKind::CrashingPrompt
+        : static_cast<RequestKind>(kind(m_random));
     record.gateway = client.gateway;
     record.sentAt = core::BootClock::now();
     client.record = &record;
--- a/test/soak/loadgenerator.h
+++ b/test/soak/loadgenerator.h
@@ -20,7 +20,14 @@
 namespace jujube::soak {
 
 /** Kind of a request; each has a route of its own in test::configJson(). */
-enum class RequestKind { Order, Read, StreamOnce, StreamResume, Prompt };
+enum class RequestKind {
+    Order,
+    Read,
+    StreamOnce,
+    StreamResume,
+    Prompt,
+    CrashingPrompt ///< A prompt that shares its first block with sound ones. Only if enabled.
+};
 
 /** Whether requests of a kind may be executed more than once. */
 bool isRepeatable(RequestKind kind);
@@ -49,6 +56,7 @@
     std::vector<std::string> gateways;              ///< Addresses.
     std::function<bool(size_t gateway)> inRotation; ///< Whether new connections may go to it.
     size_t count = 16;                              ///< Number of clients.
+    std::string crashingBlock; ///< Block of the crashing prompts; empty: none are sent.
     uint64_t seed = 1;
 };
 
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -23,6 +23,7 @@
 DEFINE_int32(seconds, 30, "duration of the phase with faults");
 DEFINE_uint32(gateways, 3, "gateways");
 DEFINE_bool(drills, false, "also restore the store from snapshots");
+DEFINE_bool(crashes, false, "also send prompts that crash each engine which answers them");
 DEFINE_uint32(callers, 60, "number of concurrent clients");
 
 namespace {
@@ -69,6 +70,8 @@
     loadSettings.inRotation = [&deployment](size_t i) { return deployment.inRotation(i); };
     loadSettings.count = FLAGS_callers;
     loadSettings.seed = FLAGS_seed;
+    if (FLAGS_crashes)
+        loadSettings.crashingBlock = soak::SoakDeployment::CrashingBlock;
     soak::LoadGenerator load(io, std::move(loadSettings));
     // The fakes and the clients run on this loop, so a delay of the loop delays them.
     serving::LoopMonitor loop(io);
@@ -126,7 +129,7 @@
     std::filesystem::create_directories(folder);
     boost::asio::io_context io;
     const auto deployment =
-        soak::SoakDeployment::create(io, {FLAGS_program, folder, FLAGS_gateways});
+        soak::SoakDeployment::create(io, {FLAGS_program, folder, FLAGS_gateways, FLAGS_crashes});
     if (!deployment.ok()) {
         std::fprintf(stderr, "soak-gateway: %s\n",
                      std::string(deployment.status().message()).c_str());
--- a/test/soak/soakdeployment.cpp
+++ b/test/soak/soakdeployment.cpp
@@ -3,6 +3,8 @@
 #include "core/text.h"
 #include "support/deployment.h"
 
+#include <boost/asio/steady_timer.hpp>
+#include <cstdio>
 #include <unistd.h>
 
 namespace jujube::soak {
@@ -17,6 +19,8 @@
 constexpr uint16_t ReadyPort = 7201;
 constexpr uint32_t FirstGatewayHost = 10;
 constexpr size_t PlainEndpoints = 3;
+constexpr size_t ExtraDecodeEngines = 4;
+constexpr core::Milliseconds EngineDowntime{1'000};
 
 } // namespace
 
@@ -72,6 +76,15 @@
         if (absl::Status status = addEndpoint("model", stage); !status.ok())
             return status;
     }
+    if (settings.crashingPrompts) {
+        // Crashes must leave some engines that decode.
+        for (size_t i = 0; i < ExtraDecodeEngines; ++i) {
+            if (absl::Status status = addEndpoint("model", serving::Stage::Decode); !status.ok())
+                return status;
+        }
+        for (size_t i = PlainEndpoints; i < m_endpoints.size(); ++i)
+            makeCrashable(i);
+    }
     publishConfig();
     for (size_t i = 0; i < settings.gateways; ++i) {
         const auto host = static_cast<uint32_t>(FirstGatewayHost + i);
@@ -112,6 +125,34 @@
     return absl::OkStatus();
 }
 
+void SoakDeployment::makeCrashable(size_t index)
+{
+    test::FakeEndpoint &engine = *m_endpoints[index].fake;
+    engine.setCrashingBlock(CrashingBlock);
+    engine.onCrash([this, index]() { handleCrash(index); });
+}
+
+// The entry of the crashed engine stays until it is replaced by that of the next incarnation.
+void SoakDeployment::handleCrash(size_t index)
+{
+    m_crashes.push_back(core::BootClock::now());
+    const auto timer = std::make_shared<boost::asio::steady_timer>(m_io, EngineDowntime);
+    timer->async_wait([this, index, timer](const boost::system::error_code &ec) {
+        SoakedEndpoint &it = m_endpoints[index];
+        const std::string state = it.state;
+        if (ec)
+            return;
+        unregisterEndpoint(it);
+        const absl::Status status =
+            it.fake->restart(core::concat("i-", index + 1, "-", m_crashes.size()));
+        if (!status.ok())
+            std::fprintf(stderr, "soak-gateway: an engine does not start again: %s\n",
+                         std::string(status.message()).c_str());
+        else if (!state.empty())
+            registerEndpoint(it, state);
+    });
+}
+
 std::vector<std::string> SoakDeployment::clientAddresses() const
 {
     std::vector<std::string> addresses;
--- a/test/soak/soakdeployment.h
+++ b/test/soak/soakdeployment.h
@@ -43,6 +43,7 @@
     std::string program; ///< Path of the gateway's executable.
     std::string folder;  ///< For settings files and logs.
     size_t gateways = 3;
+    bool crashingPrompts = false; ///< Engines crash on prompts with CrashingBlock.
 };
 
 /** Gateways as child processes, fakes in this process, and relays between them. */
@@ -53,6 +54,7 @@
     static constexpr uint32_t StreamEvents = 20;
     static constexpr core::Milliseconds EventGap{60};
     static constexpr core::Milliseconds RouteTimeout{2'000};
+    static constexpr const char *CrashingBlock = "bad";
 
     /** Starts all parts. \return an error if one of them cannot be started. */
     static absl::StatusOr<std::unique_ptr<SoakDeployment>> create(boost::asio::io_context &io,
@@ -64,6 +66,8 @@
     std::vector<std::unique_ptr<GatewayProcess>> &gateways() { return m_gateways; }
     const std::vector<UsageReport> &reports() const { return m_reports; }
     Disturbances &disturbances() { return m_disturbances; }
+    /** Times at which engines have crashed on a prompt. */
+    const std::vector<core::TimePoint> &crashes() const { return m_crashes; }
     std::vector<std::string> clientAddresses() const;
 
     /** Writes the next version of the configuration. */
@@ -86,6 +90,8 @@
     absl::Status start(const SoakSettings &settings);
     void putConfig();
     absl::Status addEndpoint(const std::string &service, serving::Stage stage);
+    void makeCrashable(size_t index);
+    void handleCrash(size_t index);
     std::string address(uint32_t host, uint16_t port) const;
 
     boost::asio::io_context &m_io;
@@ -97,6 +103,7 @@
     std::vector<std::unique_ptr<GatewayProcess>> m_gateways;
     std::vector<bool> m_inRotation;
     std::vector<UsageReport> m_reports;
+    std::vector<core::TimePoint> m_crashes;
     Disturbances m_disturbances;
     uint64_t m_configVersion = 0;
 };
