A stream that ends inside an event, or without one, is not complete

Cause: the orderly end of a connection counted as the end of the answer; whole events were looked at only on streams that may be resumed, and those were ended instead of resumed. Why it works: the bytes of every stream are followed to the end of their last event; an end elsewhere is a lost run, which goes on at another endpoint where that is allowed.

--- a/src/serving/sessionanswer.cpp
+++ b/src/serving/sessionanswer.cpp
@@ -262,12 +262,22 @@
 void Session::handleRunAnswer()
 {
     const bool success = http::status::isSuccess(m_head.status);
+    if (m_request.route->kind == RouteKind::Stream && success && m_answer.hasSignature) {
+        // The end of a connection delimits such an answer, whether it is whole or not.
+        const bool empty = m_head.closeDelimited && m_events.count() == 0;
+        if (empty || m_events.partial()) {
+            onFailure(http::Failure::ConnectionLost,
+                      empty ? "the stream ended without an event"
+                            : "the stream ended inside an event");
+            return;
+        }
+    }
     if (success && m_answer.hasSignature && !m_streaming)
         m_services.quarantine.recordSuccess(m_sharedBlocks);
     if (m_streaming && success && m_answer.hasSignature) {
         recordEndpointAnswer(false);
         endSend(true);
-        finishStream(!m_eventFramer.partial());
+        finishStream(true);
         return;
     }
     if (m_answer.notRun) {
--- a/test/fakes/fakeendpoint.cpp
+++ b/test/fakes/fakeendpoint.cpp
@@ -234,7 +234,7 @@
             : static_cast<uint32_t>(std::stoul(request.lastEventId)) + 1;
         http::Head head = responseHead(request.id, 200, true);
         head.fields.add("Content-Type", "text/event-stream");
-        responder.begin(head, http::Framing::Chunked, 0);
+        responder.begin(head, framing(), 0);
         if (hasBlock(request.blocks, m_crashingBlock)) {
             const auto timer = std::make_shared<boost::asio::steady_timer>(m_io, CrashDelay);
             timer->async_wait([this, timer](const auto &) {
@@ -249,6 +249,12 @@
         writeEvents(request, responder, from, fault == EndpointFault::BreakStream);
         return;
     }
+    if (m_closeDelimited) {
+        responder.begin(responseHead(request.id, 200, true), framing(), 0);
+        responder.write("answer to " + request.id);
+        finish(responder);
+        return;
+    }
     responder.send(responseHead(request.id, 200, true),
                    m_bodySize > 0 ? std::string(m_bodySize, 'b') : "answer to " + request.id);
     if (fault == EndpointFault::ExtraResponse)
@@ -256,6 +262,21 @@
                           + "\r\nServer-Seal: x\r\nContent-Length: 5\r\n\r\nagain");
 }
 
+http::Framing FakeEndpoint::framing() const
+{
+    return m_closeDelimited ? http::Framing::None : http::Framing::Chunked;
+}
+
+void FakeEndpoint::finish(const http::Responder &responder) const
+{
+    if (!m_closeDelimited)
+        responder.finish();
+    else if (responder.unsentBytes() > 0)
+        responder.abortAfterFlush();
+    else
+        responder.abort();
+}
+
 // Starts a response that goes on until the client closes. Returns false if the fault is another
 // one.
 bool FakeEndpoint::startEndlessResponse(const ReceivedRequest &request,
@@ -307,7 +328,7 @@
         return;
     if (from > m_eventCount) {
         m_runningRequests.erase(m_runningRequests.find(request.id));
-        responder.finish();
+        finish(responder);
         return;
     }
     const std::string text = eventText(request.id, from);
--- a/test/fakes/fakeendpoint.h
+++ b/test/fakes/fakeendpoint.h
@@ -80,6 +80,8 @@
     /** Applies a fault to the next \a count requests. A prefill is subject only to LoseResponse and
      * Silent, regardless of \a count. */
     void setFault(EndpointFault fault, int count = 1'000'000);
+    /** Sets whether answers have neither a length nor chunks and end with their connection. */
+    void setCloseDelimited(bool closeDelimited) { m_closeDelimited = closeDelimited; }
     /** Makes the endpoint crash when it begins to answer a prompt that has this block other than as
      * its last one. All its connections close, and it stops to listen. */
     void setCrashingBlock(std::string id) { m_crashingBlock = std::move(id); }
@@ -107,6 +109,9 @@
     void crash();
     void handlePrefill(const http::Head &head, const http::Responder &responder);
     void runRequest(const ReceivedRequest &request, const http::Responder &responder);
+    http::Framing framing() const;
+    /** Ends a response that began with framing(). */
+    void finish(const http::Responder &responder) const;
     bool startEndlessResponse(const ReceivedRequest &request, const http::Responder &responder,
                               EndpointFault fault);
     void writeEndlessPiece(const std::string &requestId, const http::Responder &responder,
@@ -130,6 +135,7 @@
     std::function<void()> m_onCrash;
     std::vector<http::Responder> m_responders; ///< Of the requests since the last start.
     bool m_crashed = false;
+    bool m_closeDelimited = false;
     int64_t m_bornMs = 1'800'000'000'000;
     std::string m_listenAddress;
     std::vector<ReceivedRequest> m_receivedRequests;
