An entry that cannot be read names no endpoint

Tried here: machines neither end nor stop to follow the list (oddentries/the_list* holds on the code before, too, with a store that pages by size as the platform's does). But an entry with a port out of range, slots of 1e30 or half a slot became an endpoint that no call reaches, and the numbers were converted beyond their range (oddentries/no_endpoint* failed).

--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -1,6 +1,8 @@
 #include "http/clientconnection.h"
 
-#include <boost/asio/ip/address.hpp>
+#include "core/socketaddress.h"
+
+#include <boost/asio/ip/address_v4.hpp>
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
@@ -94,14 +96,9 @@
 
 void ClientConnection::connect(core::Milliseconds timeout)
 {
-    const size_t colon = m_address.rfind(':');
-    ErrorCode ec;
-    const auto ip = asio::ip::make_address(m_address.substr(0, colon), ec);
-    uint16_t port = 0;
-    if (colon != std::string::npos)
-        std::from_chars(m_address.data() + colon + 1, m_address.data() + m_address.size(), port);
+    const auto address = core::parseSocketAddress(m_address);
     const auto self = shared_from_this();
-    if (ec || port == 0) {
+    if (!address.ok() || address->port == 0) {
         asio::post(m_socket.get_executor(), [self]() {
             self->fail(Failure::NotSent, "the address " + self->m_address + " is not valid");
         });
@@ -112,14 +109,15 @@
         if (!waitError && !self->m_open)
             self->fail(Failure::NotSent, "no connection in time");
     });
-    m_socket.async_connect(tcp::endpoint(ip, port), [self](const ErrorCode &connectError) {
-        if (self->m_closed)
-            return;
-        if (connectError)
-            self->fail(Failure::NotSent, connectError.message());
-        else
-            self->handleConnected();
-    });
+    m_socket.async_connect(tcp::endpoint(asio::ip::address_v4(address->ip), address->port),
+                           [self](const ErrorCode &connectError) {
+                               if (self->m_closed)
+                                   return;
+                               if (connectError)
+                                   self->fail(Failure::NotSent, connectError.message());
+                               else
+                                   self->handleConnected();
+                           });
 }
 
 void ClientConnection::handleConnected()
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,14 +1,14 @@
 #include "http/server.h"
 
 #include "core/eventlog.h"
+#include "core/socketaddress.h"
 #include "http/clientconnection.h"
 #include "http/transferrate.h"
 
-#include <boost/asio/ip/address.hpp>
+#include <boost/asio/ip/address_v4.hpp>
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
-#include <charconv>
 #include <poll.h>
 
 namespace jujube::http {
@@ -152,15 +152,11 @@
 
 absl::Status Server::listen(const std::string &address)
 {
-    const size_t colon = address.rfind(':');
+    const auto parsed = core::parseSocketAddress(address);
+    if (!parsed.ok())
+        return parsed.status();
+    const tcp::endpoint endpoint(asio::ip::address_v4(parsed->ip), parsed->port);
     ErrorCode ec;
-    const auto ip = asio::ip::make_address(address.substr(0, colon), ec);
-    uint16_t port = 0;
-    if (colon != std::string::npos)
-        std::from_chars(address.data() + colon + 1, address.data() + address.size(), port);
-    if (ec)
-        return absl::InvalidArgumentError("cannot listen on " + address + ": " + ec.message());
-    const tcp::endpoint endpoint(ip, port);
     m_acceptor.open(endpoint.protocol(), ec);
     if (!ec)
         m_acceptor.set_option(asio::socket_base::reuse_address(true), ec);
--- a/src/serving/peermesh.cpp
+++ b/src/serving/peermesh.cpp
@@ -2,6 +2,7 @@
 
 #include "core/eventlog.h"
 #include "core/metrics.h"
+#include "core/socketaddress.h"
 #include "core/text.h"
 
 #include <boost/asio/ip/address.hpp>
@@ -95,17 +96,14 @@
     Peer &peer = m_peers[name];
     if (peer.address == address)
         return;
-    const size_t colon = address.rfind(':');
-    ErrorCode ec;
-    const auto ip = asio::ip::make_address(address.substr(0, colon), ec);
-    const int port = colon == std::string::npos ? 0 : std::atoi(address.c_str() + colon + 1);
-    if (ec || port <= 0) {
+    const auto parsed = core::parseSocketAddress(address);
+    if (!parsed.ok() || parsed->port == 0) {
         core::Event("peer.ignored").with("peer", name).with("address", address);
         m_peers.erase(name);
         return;
     }
     peer.address = address;
-    peer.target = udp::endpoint(ip, static_cast<uint16_t>(port));
+    peer.target = udp::endpoint(asio::ip::address_v4(parsed->ip), parsed->port);
     core::Event("peer.known").with("peer", name).with("address", address);
 }
 
--- a/src/wire/guardedsocket.cpp
+++ b/src/wire/guardedsocket.cpp
@@ -1,4 +1,5 @@
 #include "wire/guardedsocket.h"
+#include "core/socketaddress.h"
 #include "core/text.h"
 
 #include <arpa/inet.h>
@@ -86,15 +87,15 @@
     return timer_settime(guardTimers[slot], TIMER_ABSTIME, &when, nullptr) == 0;
 }
 
-absl::StatusOr<sockaddr_in> parseAddress(const std::string &address)
+absl::StatusOr<sockaddr_in> socketAddressOf(const std::string &address)
 {
-    const size_t colon = address.rfind(':');
+    const auto parsed = core::parseSocketAddress(address);
+    if (!parsed.ok())
+        return parsed.status();
     sockaddr_in result{};
     result.sin_family = AF_INET;
-    const std::string host = address.substr(0, colon);
-    if (colon == std::string::npos || inet_pton(AF_INET, host.c_str(), &result.sin_addr) != 1)
-        return absl::InvalidArgumentError(core::concat("not an IPv4 address and port: ", address));
-    result.sin_port = htons(static_cast<uint16_t>(std::stoul(address.substr(colon + 1))));
+    result.sin_addr.s_addr = htonl(parsed->ip);
+    result.sin_port = htons(parsed->port);
     return result;
 }
 
@@ -106,7 +107,7 @@
     const auto remaining = notAfter - core::BootClock::now();
     if (remaining <= std::chrono::milliseconds(1))
         return absl::DeadlineExceededError("the lease has expired; nothing was sent");
-    const auto peer = parseAddress(address);
+    const auto peer = socketAddressOf(address);
     if (!peer.ok())
         return peer.status();
 
--- a/src/wire/httpserver.cpp
+++ b/src/wire/httpserver.cpp
@@ -1,4 +1,5 @@
 #include "wire/httpserver.h"
+#include "core/socketaddress.h"
 #include "core/text.h"
 #include "wire/requestbounds.h"
 
@@ -269,13 +270,13 @@
                                                                int threads, HttpServerLimits limits,
                                                                Handler handler)
 {
-    const size_t colon = address.rfind(':');
+    const auto parsed = core::parseSocketAddress(address);
+    if (!parsed.ok())
+        return parsed.status();
     sockaddr_in target{};
     target.sin_family = AF_INET;
-    const std::string host = address.substr(0, colon);
-    if (colon == std::string::npos || inet_pton(AF_INET, host.c_str(), &target.sin_addr) != 1)
-        return absl::InvalidArgumentError(core::concat("not an IPv4 address and port: ", address));
-    target.sin_port = htons(static_cast<uint16_t>(std::stoul(address.substr(colon + 1))));
+    target.sin_addr.s_addr = htonl(parsed->ip);
+    target.sin_port = htons(parsed->port);
 
     // SO_REUSEPORT would also let a second process listen on the port unnoticed, and the kernel
     // would split the requests between the two. Listening exclusively first detects that.
--- a/src/wire/json.cpp
+++ b/src/wire/json.cpp
@@ -38,7 +38,10 @@
     const QJsonValue value = object.value(QLatin1String(key));
     if (value.isString())
         return value.toString().toULongLong();
-    return static_cast<uint64_t>(value.toDouble());
+    // Conversions of other doubles are undefined.
+    constexpr double end = 18446744073709551616.0; // 2^64
+    const double number = value.toDouble();
+    return number >= 0 && number < end ? static_cast<uint64_t>(number) : 0;
 }
 
 QJsonValue jsonNumber(uint64_t value)
--- a/test/fakes/fakestore.cpp
+++ b/test/fakes/fakestore.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr size_t MaxPageBytes = 1'000'000;
+
 using serving::StoreItem;
 
 constexpr core::Milliseconds TickInterval{50};
@@ -194,9 +196,12 @@
 {
     QJsonArray items;
     bool more = false;
+    size_t bytes = 0;
     for (auto it = after.empty() ? m_items.lower_bound(prefix) : m_items.upper_bound(after);
          it != m_items.end() && it->first.starts_with(prefix); ++it) {
-        if (static_cast<size_t>(items.size()) == m_pageSize) {
+        bytes += it->second.value.size();
+        if (static_cast<size_t>(items.size()) == m_pageSize
+            || (!items.isEmpty() && bytes > MaxPageBytes)) {
             more = true;
             break;
         }
