An answer that does not name its request is not believed on a kept connection

From the reports of other operators: a worker writes an earlier refusal once more on a kept connection. It could happen here: with the earlier request's id it was skipped, but without an id it was taken for the answer, so that a request which the worker ran was sent to a second one (TWICE) or answered with 503 (REFUSED). Why it works: on a connection that has carried another request such an answer is a lost one, whose outcome is open.

--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -81,6 +81,7 @@
                             ExchangeHandler handler)
 {
     m_exchangeActive = true;
+    ++m_exchangeCount;
     m_writeStarted = false;
     m_headDelivered = false;
     m_skippedBytes = 0;
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -67,6 +67,8 @@
         return m_open && !m_exchangeActive && m_reuseDeadline > core::BootClock::now();
     }
     bool isOpen() const { return m_open; }
+    /** Whether the connection has carried another exchange before the current one. */
+    bool reused() const { return m_exchangeCount > 1; }
     const std::string &address() const { return m_address; }
     /** Sets a callback that is invoked once if the connection closes by itself while idle. */
     void onIdleClose(std::function<void()> callback) { m_onIdleClose = std::move(callback); }
@@ -95,6 +97,7 @@
     std::shared_ptr<ExchangeHandler> m_handler;
     std::function<void()> m_onIdleClose;
     core::TimePoint m_reuseDeadline{};
+    uint64_t m_exchangeCount = 0;
     bool m_open = false;
     bool m_exchangeActive = false;
     bool m_closed = false;
--- a/src/serving/sessionanswer.cpp
+++ b/src/serving/sessionanswer.cpp
@@ -55,6 +55,11 @@
             .with("endpoint", m_endpoint->record.id);
         return false;
     }
+    // It may repeat the answer to an earlier request of this connection.
+    if (!metadata.requestId && m_connection->reused()) {
+        onFailure(http::Failure::Malformed, "the answer does not name its request");
+        return false;
+    }
     m_head = head;
     m_answer = metadata;
     applyAnswerNotices(*m_endpoint, metadata, core::BootClock::now());
--- a/test/fakes/fakeendpoint.cpp
+++ b/test/fakes/fakeendpoint.cpp
@@ -221,6 +221,13 @@
     case EndpointFault::NoSeal:
         responder.send(responseHead(request.id, 200, false), "who am I");
         return;
+    case EndpointFault::RepeatedRefusal:
+    case EndpointFault::RepeatedRefusalWithoutId:
+        responder.sendRaw(
+            core::concat("HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n",
+                         fault == EndpointFault::RepeatedRefusal ? "Request-Id: earlier\r\n" : "",
+                         "Content-Length: 0\r\n\r\n"));
+        break;
     case EndpointFault::ForeignResponse:
         responder.sendRaw("HTTP/1.1 200 OK\r\nRequest-Id: somebody-else\r\n"
                           "Server-Seal: x\r\nContent-Length: 5\r\n\r\nalien");
--- a/test/fakes/fakeendpoint.h
+++ b/test/fakes/fakeendpoint.h
@@ -20,20 +20,22 @@
 /** Fault that an endpoint applies to its next requests. */
 enum class EndpointFault {
     None,
-    LoseResponse,        ///< Runs the request, then closes the connection without a response.
-    BreakStream,         ///< Closes the connection in the middle of an event.
-    Refuse,              ///< Responds with 503 and Not-Executed, as a full endpoint does.
-    Silent,              ///< Accepts the request and never responds.
-    ForeignResponse,     ///< Sends a response to another request first.
-    ExtraResponse,       ///< Sends a second response after the first.
-    UnavailableAfterRun, ///< Runs the request and responds with 503 without Not-Executed.
-    ServerError,         ///< Runs the request and responds with 500.
-    NoSeal,              ///< Responds with 200 without the field Server-Seal.
-    EndlessHead,         ///< Sends header fields until the client closes.
-    EndlessBody,         ///< Sends a body with Server-Seal until the client closes.
-    EndlessUnsealed,     ///< Sends a body without Server-Seal until the client closes.
-    EndlessEvent,        ///< Sends a stream whose first event never ends.
-    EndlessForeign       ///< Sends a response to another request until the client closes.
+    LoseResponse,             ///< Runs the request, then closes the connection without a response.
+    BreakStream,              ///< Closes the connection in the middle of an event.
+    Refuse,                   ///< Responds with 503 and Not-Executed, as a full endpoint does.
+    Silent,                   ///< Accepts the request and never responds.
+    ForeignResponse,          ///< Sends a response to another request first.
+    ExtraResponse,            ///< Sends a second response after the first.
+    UnavailableAfterRun,      ///< Runs the request and responds with 503 without Not-Executed.
+    ServerError,              ///< Runs the request and responds with 500.
+    RepeatedRefusal,          ///< Runs the request, but first repeats a refusal of an earlier one.
+    RepeatedRefusalWithoutId, ///< The same; the refusal does not name its request.
+    NoSeal,                   ///< Responds with 200 without the field Server-Seal.
+    EndlessHead,              ///< Sends header fields until the client closes.
+    EndlessBody,              ///< Sends a body with Server-Seal until the client closes.
+    EndlessUnsealed,          ///< Sends a body without Server-Seal until the client closes.
+    EndlessEvent,             ///< Sends a stream whose first event never ends.
+    EndlessForeign            ///< Sends a response to another request until the client closes.
 };
 
 /** A request that the endpoint received. */
