Only a stream of the same type resumes a stream

From the reports of other operators: a stream broke off, the next worker answered with an error, and clients found its text or head in their stream, or a stream that ended as if it were complete. Tried with eleven kinds of second answers (resumedstreams/no_other_answer*): errors, refusals, unsealed, foreign, repeated and endless answers end the stream as broken at a whole event. One could happen: a sealed success of another type, whose text became a part of the stream, which then looked complete; that test failed before. Why it works: a resumed run whose media type differs from the stream's is a lost run. Documents in place of a first answer are delivered as before (resumedstreams/a_document*).

--- a/src/serving/session.h
+++ b/src/serving/session.h
@@ -189,6 +189,7 @@
     CacheHandle m_cacheHandle;
     EndpointPtr m_prefillEngine; ///< Prefill engine that keeps the prompt's cache, if any.
     EventFramer m_eventFramer;
+    std::string m_streamType;           ///< Media type of the stream that the client receives.
     uint32_t m_runSends = 0;            ///< Sends for a run, attempts to connect included.
     uint32_t m_runs = 0;                ///< Endpoints that have run it or may have.
     uint64_t m_promptQueueId = 0;       ///< Id in the prompt scheduler; 0: not queued.
--- a/src/serving/sessionanswer.cpp
+++ b/src/serving/sessionanswer.cpp
@@ -43,6 +43,18 @@
     return std::find(statuses.begin(), statuses.end(), status) != statuses.end();
 }
 
+std::string mediaType(const http::Head &head)
+{
+    const std::string_view type = head.fields.find("Content-Type").value_or("");
+    return std::string(type.substr(0, type.find(';')));
+}
+
+bool isEventStream(const http::Head &head)
+{
+    const std::string type = mediaType(head);
+    return type.empty() || type == "text/event-stream";
+}
+
 } // namespace
 
 bool Session::onHead(const http::Head &head)
@@ -60,6 +72,11 @@
         onFailure(http::Failure::Malformed, "the answer does not name its request");
         return false;
     }
+    if (m_streaming && m_purpose == Purpose::Run && http::status::isSuccess(head.status)
+        && mediaType(head) != m_streamType) {
+        onFailure(http::Failure::Malformed, "the answer is of another type than the stream");
+        return false;
+    }
     m_head = head;
     m_answer = metadata;
     applyAnswerNotices(*m_endpoint, metadata, core::BootClock::now());
@@ -184,6 +201,7 @@
     if (std::exchange(m_streaming, true))
         return;
     m_responder.begin(platform::encodeForClient(m_head), http::Framing::Chunked, 0);
+    m_streamType = mediaType(m_head);
     m_firstEventAt = core::BootClock::now();
     // The first event of a probe request proves the endpoint healthy; its stream may go on for
     // long.
@@ -267,7 +285,8 @@
 void Session::handleRunAnswer()
 {
     const bool success = http::status::isSuccess(m_head.status);
-    if (m_request.route->kind == RouteKind::Stream && success && m_answer.hasSignature) {
+    if (m_request.route->kind == RouteKind::Stream && success && m_answer.hasSignature
+        && isEventStream(m_head)) {
         // The end of a connection delimits such an answer, whether it is whole or not.
         const bool empty = m_head.closeDelimited && m_events.count() == 0;
         if (empty || m_events.partial()) {
--- a/test/fakes/fakeendpoint.cpp
+++ b/test/fakes/fakeendpoint.cpp
@@ -221,6 +221,12 @@
     case EndpointFault::NoSeal:
         responder.send(responseHead(request.id, 200, false), "who am I");
         return;
+    case EndpointFault::PlainAnswer: {
+        http::Head head = responseHead(request.id, 200, true);
+        head.fields.add("Content-Type", "application/json");
+        responder.send(head, "{\"error\":\"no such stream\"\n\n}");
+        return;
+    }
     case EndpointFault::RepeatedRefusal:
     case EndpointFault::RepeatedRefusalWithoutId:
         responder.sendRaw(
--- a/test/fakes/fakeendpoint.h
+++ b/test/fakes/fakeendpoint.h
@@ -30,6 +30,7 @@
     ServerError,              ///< Runs the request and responds with 500.
     RepeatedRefusal,          ///< Runs the request, but first repeats a refusal of an earlier one.
     RepeatedRefusalWithoutId, ///< The same; the refusal does not name its request.
+    PlainAnswer,              ///< Responds to a stream with a sealed document of another type.
     NoSeal,                   ///< Responds with 200 without the field Server-Seal.
     EndlessHead,              ///< Sends header fields until the client closes.
     EndlessBody,              ///< Sends a body with Server-Seal until the client closes.
