soak: entries of ended endpoints lapse after a restore; a misdirected answer names its request

Traced in the gateways' logs: the stand-in's store was restored with entries of engines that had crashed since, and kept them for good, so that their successors refused calls with 421; the platform's entries lapse when their owner is silent for three reports. And the stand-in's 421 named no request, unlike the platform's workers, so that it was not believed on kept connections.

--- a/test/correctness/blockquarantine.cpp
+++ b/test/correctness/blockquarantine.cpp
@@ -103,7 +103,7 @@
 Test(blockquarantine, engines_that_are_lost_together_count_once)
 {
     BlockQuarantine quarantine;
-    for (int outage = 0; outage < 2; ++outage) {
+    for (uint64_t outage = 0; outage < 2; ++outage) {
         for (uint64_t i = 0; i < 50; ++i)
             quarantine.recordCrash({First}, 100 * outage + i, Begin + outage * 10s + i * 2ms);
     }
--- a/test/correctness/oddentries.cpp
+++ b/test/correctness/oddentries.cpp
@@ -98,7 +98,7 @@
     it.store().erase("servers/" + first.id());
     cr_assert(it.runUntil([&]() {
         return it.sendRequest("POST", "/order/1", core::concat("s", ++n)).status() == 200U
-            && second.receivedRequests().size() > 0;
+            && !second.receivedRequests().empty();
     }));
     const size_t before = first.receivedRequests().size();
     for (int i = 0; i < 10; ++i)
--- a/test/correctness/slowtransfers.cpp
+++ b/test/correctness/slowtransfers.cpp
@@ -260,8 +260,10 @@
     const std::vector<serving::FeedPeer> peers{
         {"feeder", it.slowFeederAddress, it.feederMirror->version(), true}};
     size_t received = 0;
+    constexpr size_t followerCount = 5;
     std::vector<std::unique_ptr<serving::StateFeed>> followers;
-    for (int i = 0; i < 5; ++i)
+    followers.reserve(followerCount);
+    for (size_t i = 0; i < followerCount; ++i)
         followers.push_back(std::make_unique<serving::StateFeed>(
             it.httpClient, "follower", [&](const serving::StorePage &state) {
                 cr_assert_eq(state.items.size(), 1U);
--- a/test/fakes/fakeendpoint.cpp
+++ b/test/fakes/fakeendpoint.cpp
@@ -120,6 +120,7 @@
         http::Head head;
         head.status = Misdirected;
         head.fields.add("Instance-Id", m_id);
+        head.fields.add("Request-Id", field("Request-Id"));
         responder.send(head, {});
         return;
     }
--- a/test/soak/faults.cpp
+++ b/test/soak/faults.cpp
@@ -25,6 +25,8 @@
 constexpr Milliseconds AddToRotationDelay{1'500};
 // From an endpoint's draining state to the removal of its entry.
 constexpr Milliseconds DrainTime{1'500};
+// Three reports of its owner.
+constexpr Milliseconds EntryLifetime{3'600};
 
 } // namespace
 
@@ -308,6 +310,8 @@
         runAfter(Milliseconds(static_cast<int64_t>(writers) * writeGapMs), [this, number]() {
             m_deployment.disturbances().end(number, core::BootClock::now());
         });
+        // The restored store has entries of endpoints that have ended since the snapshot.
+        runAfter(EntryLifetime, [this]() { m_deployment.expireFormerEntries(); });
     });
 }
 
--- a/test/soak/soakdeployment.cpp
+++ b/test/soak/soakdeployment.cpp
@@ -143,6 +143,7 @@
         if (ec)
             return;
         unregisterEndpoint(it);
+        m_formerIds.push_back(it.fake->id());
         const absl::Status status =
             it.fake->restart(core::concat("i-", index + 1, "-", m_crashes.size()));
         if (!status.ok())
@@ -177,6 +178,14 @@
         registerEndpoint(it, std::string(it.state));
 }
 
+void SoakDeployment::expireFormerEntries()
+{
+    for (const std::string &id : m_formerIds) {
+        if (m_store->items().contains("servers/" + id))
+            m_store->erase("servers/" + id);
+    }
+}
+
 void SoakDeployment::putConfig()
 {
     m_store->put("op/config",
--- a/test/soak/soakdeployment.h
+++ b/test/soak/soakdeployment.h
@@ -78,6 +78,8 @@
     void unregisterEndpoint(SoakedEndpoint &endpoint);
     /** Writes the entries of endpoints whose stage was changed by an order. */
     void refreshEntries();
+    /** Removes the entries of incarnations that have ended, as their leases would. */
+    void expireFormerEntries();
     /** Writes the current entry of an endpoint again. \param writer index of the endpoint; their
      * number stands for the configuration. */
     void rewriteEntry(size_t writer);
@@ -104,6 +106,7 @@
     std::vector<bool> m_inRotation;
     std::vector<UsageReport> m_reports;
     std::vector<core::TimePoint> m_crashes;
+    std::vector<std::string> m_formerIds; ///< Of endpoints that have started again.
     Disturbances m_disturbances;
     uint64_t m_configVersion = 0;
 };
