--- a/src/http/client.h
+++ b/src/http/client.h
@@ -41,8 +41,7 @@
 {
     absl::StatusOr<Response> response = absl::UnknownError("no result");
     CallError error = CallError::MaybeSent;
-    size_t receivedBytes =
-        0; ///< Size of the body as far as it was received, also of a failed call.
+    size_t receivedBytes = 0; ///< Of the body, also of a call that failed.
 };
 
 /** Selects the connection that carries a call. */
