--- a/src/policy/blockquarantine.h
+++ b/src/policy/blockquarantine.h
@@ -94,16 +94,16 @@
         bool proven = false;          ///< When decided: it was answered shortly before.
         core::TimePoint storedAt{};   ///< When the store's entry was first seen.
         core::TimePoint heardAt{};    ///< When a peer last stated the quarantine.
-        core::TimePoint heardSince{};
+        core::TimePoint heardSince{}; ///< When a peer first stated it without a gap.
 
         core::TimePoint clearedAt() const { return std::max(lastSuccessAt, forgivenAt); }
     };
-    /** A block whose crashes suffice for a quarantine. */
+    /** A suspected block and the number of crashes that puts it into quarantine. */
     struct Candidate
     {
         uint64_t block = 0;
         Evidence *evidence = nullptr;
-        size_t needed = 0; ///< Crashes.
+        size_t needed = 0;
     };
 
     Evidence &evidenceOf(uint64_t block, core::TimePoint now);
