--- a/src/serving/nodesettings.h
+++ b/src/serving/nodesettings.h
@@ -22,7 +22,8 @@
     std::string readyAddress;  ///< Listening address for readiness probes.
     uint16_t firstInternalPort = 0;
     uint16_t lastInternalPort = 0;
-    double processorShare = 1; ///< Cores that the process may use.
+    double processorShare = 1;     ///< Cores that the process may use.
+    double linkBytesPerSecond = 0; ///< Capacity of the VM's link; 0: not stated.
     std::string storeAddress;
     std::string platformAddress; ///< Receives usage reports.
     bool reportsUsage = false;
--- a/src/serving/peermesh.cpp
+++ b/src/serving/peermesh.cpp
@@ -71,6 +71,7 @@
     m_name = settings.name;
     m_run = run;
     m_processorShare = settings.processorShare;
+    m_linkBytesPerSecond = settings.linkBytesPerSecond;
     m_address = core::concat(settings.ip, ":", settings.firstInternalPort);
     ErrorCode ec;
     const auto ip = asio::ip::make_address(settings.ip, ec);
@@ -241,18 +242,23 @@
     });
 }
 
-void PeerMesh::send(const Peer &peer, const std::string &bytes)
+void PeerMesh::send(const Peer &peer, GossipKind kind, const std::string &bytes)
 {
     ErrorCode ec;
     m_socket.send_to(asio::buffer(bytes), peer.target, 0, ec);
-    if (ec)
+    if (ec) {
         core::incrementCounter("jujube_peer_send_errors_total");
+        m_traffic.noteRefused();
+        return;
+    }
+    m_traffic.noteSent(kind, bytes.size());
 }
 
 void PeerMesh::broadcast()
 {
     const TimePoint now = core::BootClock::now();
     m_stateServer.logServed();
+    m_traffic.logIfDue(now, m_departedWindows, m_linkBytesPerSecond);
     m_lastBroadcastAt = now;
     m_earlyBroadcastPending = false;
     const Milliseconds timeout = isLarge() ? LargePeerTimeout : PeerTimeout;
@@ -271,7 +277,7 @@
     }
     const std::string bytes = composeFull(true);
     for (const auto &[name, peer] : m_peers)
-        send(peer, bytes);
+        send(peer, GossipKind::Full, bytes);
     scheduleBroadcast(GossipInterval);
 }
 
@@ -281,6 +287,9 @@
     if (!sentAtOnce)
         gossip.wallTime = {};
     gossip.processorShare = m_processorShare;
+    m_departedWindows = static_cast<size_t>(
+        std::count_if(gossip.windows.begin(), gossip.windows.end(),
+                      [this](const GossipUsageWindow &it) { return it.run != m_run; }));
     return encodeGossip(gossip);
 }
 
@@ -294,7 +303,7 @@
     if (group.startsRound)
         m_roundMessage = composeFull(false);
     for (const std::string &name : group.peers)
-        send(m_peers.at(name), m_roundMessage);
+        send(m_peers.at(name), GossipKind::Full, m_roundMessage);
 }
 
 bool PeerMesh::relaysDepartedCounts() const
@@ -356,7 +365,7 @@
     gossip.kind = GossipKind::Load;
     gossip.windows.clear();
     if (const auto it = m_peers.find(name); it != m_peers.end())
-        send(it->second, encodeGossip(gossip));
+        send(it->second, GossipKind::Load, encodeGossip(gossip));
     scheduleLoad(IdleLoadInterval);
 }
 
@@ -383,7 +392,7 @@
             continue;
         summary.shares = m_loadAggregator.loadExcept(name);
         summary.rates = m_loadAggregator.ratesExcept(name);
-        send(peer, encodeGossip(summary));
+        send(peer, GossipKind::Summary, encodeGossip(summary));
     }
     m_endpoints.setPeerLoads(m_loadAggregator.loadExcept(m_name));
     m_summaryRates = m_loadAggregator.ratesExcept(m_name);
--- a/src/serving/peermesh.h
+++ b/src/serving/peermesh.h
@@ -5,6 +5,7 @@
  */
 
 #include "http/client.h"
+#include "serving/gossiptraffic.h"
 #include "serving/loadexchange.h"
 #include "serving/nodesettings.h"
 #include "serving/statefeed.h"
@@ -95,7 +96,7 @@
     void exchangeLoad();
     void sendSummaries(core::TimePoint now);
     std::vector<GossipPrefixBlock> relayedBlocks(core::TimePoint now);
-    void send(const Peer &peer, const std::string &bytes);
+    void send(const Peer &peer, GossipKind kind, const std::string &bytes);
     void sumShares(core::TimePoint now);
 
     boost::asio::io_context &m_io;
@@ -116,6 +117,8 @@
     core::TimePoint m_sharesSummedAt{};
     core::TimePoint m_lastBroadcastAt{};
     BroadcastRound m_round;
+    GossipTraffic m_traffic;
+    size_t m_departedWindows = 0;         ///< In the latest full message.
     std::string m_roundMessage;           ///< Encoded message of the current broadcast round.
     bool m_earlyBroadcastPending = false; ///< A broadcast before the regular interval is scheduled.
     HubSelector m_hubSelector;
@@ -133,6 +136,7 @@
     core::TimePoint m_loadChangedAt{};
     bool m_loadChanged = false;
     double m_processorShare = 0;
+    double m_linkBytesPerSecond = 0;
 };
 
 } // namespace jujube::serving
