Counts of departed gateways are relayed once per peer, within the link's share

Callers saw: requests reached an endpoint 4.1 s after it had announced its shutdown (DRAIN); others timed out. Cause: two gateways repeated the usage counts of all departed incarnations to every peer once a second. They were the first by name (a-1, a-10, a-11, a-12), of which all but the first have links of 20 Mbit/s: 4.5 MB/s on 2.5, and each request, answer and state waited behind it for seconds.

--- a/src/serving/gatewaygossip.cpp
+++ b/src/serving/gatewaygossip.cpp
@@ -13,7 +13,6 @@
 using core::Milliseconds;
 using core::TimePoint;
 
-constexpr uint64_t PastWindowsSent = 2; ///< Usage windows in a datagram, besides the current one.
 // Followers lag by one second while a change propagates. A lag of two seconds is logged, and again
 // after each further second.
 constexpr Milliseconds MinLoggedLag{2'000};
@@ -63,16 +62,6 @@
         if (window + PastWindowsSent >= current)
             gossip.windows.push_back({m_run, window, counts});
     }
-    // A few gateways repeat the counts that they received from gateways that are gone.
-    const bool relaysDepartedCounts = m_peers.relaysDepartedCounts();
-    for (const auto &[window, runs] : m_usage.peerCounts()) {
-        if (!relaysDepartedCounts || window + PastWindowsSent < current)
-            continue;
-        for (const auto &[run, counts] : runs) {
-            if (!m_peers.runAlive(run))
-                gossip.windows.push_back({run, window, counts});
-        }
-    }
     constexpr uint64_t retainedWindows = 6; // More than the leader reports.
     m_usage.eraseBefore(current - retainedWindows);
 }
--- a/src/serving/gossip.cpp
+++ b/src/serving/gossip.cpp
@@ -32,6 +32,7 @@
     gossip.name = reader.getName().cStr();
     gossip.kind = reader.getLoad() ? GossipKind::Load
         : reader.getSummary()      ? GossipKind::Summary
+        : reader.getCounts()       ? GossipKind::Counts
                                    : GossipKind::Full;
     gossip.run = reader.getRun();
     gossip.processorShare = reader.getProcessorShare();
@@ -95,6 +96,7 @@
     root.setName(gossip.name.c_str());
     root.setLoad(gossip.kind == GossipKind::Load);
     root.setSummary(gossip.kind == GossipKind::Summary);
+    root.setCounts(gossip.kind == GossipKind::Counts);
     root.setProcessorShare(gossip.processorShare);
     root.setRun(gossip.run);
     root.setSequence(gossip.sequence);
--- a/src/serving/gossip.h
+++ b/src/serving/gossip.h
@@ -35,9 +35,10 @@
 
 /** Purpose of a message. */
 enum class GossipKind {
-    Full,   ///< The full state of a gateway, sent to every peer.
-    Load,   ///< The load of a gateway, sent to the hub.
-    Summary ///< The load of all other gateways, sent by the hub.
+    Full,    ///< The full state of a gateway, sent to every peer.
+    Load,    ///< The load of a gateway, sent to the hub.
+    Summary, ///< The load of all other gateways, sent by the hub.
+    Counts   ///< Usage counts of departed gateways, sent by their relays.
 };
 
 /** State that a gateway sends to its peers in one datagram. */
--- a/src/serving/gossiptraffic.cpp
+++ b/src/serving/gossiptraffic.cpp
@@ -17,9 +17,11 @@
     case GossipKind::Load:
         return "kind=\"load\"";
     case GossipKind::Summary:
+        return "kind=\"summary\"";
+    case GossipKind::Counts:
         break;
     }
-    return "kind=\"summary\"";
+    return "kind=\"counts\"";
 }
 
 } // namespace
@@ -36,18 +38,19 @@
 {
     if (now - m_loggedAt < LogInterval)
         return;
-    const auto &[full, load, summary] = m_sums;
+    const auto &[full, load, summary, counts] = m_sums;
     const double seconds = m_loggedAt == core::TimePoint{}
         ? 0
         : std::chrono::duration<double>(now - m_loggedAt).count();
     const double capacity = linkBytesPerSecond * seconds;
-    const auto sent = static_cast<double>(full.bytes + load.bytes + summary.bytes);
+    const auto sent = static_cast<double>(full.bytes + load.bytes + summary.bytes + counts.bytes);
     core::Event("gossip.sent")
         .with("full_bytes", full.bytes)
         .with("largest_full", full.largest)
         .with("load_bytes", load.bytes)
         .with("summary_bytes", summary.bytes)
         .with("largest_summary", summary.largest)
+        .with("counts_bytes", counts.bytes)
         .with("departed_windows", departedWindows)
         .with("refused", m_refused)
         .with("seconds", seconds)
--- a/src/serving/gossiptraffic.h
+++ b/src/serving/gossiptraffic.h
@@ -34,7 +34,7 @@
         size_t largest = 0;
     };
 
-    std::array<Sum, 3> m_sums; ///< By kind of message.
+    std::array<Sum, 4> m_sums; ///< By kind of message.
     size_t m_refused = 0;
     core::TimePoint m_loggedAt{};
 };
--- a/src/serving/loadexchange.cpp
+++ b/src/serving/loadexchange.cpp
@@ -1,6 +1,7 @@
 #include "serving/loadexchange.h"
 
 #include <algorithm>
+#include <xxhash.h>
 
 namespace jujube::serving {
 
@@ -15,7 +16,7 @@
 // A gateway that has sent no load to the hub for this long has stopped or selected another hub.
 constexpr Milliseconds LoadLifetime{1'500};
 // Gateways that relay the counts of gone ones: more than one, as it may be leaving itself.
-constexpr std::ptrdiff_t MaxCountRelays = 2;
+constexpr size_t MaxCountRelays = 2;
 
 } // namespace
 
@@ -62,11 +63,29 @@
     return group;
 }
 
-bool relaysForDeparted(const std::string &name, const std::vector<std::string> &alivePeers)
+bool isBestEquipped(const std::string &name, const std::string &hub,
+                    const std::vector<HubCandidate> &candidates, size_t count)
 {
-    return std::count_if(alivePeers.begin(), alivePeers.end(),
-                         [&](const std::string &it) { return it < name; })
-        < MaxCountRelays;
+    const auto self = std::find_if(candidates.begin(), candidates.end(),
+                                   [&](const HubCandidate &it) { return it.name == name; });
+    if (self == candidates.end())
+        return true;
+    const auto hash = [](const std::string &it) { return XXH3_64bits(it.data(), it.size()); };
+    const auto preferred =
+        std::count_if(candidates.begin(), candidates.end(), [&](const HubCandidate &it) {
+            if (!it.alive || it.name == name || it.name == hub)
+                return false;
+            return it.processorShare != self->processorShare
+                ? it.processorShare > self->processorShare
+                : hash(it.name) < hash(name);
+        });
+    return static_cast<size_t>(preferred) < count;
+}
+
+bool relaysForDeparted(const std::string &name, const std::string &hub,
+                       const std::vector<HubCandidate> &candidates)
+{
+    return name != hub && isBestEquipped(name, hub, candidates, MaxCountRelays);
 }
 
 void LoadAggregator::apply(const GossipMessage &gossip, TimePoint now)
--- a/src/serving/loadexchange.h
+++ b/src/serving/loadexchange.h
@@ -64,12 +64,18 @@
     std::string m_lastPeer;
 };
 
-/** Whether a gateway relays the usage counts of gateways that are gone, so that a gateway that has
- * just started receives them.
+/** Whether a gateway is among the \a count best equipped live ones besides the hub.
  *
- * Only a few do: if all did, a few silent gateways would make every message several times as long.
+ * Ties are broken by a hash of the name, which spreads the selected ones over the failure domains;
+ * names in order would be grouped by failure domain.
  */
-bool relaysForDeparted(const std::string &name, const std::vector<std::string> &alivePeers);
+bool isBestEquipped(const std::string &name, const std::string &hub,
+                    const std::vector<HubCandidate> &candidates, size_t count);
+
+/** Whether a gateway relays the usage counts of departed gateways. Only a few do, and not the hub,
+ * which sends most of all. */
+bool relaysForDeparted(const std::string &name, const std::string &hub,
+                       const std::vector<HubCandidate> &candidates);
 
 /** Keeps the load of each gateway on the hub, and computes for each the sum over all others. */
 class LoadAggregator
--- a/src/serving/peermesh.cpp
+++ b/src/serving/peermesh.cpp
@@ -37,6 +37,9 @@
 constexpr Milliseconds LargePeerTimeout{3'500};
 constexpr Milliseconds RelayDuration{70}; ///< Two or three rounds of the hub.
 constexpr size_t MaxRelayedBlocks = 80;
+// Relayed counts per broadcast, and the wait that they may impose on the next one.
+constexpr int MaxRelayMessages = 3;
+constexpr Milliseconds MaxRelayBacklog{40};
 
 // Applies the sender's store version. A new incarnation starts from the version that it sends.
 void updateStoreVersion(GossipMessage &stored, const GossipMessage &received)
@@ -71,6 +74,7 @@
     m_run = run;
     m_processorShare = settings.processorShare;
     m_linkBytesPerSecond = settings.linkBytesPerSecond;
+    m_pace = policy::LinkPace(settings.linkBytesPerSecond);
     m_address = core::concat(settings.ip, ":", settings.firstInternalPort);
     ErrorCode ec;
     const auto ip = asio::ip::make_address(settings.ip, ec);
@@ -110,6 +114,7 @@
 void PeerMesh::removePeer(const std::string &name)
 {
     m_peers.erase(name);
+    m_countRelay.removePeer(name);
 }
 
 void PeerMesh::receive()
@@ -142,8 +147,7 @@
     Peer &peer = it->second;
     const TimePoint now = core::BootClock::now();
     peer.receivedAt = now;
-    if (!std::exchange(peer.alive, true))
-        core::Event("peer.heard").with("peer", gossip->name).with("run", gossip->run);
+    noteHeard(gossip->name, peer, gossip->run);
     switch (gossip->kind) {
     case GossipKind::Full:
         applyFull(peer, std::move(*gossip), now);
@@ -158,9 +162,21 @@
     case GossipKind::Summary:
         applySummary(*gossip, now);
         break;
+    case GossipKind::Counts:
+        m_handler.onGossip(*gossip);
+        break;
     }
 }
 
+void PeerMesh::noteHeard(const std::string &name, Peer &peer, uint64_t run)
+{
+    const bool wasAlive = std::exchange(peer.alive, true);
+    if (!wasAlive)
+        core::Event("peer.heard").with("peer", name).with("run", run);
+    if (std::exchange(peer.run, run) != run || !wasAlive)
+        m_countRelay.restart(name);
+}
+
 void PeerMesh::applyFull(Peer &peer, GossipMessage gossip, TimePoint now)
 {
     if (peer.gossip.run == gossip.run && peer.gossip.sequence >= gossip.sequence)
@@ -228,7 +244,7 @@
         return;
     const Milliseconds delay = std::clamp(GossipDelayPerPeer * static_cast<int64_t>(m_peers.size()),
                                           GossipDelayPerPeer, GossipInterval);
-    const TimePoint due = m_lastBroadcastAt + delay;
+    const TimePoint due = std::max(m_lastBroadcastAt + delay, now + m_pace.backlog(now));
     scheduleBroadcast(due > now ? std::chrono::ceil<Milliseconds>(due - now) : Milliseconds(0));
 }
 
@@ -251,13 +267,14 @@
         return;
     }
     m_traffic.noteSent(kind, bytes.size());
+    m_pace.noteSent(bytes.size(), core::BootClock::now());
 }
 
 void PeerMesh::broadcast()
 {
     const TimePoint now = core::BootClock::now();
     m_stateServer.logServed();
-    m_traffic.logIfDue(now, m_departedWindows, m_linkBytesPerSecond);
+    m_traffic.logIfDue(now, m_countRelay.windowCount(), m_linkBytesPerSecond);
     m_lastBroadcastAt = now;
     m_earlyBroadcastPending = false;
     const Milliseconds timeout = isLarge() ? LargePeerTimeout : PeerTimeout;
@@ -271,13 +288,16 @@
         sumShares(now);
     if (isLarge()) {
         broadcastToNextPeers();
-        scheduleBroadcast(LargeGossipInterval / BroadcastRound::GroupsPerRound);
+        relayDepartedCounts(now);
+        scheduleBroadcast(std::max(LargeGossipInterval / BroadcastRound::GroupsPerRound,
+                                   m_pace.backlog(core::BootClock::now())));
         return;
     }
     const std::string bytes = composeFull(true);
     for (const auto &[name, peer] : m_peers)
         send(peer, GossipKind::Full, bytes);
-    scheduleBroadcast(GossipInterval);
+    relayDepartedCounts(now);
+    scheduleBroadcast(std::max(GossipInterval, m_pace.backlog(core::BootClock::now())));
 }
 
 std::string PeerMesh::composeFull(bool sentAtOnce)
@@ -286,9 +306,6 @@
     if (!sentAtOnce)
         gossip.wallTime = {};
     gossip.processorShare = m_processorShare;
-    m_departedWindows = static_cast<size_t>(
-        std::count_if(gossip.windows.begin(), gossip.windows.end(),
-                      [this](const GossipUsageWindow &it) { return it.run != m_run; }));
     return encodeGossip(gossip);
 }
 
@@ -305,14 +322,47 @@
         send(m_peers.at(name), GossipKind::Full, m_roundMessage);
 }
 
-bool PeerMesh::relaysDepartedCounts() const
+std::vector<UsageWindowId> PeerMesh::departedWindows(uint64_t oldest) const
 {
-    std::vector<std::string> names;
-    for (const auto &[name, peer] : m_peers) {
-        if (peer.alive)
-            names.push_back(name);
+    std::vector<UsageWindowId> departed;
+    const auto &counts = m_handler.usage->peerCounts();
+    for (auto it = counts.lower_bound(oldest); it != counts.end(); ++it) {
+        for (const auto &[run, teams] : it->second) {
+            if (!runAlive(run))
+                departed.push_back({run, it->first});
+        }
+    }
+    return departed;
+}
+
+// Sends counts of departed gateways while the link has room for them.
+void PeerMesh::relayDepartedCounts(TimePoint now)
+{
+    if (!m_handler.usage || !relaysForDeparted(m_name, m_hub, candidates()))
+        return;
+    const uint64_t current = m_handler.usageWindow();
+    const uint64_t oldest = current - std::min(current, PastWindowsSent);
+    m_countRelay.update(departedWindows(oldest), oldest);
+    const auto countsOf = [this](const UsageWindowId &id) {
+        return m_handler.usage->peerCounts(id.window, id.run);
+    };
+    for (int i = 0; i < MaxRelayMessages && m_pace.backlog(now) < MaxRelayBacklog; ++i) {
+        const CountRelay::Message message =
+            m_countRelay.next([&](const UsageWindowId &id) { return countsOf(id).size(); });
+        if (message.peers.empty())
+            return;
+        GossipMessage gossip;
+        gossip.kind = GossipKind::Counts;
+        gossip.name = m_name;
+        gossip.run = m_run;
+        for (const UsageWindowId &id : message.windows)
+            gossip.windows.push_back({id.run, id.window, countsOf(id)});
+        const std::string bytes = encodeGossip(gossip);
+        for (const std::string &name : message.peers) {
+            if (const auto it = m_peers.find(name); it != m_peers.end() && it->second.alive)
+                send(it->second, GossipKind::Counts, bytes);
+        }
     }
-    return relaysForDeparted(m_name, names);
 }
 
 std::string PeerMesh::selectHub(TimePoint now)
--- a/src/serving/peermesh.h
+++ b/src/serving/peermesh.h
@@ -5,6 +5,8 @@
  */
 
 #include "http/client.h"
+#include "policy/linkpace.h"
+#include "serving/countrelay.h"
 #include "serving/gossiptraffic.h"
 #include "serving/loadexchange.h"
 #include "serving/nodesettings.h"
@@ -36,6 +38,8 @@
         std::function<GossipMessage()> compose; ///< Returns the message to send now.
         StateSource state;                      ///< The mirrored store.
         std::function<void(const GossipMessage &)> onGossip;
+        const UsageCounts *usage = nullptr;      ///< Counts that are relayed; null: none are.
+        std::function<uint64_t()> usageWindow{}; ///< Number of the current usage window.
     };
 
     PeerMesh(boost::asio::io_context &io, http::Client &httpClient, EndpointTable &endpoints,
@@ -57,8 +61,6 @@
     bool runAlive(uint64_t run) const;
     /** Whether the deployment is large: load goes through a hub, other state once per second. */
     bool isLarge() const;
-    /** Whether this gateway relays the usage counts of gone gateways (relaysForDeparted). */
-    bool relaysDepartedCounts() const;
     /** The live peers as sources of the store state. */
     std::vector<FeedPeer> statePeers() const;
     /** Whether this gateway watches the store for others. */
@@ -79,6 +81,7 @@
         boost::asio::ip::udp::endpoint target;
         GossipMessage gossip;
         core::TimePoint receivedAt{};
+        uint64_t run = 0;   ///< Of the last datagram.
         bool alive = false; ///< The last datagram is newer than the peer timeout.
     };
 
@@ -86,6 +89,9 @@
     void onDatagram(std::string_view bytes);
     void applyFull(Peer &peer, GossipMessage gossip, core::TimePoint now);
     void applySummary(const GossipMessage &gossip, core::TimePoint now);
+    void noteHeard(const std::string &name, Peer &peer, uint64_t run);
+    std::vector<UsageWindowId> departedWindows(uint64_t oldest) const;
+    void relayDepartedCounts(core::TimePoint now);
     std::vector<HubCandidate> candidates() const;
     std::string selectHub(core::TimePoint now);
     void scheduleBroadcast(core::Milliseconds delay);
@@ -118,7 +124,8 @@
     core::TimePoint m_lastBroadcastAt{};
     BroadcastRound m_round;
     GossipTraffic m_traffic;
-    size_t m_departedWindows = 0;         ///< In the latest full message.
+    policy::LinkPace m_pace;
+    CountRelay m_countRelay;
     std::string m_roundMessage;           ///< Encoded message of the current broadcast round.
     bool m_earlyBroadcastPending = false; ///< A broadcast before the regular interval is scheduled.
     HubSelector m_hubSelector;
--- a/src/serving/statefeed.cpp
+++ b/src/serving/statefeed.cpp
@@ -29,22 +29,7 @@
 bool watchesForOthers(const std::string &name, const std::string &hub,
                       const std::vector<HubCandidate> &candidates)
 {
-    if (name == hub)
-        return true;
-    const auto self = std::find_if(candidates.begin(), candidates.end(),
-                                   [&](const HubCandidate &it) { return it.name == name; });
-    if (self == candidates.end())
-        return true;
-    const auto hash = [](const std::string &it) { return XXH3_64bits(it.data(), it.size()); };
-    const auto preferred =
-        std::count_if(candidates.begin(), candidates.end(), [&](const HubCandidate &it) {
-            if (!it.alive || it.name == name || it.name == hub)
-                return false;
-            return it.processorShare != self->processorShare
-                ? it.processorShare > self->processorShare
-                : hash(it.name) < hash(name);
-        });
-    return static_cast<size_t>(preferred) < MaxWatchersBesidesHub;
+    return name == hub || isBestEquipped(name, hub, candidates, MaxWatchersBesidesHub);
 }
 
 std::optional<size_t> chooseFeeder(const std::vector<FeedPeer> &peers,
--- a/src/serving/statefeed.h
+++ b/src/serving/statefeed.h
@@ -27,11 +27,7 @@
 };
 
 /** Whether a gateway watches the store for others: the hub and the few with the most processor
- * share do.
- *
- * Ties are broken by a hash of the name, which spreads the watchers over the failure domains; names
- * in order would be grouped by failure domain.
- */
+ * share do (isBestEquipped). */
 bool watchesForOthers(const std::string &name, const std::string &hub,
                       const std::vector<HubCandidate> &candidates);
 
--- a/src/serving/usagecounts.cpp
+++ b/src/serving/usagecounts.cpp
@@ -42,6 +42,15 @@
     return sum;
 }
 
+TeamCounts UsageCounts::peerCounts(uint64_t window, uint64_t incarnation) const
+{
+    const auto runs = m_peerCounts.find(window);
+    if (runs == m_peerCounts.end())
+        return {};
+    const auto counts = runs->second.find(incarnation);
+    return counts == runs->second.end() ? TeamCounts() : counts->second;
+}
+
 void UsageCounts::eraseBefore(uint64_t window)
 {
     m_ownCounts.erase(m_ownCounts.begin(), m_ownCounts.lower_bound(window));
--- a/src/serving/usagecounts.h
+++ b/src/serving/usagecounts.h
@@ -15,6 +15,9 @@
 /** Number of requests by team. */
 using TeamCounts = std::map<std::string, uint64_t>;
 
+/** Past usage windows, besides the current one, whose counts gateways exchange. */
+inline constexpr uint64_t PastWindowsSent = 2;
+
 /** Counts of requests that began to run: this gateway's own, and the latest ones received from
  * every other incarnation of a gateway.
  *
@@ -42,6 +45,8 @@
     {
         return m_peerCounts;
     }
+    /** Counts of one other incarnation in one window; empty if none are known. */
+    TeamCounts peerCounts(uint64_t window, uint64_t incarnation) const;
 
 private:
     core::Milliseconds m_window;
--- a/src/wire/news.capnp
+++ b/src/wire/news.capnp
@@ -49,6 +49,7 @@
   blockCrashes @17 :List(BlockCrash);
   blockSuccesses @18 :List(BlockSuccess);
   quarantinedBlocks @19 :List(UInt64);
+  counts @20 :Bool;          # windows of departed gateways only; no other field applies
   parts @8 :List(PartSent);  # blocks sent recently; repeated because datagrams may be lost
 }
 
--- a/test/correctness/loadexchange.cpp
+++ b/test/correctness/loadexchange.cpp
@@ -168,18 +168,30 @@
     cr_assert(round.next({"c"}).peers == std::vector<std::string>{"c"});
 }
 
-// Guards against messages that grow by the counts of all gateways that fall silent under load.
-Test(newsround, few_gateways_relay_the_counts_of_departed_ones)
+// Guards against messages that grow by the counts of all gateways that fall silent under load, and
+// against relays with a small link: two of the best equipped gateways relay, and not the hub.
+Test(newsround, two_of_the_best_equipped_gateways_relay_the_counts_of_departed_ones)
 {
-    const std::vector<std::string> names{"a", "b", "c", "d", "e", "f"};
-    int relays = 0;
-    for (const std::string &name : names) {
-        std::vector<std::string> peers = names;
-        std::erase(peers, name);
-        relays += serving::relaysForDeparted(name, peers) ? 1 : 0;
+    std::vector<serving::HubCandidate> candidates;
+    for (const char *name : {"a", "b", "c", "d", "e", "f"})
+        candidates.push_back({name, 0.5, true});
+    for (const char *name : {"a-small", "g-small"})
+        candidates.push_back({name, 0.09, true});
+    std::set<std::string> relays;
+    for (const auto &it : candidates) {
+        if (serving::relaysForDeparted(it.name, "a", candidates))
+            relays.insert(it.name);
     }
-    cr_assert_eq(relays, 2);
-    cr_assert(serving::relaysForDeparted("x", {}));
+    cr_assert_eq(relays.size(), 2U);
+    cr_assert_not(relays.contains("a") || relays.contains("a-small") || relays.contains("g-small"));
+    // The next in order takes over from a relay that is gone.
+    for (auto &it : candidates)
+        it.alive = it.name != *relays.begin();
+    int remaining = 0;
+    for (const auto &it : candidates)
+        remaining += it.alive && serving::relaysForDeparted(it.name, "a", candidates) ? 1 : 0;
+    cr_assert_eq(remaining, 2);
+    cr_assert(serving::relaysForDeparted("x", "", {{"x", 0, true}}));
 }
 
 // Without any engine, waiting prompts are released at once, to be run or refused without a prefill
