A hub's sums keep to the gossip's share of its link

Rounds now follow each other at 0.45 of the link (policy::LinkPace), 25 ms apart at least as before. gossiptraffic/the_sums_of_a_hub_leave_half* failed with 9.26 MB/s and passes.

--- a/src/serving/peermesh.cpp
+++ b/src/serving/peermesh.cpp
@@ -234,7 +234,8 @@
 {
     const TimePoint now = core::BootClock::now();
     if (isLarge()) {
-        if (!std::exchange(m_loadChanged, true)) {
+        const bool isHub = m_hub == m_name; // Its next round is scheduled already.
+        if (!isHub && !std::exchange(m_loadChanged, true)) {
             const TimePoint due = m_loadExchangedAt + LoadInterval;
             scheduleLoad(due > now ? std::chrono::ceil<Milliseconds>(due - now) : Milliseconds(0));
         }
@@ -399,7 +400,7 @@
     const std::string name = selectHub(now);
     if (name == m_name) {
         sendSummaries(now);
-        scheduleLoad(LoadInterval);
+        scheduleLoad(std::max(LoadInterval, m_pace.backlog(core::BootClock::now())));
         return;
     }
     GossipMessage gossip = m_handler.compose();
