--- a/src/serving/endpoints.cpp
+++ b/src/serving/endpoints.cpp
@@ -318,6 +318,12 @@
 {
     if (answer.leaving && !std::exchange(endpoint.leaving, true))
         core::Event("endpoint.leaving").with("endpoint", endpoint.record.id);
+    if (answer.fromEndpoint && answer.requestLimit != endpoint.requestLimit) {
+        endpoint.requestLimit = answer.requestLimit;
+        core::Event("endpoint.limit")
+            .with("endpoint", endpoint.record.id)
+            .with("per_second", answer.requestLimit.value_or(-1));
+    }
     if (!answer.retryAfter)
         return;
     // Answers can arrive out of order, so a shorter back-off does not replace a longer one.
--- a/src/serving/endpoints.h
+++ b/src/serving/endpoints.h
@@ -76,6 +76,7 @@
     uint32_t connections = 0;           ///< In use by this gateway.
     bool removed = false;               ///< From the table.
     bool leaving = false;               ///< Announced its shutdown; final for this incarnation.
+    std::optional<double> requestLimit; ///< Per second, of all gateways; as last named.
     core::TimePoint backoffUntil{};     ///< End of the back-off that the endpoint asked for.
     /** No new work until then: its stage changes, it has refused a request, or it is suspected. */
     core::TimePoint pausedUntil{};
--- a/test/correctness/notices.cpp
+++ b/test/correctness/notices.cpp
@@ -149,6 +149,21 @@
     cr_assert_not(table.remainingBackoff("app", now + 2'500ms).has_value());
 }
 
+// Guards against a limit that is read from a malformed field or from another instance's answer.
+Test(notices, limits_are_parsed_as_decimal_numbers_only)
+{
+    const auto limit = [](const std::string &text) {
+        return answerWith(200, "Server-Limit", text).requestLimit;
+    };
+    cr_assert(limit("7.3") == 7.3);
+    cr_assert(limit("0") == 0.0);
+    cr_assert(answerWith(503, "Server-Limit", "5").requestLimit == 5.0);
+    for (const char *text : {"", "-1", "nan", "inf", "1e9", "5/s", "five", "0x5", "5,6"})
+        cr_assert_not(limit(text).has_value(), "%s", text);
+    cr_assert_not(answerWith(421, "Server-Limit", "5").requestLimit.has_value());
+    cr_assert_not(answerWith(421, "Server-Limit", "5").fromEndpoint);
+}
+
 Test(notices, back_offs_are_parsed_as_seconds_only)
 {
     const auto pause = [](const std::string &text) {
