Gateways keep the limits that endpoints name, together

Callers' requests went to endpoints in need at many times the limit that those had named (LIMIT). Cause: the field was not read; and a limit for all gateways together needs a share for each. Class: a bound on the sum of all gateways that no gateway knew of. Now each gateway states in gossip what endpoints have named to it, with its age (a hub relays it); later observations replace earlier ones. As many gateways as can each send one request a second share a limit, chosen by a hash of endpoint and name among those that receive requests, so that 103 gateways use a limit of 5 instead of saving up a twentieth each. A limit ends with an answer that names none, or 30 s after the last answer.

--- a/src/serving/endpoints.cpp
+++ b/src/serving/endpoints.cpp
@@ -25,11 +25,23 @@
 // More than the incarnations that end within a day of a large deployment; a few hundred bytes each.
 constexpr size_t MaxPastIncarnations = 1024;
 
+// Until a client that is refused returns, as other gateways have the shares of the limits.
+constexpr core::Milliseconds NoShareWait{1'000};
+
 // An entry expires when its owner has missed three reports, which are more than a second apart.
 constexpr core::Milliseconds HoldBackTime{6'000};
 
 } // namespace
 
+// Logs a limit that has changed; a negative one has ended.
+static void logLimit(const Endpoint &endpoint, std::string_view source)
+{
+    core::Event("endpoint.limit")
+        .with("endpoint", endpoint.record.id)
+        .with("per_second", endpoint.limit.perSecond().value_or(-1))
+        .with("source", source);
+}
+
 uint64_t endpointHash(std::string_view id)
 {
     return XXH3_64bits(id.data(), id.size());
@@ -182,9 +194,11 @@
     for (const EndpointPtr &it : ofService(service)) {
         if (!it->acceptsWork())
             continue;
-        if (!it->inBackoff(now))
+        if (!it->inBackoff(now) && it->limit.admits(now))
             return std::nullopt;
-        first = std::min(first.value_or(it->backoffUntil), it->backoffUntil);
+        const auto limited = it->limit.timeUntilAdmitted(now).value_or(NoShareWait);
+        const core::TimePoint at = std::max(it->backoffUntil, now + limited);
+        first = std::min(first.value_or(at), at);
     }
     if (!first)
         return std::nullopt;
@@ -203,6 +217,26 @@
     return it == m_byHash.end() ? nullptr : it->second;
 }
 
+void EndpointTable::shareLimits(const std::string &self, const std::vector<std::string> &members,
+                                core::TimePoint now)
+{
+    for (const auto &[id, endpoint] : m_byId) {
+        const auto limit = endpoint->limit.perSecond();
+        if (!limit)
+            continue;
+        const double share = policy::shareOfLimit(*limit, endpoint->hash, self, members);
+        if (endpoint->limit.update(share, now))
+            logLimit(*endpoint, "expired");
+    }
+}
+
+void EndpointTable::mergeLimit(uint64_t hash, const policy::LimitObservation &observation)
+{
+    const EndpointPtr endpoint = findByHash(hash);
+    if (endpoint && endpoint->limit.merge(observation))
+        logLimit(*endpoint, "peer");
+}
+
 void EndpointTable::setPeerLoads(const std::vector<GossipLoadShare> &shares)
 {
     for (const auto &[id, endpoint] : m_byId)
@@ -264,6 +298,7 @@
     const auto state = endpoint.health.state(now);
     view.probe = state == policy::OutlierDetector::State::ProbeDue;
     view.usable = endpoint.acceptsWork() && now >= endpoint.pausedUntil && !endpoint.inBackoff(now)
+        && endpoint.limit.admits(now)
         && (state == policy::OutlierDetector::State::Healthy || view.probe);
     return view;
 }
@@ -318,12 +353,8 @@
 {
     if (answer.leaving && !std::exchange(endpoint.leaving, true))
         core::Event("endpoint.leaving").with("endpoint", endpoint.record.id);
-    if (answer.fromEndpoint && answer.requestLimit != endpoint.requestLimit) {
-        endpoint.requestLimit = answer.requestLimit;
-        core::Event("endpoint.limit")
-            .with("endpoint", endpoint.record.id)
-            .with("per_second", answer.requestLimit.value_or(-1));
-    }
+    if (answer.fromEndpoint && endpoint.limit.observe(answer.requestLimit, now))
+        logLimit(endpoint, "answer");
     if (!answer.retryAfter)
         return;
     // Answers can arrive out of order, so a shorter back-off does not replace a longer one.
--- a/src/serving/endpoints.h
+++ b/src/serving/endpoints.h
@@ -7,6 +7,7 @@
 #include "policy/outlierdetector.h"
 #include "policy/placement.h"
 #include "policy/prefixcachemodel.h"
+#include "policy/requestlimit.h"
 #include "serving/fleetconfig.h"
 #include "serving/requesttypes.h"
 
@@ -76,7 +77,7 @@
     uint32_t connections = 0;           ///< In use by this gateway.
     bool removed = false;               ///< From the table.
     bool leaving = false;               ///< Announced its shutdown; final for this incarnation.
-    std::optional<double> requestLimit; ///< Per second, of all gateways; as last named.
+    policy::RequestLimit limit;         ///< That the endpoint names in its answers.
     core::TimePoint backoffUntil{};     ///< End of the back-off that the endpoint asked for.
     /** No new work until then: its stage changes, it has refused a request, or it is suspected. */
     core::TimePoint pausedUntil{};
@@ -102,9 +103,15 @@
     EndpointPtr find(const std::string &id) const;
     EndpointPtr findByHash(uint64_t hash) const;
     const std::vector<EndpointPtr> &ofService(const std::string &service) const;
-    /** Shortest remaining back-off of a service if all its ready endpoints are in back-off. */
+    /** Shortest time until a ready endpoint of a service may be sent a request, if all of them are
+     * in back-off or at their limit. */
     std::optional<core::Milliseconds> remainingBackoff(const std::string &service,
                                                        core::TimePoint now) const;
+    /** Sets this gateway's share of each limit. \param members see policy::shareOfLimit(). */
+    void shareLimits(const std::string &self, const std::vector<std::string> &members,
+                     core::TimePoint now);
+    /** Applies a limit that another gateway has observed. */
+    void mergeLimit(uint64_t hash, const policy::LimitObservation &observation);
     /** Replaces the known load of the other gateways. */
     void setPeerLoads(const std::vector<GossipLoadShare> &shares);
     const std::map<std::string, EndpointPtr> &all() const { return m_byId; }
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -63,6 +63,7 @@
       m_colocatedPrefill(m_placement.colocatedPrefill),
       m_promptTokens(TokenRateWindow),
       m_outputTokens(TokenRateWindow),
+      m_requestRate(TokenRateWindow),
       m_leadership(io, m_store, m_random, m_settings.name,
                    std::max(m_settings.leaseTime, m_settings.minLeaseTime)),
       m_peers(
@@ -72,7 +73,8 @@
             [this](const StoreVersion &newerThan) { return m_mirror->changesAfter(newerThan); }},
            [this](const GossipMessage &gossip) { onGossip(gossip); },
            &m_usage,
-           [this]() { return m_usage.windowAt(m_wallClock.at(core::BootClock::now())); }}),
+           [this]() { return m_usage.windowAt(m_wallClock.at(core::BootClock::now())); },
+           [this]() { return knownLimits(); }}),
       m_feed(m_httpClient, m_settings.name, [this](const StorePage &state) { onPeerState(state); }),
       m_promptScheduler(io, m_endpoints, m_placement, m_random,
                         [this]() { return m_peers.aliveCount(); }),
@@ -316,6 +318,7 @@
 
 void Gateway::onRequest(http::Request request, http::Responder responder)
 {
+    m_requestRate.note(1, core::BootClock::now());
     const auto config = m_config.load();
     if (!config) {
         refuse(responder, request.head, http::status::ServiceUnavailable, "no configuration yet",
@@ -394,6 +397,8 @@
         const TimePoint now = core::BootClock::now();
         syncWithPeers(now);
         m_endpoints.applyHeldBack(now);
+        m_endpoints.shareLimits(m_settings.name,
+                                m_peers.activeGateways(m_requestRate.rate(now), now), now);
         if (const Milliseconds by = m_wallClock.adjust(core::wallTime(), now); by.count() != 0)
             core::Event("wallclock.set").with("by_ms", by.count());
         const auto gateways = static_cast<int64_t>(m_peers.gatewayCount(now));
--- a/src/serving/gateway.h
+++ b/src/serving/gateway.h
@@ -45,6 +45,7 @@
     std::string pickWeightedService(const Route &route);
 
     GossipMessage composeGossip();
+    std::vector<GossipLimit> knownLimits() const;
     TokenRates localTokenRates(core::TimePoint now) const;
     void addUsageWindows(GossipMessage &gossip);
     void onPeerState(const StorePage &state);
@@ -76,6 +77,7 @@
     std::map<std::string, policy::DecodeStepEstimator> m_decodeSteps; ///< By name of the service.
     policy::RateMeter m_promptTokens;
     policy::RateMeter m_outputTokens;
+    policy::RateMeter m_requestRate; ///< Of clients' requests.
     std::map<std::string, policy::SendBudget> m_retryBudgets;
     Leadership m_leadership;
     PeerMesh m_peers;
--- a/src/serving/gatewaygossip.cpp
+++ b/src/serving/gatewaygossip.cpp
@@ -20,6 +20,22 @@
 // Keeps requests away from an endpoint that a peer reports as changing or leaving. The peer's next
 // gossip message renews the pause.
 constexpr Milliseconds GossipPause{200};
+constexpr Milliseconds LimitNewsTime{30'000};
+constexpr Milliseconds LimitEndNewsTime{2'000};
+
+// Limits are repeated while they last; the end of one only until all gateways know of it.
+bool isNews(const policy::LimitObservation &observation, TimePoint now)
+{
+    return observation.at != TimePoint{}
+    && now - observation.at < (observation.perSecond ? LimitNewsTime : LimitEndNewsTime);
+}
+
+GossipLimit gossipOf(const Endpoint &endpoint, const policy::LimitObservation &observation,
+                     TimePoint now)
+{
+    return {endpoint.hash, observation.perSecond,
+            std::chrono::duration_cast<Milliseconds>(now - observation.at)};
+}
 
 } // namespace
 
@@ -47,9 +63,27 @@
     addUsageWindows(gossip);
     gossip.prefixBlocks = m_sentBlocks.blocksToSend(now);
     gossip.blocks = m_quarantine.report();
+    gossip.requestsPerSecond = m_requestRate.rate(now);
+    for (const auto &[id, endpoint] : m_endpoints.all()) {
+        if (const auto &own = endpoint->limit.own(); isNews(own, now))
+            gossip.limits.push_back(gossipOf(*endpoint, own, now));
+    }
     return gossip;
 }
 
+// The hub relays what it knows of all limits; the others state only what they have observed, as an
+// observation that is passed around would seem newer with each step.
+std::vector<GossipLimit> Gateway::knownLimits() const
+{
+    const TimePoint now = core::BootClock::now();
+    std::vector<GossipLimit> limits;
+    for (const auto &[id, endpoint] : m_endpoints.all()) {
+        if (const auto &latest = endpoint->limit.latest(); isNews(latest, now))
+            limits.push_back(gossipOf(*endpoint, latest, now));
+    }
+    return limits;
+}
+
 TokenRates Gateway::localTokenRates(TimePoint now) const
 {
     return {m_promptTokens.rate(now), m_outputTokens.rate(now)};
@@ -85,6 +119,9 @@
         if (const EndpointPtr endpoint = m_endpoints.findByHash(it.endpoint))
             endpoint->prefixCache.record({it.link});
     }
+    const TimePoint now = core::BootClock::now();
+    for (const GossipLimit &it : gossip.limits)
+        m_endpoints.mergeLimit(it.endpoint, {it.perSecond, now - it.age});
     for (const GossipLoadShare &share : gossip.shares) {
         if (!share.changing && !share.failing && !share.leaving)
             continue;
--- a/src/serving/gossip.cpp
+++ b/src/serving/gossip.cpp
@@ -58,6 +58,14 @@
     }
     for (const auto it : reader.getParts())
         gossip.prefixBlocks.push_back({it.getEndpoint(), {it.getLink(), it.getTokens()}});
+    gossip.requestsPerSecond = reader.getRequestsPerSecond();
+    for (const auto it : reader.getLimits()) {
+        GossipLimit &limit = gossip.limits.emplace_back();
+        limit.endpoint = it.getEndpoint();
+        limit.age = core::Milliseconds(it.getAgeMs());
+        if (it.getPerSecond() >= 0)
+            limit.perSecond = it.getPerSecond();
+    }
     for (const auto it : reader.getBlockCrashes())
         gossip.blocks.crashes.push_back(
             {it.getBlock(), it.getEngine(), it.getPosition(), core::Milliseconds(it.getAgeMs())});
@@ -136,6 +144,13 @@
         prefixBlocks[i].setLink(gossip.prefixBlocks[i].link.hash);
         prefixBlocks[i].setTokens(gossip.prefixBlocks[i].link.tokens);
     }
+    root.setRequestsPerSecond(static_cast<float>(gossip.requestsPerSecond));
+    auto limits = root.initLimits(static_cast<uint32_t>(gossip.limits.size()));
+    for (uint32_t i = 0; i < limits.size(); ++i) {
+        limits[i].setEndpoint(gossip.limits[i].endpoint);
+        limits[i].setPerSecond(static_cast<float>(gossip.limits[i].perSecond.value_or(-1)));
+        limits[i].setAgeMs(static_cast<uint32_t>(gossip.limits[i].age.count()));
+    }
     writeBlocks(gossip.blocks, root);
     return packedBytes(message);
 }
--- a/src/serving/gossip.h
+++ b/src/serving/gossip.h
@@ -33,6 +33,14 @@
     policy::PrefixLink link;
 };
 
+/** The limit that an endpoint named in an answer. */
+struct GossipLimit
+{
+    uint64_t endpoint = 0;           ///< Hash of the endpoint's id.
+    std::optional<double> perSecond; ///< Nothing: the answer named none.
+    core::Milliseconds age{};
+};
+
 /** Purpose of a message. */
 enum class GossipKind {
     Full,    ///< The full state of a gateway, sent to every peer.
@@ -58,7 +66,9 @@
     std::vector<GossipLoadShare> shares;
     std::vector<GossipUsageWindow> windows;
     std::vector<GossipPrefixBlock> prefixBlocks;
-    policy::BlockReport blocks; ///< Blocks that are suspected of crashing engines.
+    std::vector<GossipLimit> limits;
+    double requestsPerSecond = 0; ///< Requests of clients that the sender receives.
+    policy::BlockReport blocks;   ///< Blocks that are suspected of crashing engines.
 };
 
 /** Serializes a message into one datagram. */
--- a/src/serving/peermesh.cpp
+++ b/src/serving/peermesh.cpp
@@ -72,6 +72,7 @@
 {
     m_name = settings.name;
     m_run = run;
+    m_startedAt = core::BootClock::now();
     m_processorShare = settings.processorShare;
     m_linkBytesPerSecond = settings.linkBytesPerSecond;
     m_pace = policy::LinkPace(settings.linkBytesPerSecond);
@@ -304,8 +305,10 @@
 std::string PeerMesh::composeFull(bool sentAtOnce)
 {
     GossipMessage gossip = m_handler.compose();
-    if (!sentAtOnce)
+    if (!sentAtOnce) { // Both are relative to the time of sending.
         gossip.wallTime = {};
+        gossip.limits.clear();
+    }
     gossip.processorShare = m_processorShare;
     return encodeGossip(gossip);
 }
@@ -429,6 +432,8 @@
     summary.processorShare = m_processorShare;
     summary.prefixBlocks = relayedBlocks(now);
     summary.blocks = local.blocks;
+    if (m_handler.limits)
+        summary.limits = m_handler.limits();
     for (const auto &[name, peer] : m_peers) {
         if (!peer.alive)
             continue;
--- a/src/serving/peermesh.h
+++ b/src/serving/peermesh.h
@@ -40,6 +40,7 @@
         std::function<void(const GossipMessage &)> onGossip;
         const UsageCounts *usage = nullptr;      ///< Counts that are relayed; null: none are.
         std::function<uint64_t()> usageWindow{}; ///< Number of the current usage window.
+        std::function<std::vector<GossipLimit>()> limits{}; ///< Limits that a hub relays.
     };
 
     PeerMesh(boost::asio::io_context &io, http::Client &httpClient, EndpointTable &endpoints,
@@ -57,6 +58,9 @@
     uint32_t aliveCount() const;
     /** Number of gateways, including this one, that may have used the current retry budgets. */
     uint32_t gatewayCount(core::TimePoint now) const;
+    /** Names of the gateways that receive requests, this one included, as far as they are known.
+     * \param ownRate requests per second that this gateway receives. */
+    std::vector<std::string> activeGateways(double ownRate, core::TimePoint now) const;
     /** Whether an incarnation of a gateway is one of the live peers. */
     bool runAlive(uint64_t run) const;
     /** Whether the deployment is large: load goes through a hub, other state once per second. */
@@ -120,6 +124,7 @@
     std::string m_hub;
     std::string m_address;
     uint64_t m_run = 0;
+    core::TimePoint m_startedAt{};
     core::TimePoint m_sharesSummedAt{};
     core::TimePoint m_lastBroadcastAt{};
     BroadcastRound m_round;
--- a/src/serving/peermeshstatus.cpp
+++ b/src/serving/peermeshstatus.cpp
@@ -14,6 +14,11 @@
 using core::TimePoint;
 
 constexpr Milliseconds RetryBudgetLookback{15'000}; ///< Longer than the window of a budget.
+// A gateway that restarts or is cut off for a short time keeps its share of limits.
+constexpr Milliseconds MembershipLookback{4'000};
+// Gateways with less than this part of the mean rate of requests, such as those that drain, leave
+// their share of limits to others.
+constexpr double MinActivity = 0.25;
 
 } // namespace
 
@@ -77,6 +82,33 @@
                }));
 }
 
+std::vector<std::string> PeerMesh::activeGateways(double ownRate, TimePoint now) const
+{
+    const auto recent = [&](const Peer &peer) {
+        return peer.receivedAt != TimePoint{} && now - peer.receivedAt < MembershipLookback;
+    };
+    size_t heard = 0;
+    double rates = ownRate;
+    for (const auto &[name, peer] : m_peers) {
+        heard += recent(peer) ? 1 : 0;
+        rates += recent(peer) ? peer.gossip.requestsPerSecond : 0;
+    }
+    const double enough = MinActivity * rates / static_cast<double>(1 + heard);
+    // A gateway that hears few of its peers may itself be the one that is cut off.
+    const bool cutOff = heard * 2 < m_peers.size();
+    std::vector<std::string> names;
+    if (ownRate >= enough)
+        names.push_back(m_name);
+    for (const auto &[name, peer] : m_peers) {
+        const bool unheard =
+            peer.receivedAt == TimePoint{} && now - m_startedAt < MembershipLookback;
+        const bool member = cutOff || unheard || recent(peer);
+        if (member && (unheard || peer.gossip.requestsPerSecond >= enough))
+            names.push_back(name);
+    }
+    return names;
+}
+
 bool PeerMesh::runAlive(uint64_t run) const
 {
     return std::any_of(m_peers.begin(), m_peers.end(), [run](const auto &it) {
--- a/src/serving/promptscheduler.cpp
+++ b/src/serving/promptscheduler.cpp
@@ -15,6 +15,7 @@
 // usable again.
 constexpr Milliseconds DispatchInterval{25};
 constexpr Milliseconds CachedTokensMaxAge{100};
+constexpr Milliseconds NeverDispatched{3'600'000}; ///< Longer than any deadline.
 
 } // namespace
 
@@ -107,7 +108,14 @@
     views.reserve(engines.size());
     for (const EndpointPtr &it : engines)
         views.push_back(placementViewOf(*it, {}, now));
-    if (std::none_of(views.begin(), views.end(), [](const auto &it) { return it.usable; })) {
+    const bool noneUsable =
+        std::none_of(views.begin(), views.end(), [](const auto &it) { return it.usable; });
+    const bool limited = std::any_of(engines.begin(), engines.end(), [now](const EndpointPtr &it) {
+        return it->acceptsWork() && !it->limit.admits(now);
+    });
+    if (noneUsable && limited)
+        return false;
+    if (noneUsable) {
         for (auto &[id, entry] : std::exchange(serviceQueue.entries, {})) {
             serviceQueue.queue.remove(id);
             entry.callbacks.onNoUsableEngine();
@@ -156,6 +164,9 @@
     if (serviceQueue == m_serviceQueues.end())
         return {};
     const auto &endpoints = m_endpoints.ofService(service);
+    const auto limitWait = expectedLimitWait(endpoints, serviceQueue->second.entries.size());
+    if (limitWait)
+        return *limitWait;
     const auto engines = std::count_if(endpoints.begin(), endpoints.end(), [](const auto &it) {
         return it->prefills() && it->acceptsWork();
     });
@@ -165,6 +176,28 @@
     return serviceQueue->second.queue.expectedWait(prompt, rate, core::BootClock::now());
 }
 
+// If all engines name limits, the queue moves at this gateway's shares of them.
+std::optional<Milliseconds>
+PromptScheduler::expectedLimitWait(const std::vector<EndpointPtr> &engines, size_t waiting)
+{
+    double rate = 0;
+    bool limited = false;
+    for (const EndpointPtr &it : engines) {
+        if (!it->acceptsWork())
+            continue;
+        if (!it->limit.perSecond() || !it->limit.sharePerSecond())
+            return std::nullopt;
+        limited = true;
+        rate += *it->limit.sharePerSecond();
+    }
+    if (!limited)
+        return std::nullopt;
+    if (rate <= 0)
+        return NeverDispatched;
+    return std::chrono::ceil<Milliseconds>(
+        std::chrono::duration<double>(static_cast<double>(waiting) / rate));
+}
+
 size_t PromptScheduler::waitingCount() const
 {
     size_t n = 0;
--- a/src/serving/promptscheduler.h
+++ b/src/serving/promptscheduler.h
@@ -74,6 +74,8 @@
     void dispatchFrom(const std::string &service, ServiceQueue &serviceQueue, core::TimePoint now);
     bool dispatchOne(const std::string &service, ServiceQueue &serviceQueue, core::TimePoint now);
     void armTimer();
+    static std::optional<core::Milliseconds>
+    expectedLimitWait(const std::vector<EndpointPtr> &engines, size_t waiting);
     static std::vector<uint32_t> cachedTokens(Entry &entry, const std::vector<EndpointPtr> &engines,
                                               core::TimePoint now);
     static Entry takeEntry(ServiceQueue &serviceQueue, uint64_t id);
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -300,6 +300,7 @@
     m_body.clear();
     m_head = {};
     m_answer = {};
+    endpoint->limit.take(m_sentAt);
     ++endpoint->ownLoad.running;
     endpoint->ownLoad.backlogTokens += m_sentBacklogTokens;
     m_services.onLoadChanged();
--- a/src/wire/news.capnp
+++ b/src/wire/news.capnp
@@ -29,6 +29,9 @@
 # A suspected block with which a prompt was answered.
 struct BlockSuccess { block @0 :UInt64; ageMs @1 :UInt32; }
 
+# The limit of requests per second that an endpoint named in an answer to the sender; negative: none.
+struct EndpointLimit { endpoint @0 :UInt64; perSecond @1 :Float32; ageMs @2 :UInt32; }
+
 struct GatewayNews {
   name @0 :Text;
   run @1 :UInt64;            # incarnation of the sender
@@ -49,6 +52,8 @@
   blockCrashes @17 :List(BlockCrash);
   blockSuccesses @18 :List(BlockSuccess);
   quarantinedBlocks @19 :List(UInt64);
+  limits @21 :List(EndpointLimit);
+  requestsPerSecond @22 :Float32; # of clients, received by the sender
   counts @20 :Bool;          # windows of departed gateways only; no other field applies
   parts @8 :List(PartSent);  # blocks sent recently; repeated because datagrams may be lost
 }
--- a/test/correctness/limits.cpp
+++ b/test/correctness/limits.cpp
@@ -128,3 +128,77 @@
     cr_assert_geq(receivedSince(other, settled), 200U);
     cr_assert_eq(load.refused(), 0U);
 }
+
+// Guards against requests that are held until they time out, and against clients that are not told
+// when to return, if all endpoints of a service name limits.
+Test(limits, clients_are_told_when_to_return_if_every_endpoint_names_a_limit)
+{
+    Deployment it;
+    auto &endpoint = it.addEndpoint("app");
+    it.publishConfig(1);
+    it.startGateway();
+    endpoint.setResponseFields(limitField("2"));
+    cr_assert_eq(it.sendRequest("GET", "/read/1", "r1").status(), 200U);
+    const auto from = core::BootClock::now();
+    size_t served = 0;
+    for (int i = 0; i < 30; ++i) {
+        const auto answer = it.sendRequest("GET", "/read/1", "r2");
+        served += answer.status() == 200 ? 1 : 0;
+        cr_assert(answer.status() == 200 || answer.status() == 503);
+        if (answer.status() == 503)
+            cr_assert_gt(std::stod("0" + answer.field("Retry-After")), 0.0);
+        it.runFor(100ms);
+    }
+    const double seconds = std::chrono::duration<double>(core::BootClock::now() - from).count();
+    cr_assert_geq(served, 3U);
+    cr_assert_leq(served, static_cast<size_t>(2 * seconds) + 1);
+    endpoint.setResponseFields({});
+    cr_assert(it.runUntil([&]() {
+        return it.sendRequest("GET", "/read/1", "r3").status() == 200
+            && it.sendRequest("GET", "/read/1", "r4").status() == 200;
+    }));
+}
+
+// Guards against prompts that are refused although a limit leaves room for them in time.
+Test(limits, prompts_wait_for_engines_that_name_limits)
+{
+    Deployment it;
+    auto &engine = it.addEndpoint("model", serving::Stage::Decode);
+    it.publishConfig(1);
+    it.startGateway();
+    engine.setResponseFields(limitField("4"));
+    const std::vector<http::Field> prompt{{"Token-Count", "100,10"},
+                                          {"Prompt-Prefix", "a:50,b:50"}};
+    std::vector<std::shared_ptr<test::ClientResponse>> answers;
+    std::vector<std::shared_ptr<http::ClientConnection>> clients;
+    for (int i = 0; i < 4; ++i) {
+        answers.push_back(std::make_shared<test::ClientResponse>());
+        clients.push_back(
+            it.startRequest("/stream/prompt/1", "p" + std::to_string(i), answers.back(), prompt));
+        it.runFor(100ms);
+    }
+    cr_assert(it.runUntil([&]() {
+        return std::all_of(answers.begin(), answers.end(), [](const auto &answer) {
+            return answer->complete && answer->status() == 200;
+        });
+    }));
+    for (const auto &client : clients)
+        client->close();
+}
+
+// Guards against a gateway that restarts without knowing a limit: its peers tell it.
+Test(limits, a_gateway_that_has_started_learns_limits_from_its_peers)
+{
+    Deployment it;
+    auto &limited = it.addEndpoint("app");
+    it.publishConfig(1);
+    it.startGateway();
+    limited.setResponseFields(limitField("0.5"));
+    cr_assert_eq(it.sendRequest("GET", "/read/1", "r1").status(), 200U);
+    it.startGateway();
+    it.runFor(500ms);
+    const size_t before = limited.receivedRequests().size();
+    for (int i = 0; i < 20; ++i)
+        it.sendRequest("GET", "/read/1", "r2", {}, {}, 1);
+    cr_assert_leq(limited.receivedRequests().size(), before + 1);
+}
