--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -10,6 +10,7 @@
 #include "serving/loopmonitor.h"
 #include "soak/faults.h"
 #include "soak/invariants.h"
+#include "soak/limitschedule.h"
 
 #include <gflags/gflags.h>
 
@@ -24,6 +25,7 @@
 DEFINE_uint32(gateways, 3, "gateways");
 DEFINE_bool(drills, false, "also restore the store from snapshots");
 DEFINE_bool(crashes, false, "also send prompts that crash each engine which answers them");
+DEFINE_bool(limits, false, "also let endpoints name limits of requests");
 DEFINE_uint32(callers, 60, "number of concurrent clients");
 
 namespace {
@@ -81,20 +83,29 @@
     if (FLAGS_drills)
         faults = soak::withRestores(std::move(faults), FLAGS_seed, length);
     soak::FaultInjector injector(io, deployment, std::move(faults));
+    soak::LimitSchedule limits(io, deployment, FLAGS_seed);
+    const auto checkAll = [&]() {
+        auto results = soak::checkInvariants(load, deployment, core::BootClock::now());
+        results.push_back(limits.check(load));
+        return results;
+    };
     const size_t startUpDisturbance =
         deployment.disturbances().begin(soak::AllGateways, core::BootClock::now());
     runFor(io, StartTime);
     load.start();
     deployment.disturbances().end(startUpDisturbance, core::BootClock::now());
     injector.start();
+    if (FLAGS_limits)
+        limits.start();
     // A breach may be visible for a moment only, so checks run all the time and the first breach
     // ends the phase with faults.
     size_t breaches = 0;
     while (!injector.done() && breaches == 0) {
         runFor(io, CheckInterval);
-        breaches = report(soak::checkInvariants(load, deployment, core::BootClock::now()), true)
-            + injector.breaches().size();
+        breaches = report(checkAll(), true) + injector.breaches().size();
     }
+    if (FLAGS_limits)
+        limits.stop();
     runFor(io, RecoveryTime);
     const core::TimePoint recovered = core::BootClock::now();
     runFor(io, SteadyTime);
@@ -103,8 +114,7 @@
     runFor(io, soak::SoakDeployment::RouteTimeout + 1s);
 
     if (breaches == 0)
-        breaches = report(soak::checkInvariants(load, deployment, core::BootClock::now()), false)
-            + injector.breaches().size();
+        breaches = report(checkAll(), false) + injector.breaches().size();
     for (const std::string &it : injector.breaches())
         std::printf("%s\n", it.c_str());
     std::printf("served after the last fault: %.3f of at least %.3f\n", successShare,
