Test: an answer that ends inside its head is not delivered

Here the end of a connection completes an answer only after its whole head; the test closes after each byte of three heads, for a plain answer and a stream: 502 each time.

--- a/test/correctness/closedelimited.cpp
+++ b/test/correctness/closedelimited.cpp
@@ -129,3 +129,54 @@
     const auto answer = it.sendRequest("POST", "/order/1", "r1");
     cr_assert_eq(answer.status(), 502U);
 }
+
+// Guards against a 200 with an empty or short body that is framed as whole (MIXED, ORDER): a worker
+// stops in the middle of the head of its answer and closes in order. All places are tried.
+Test(closedelimited, an_answer_that_ends_inside_its_head_is_not_delivered)
+{
+    using boost::asio::ip::tcp;
+    Deployment it;
+    auto &endpoint = it.addEndpoint("app");
+    const std::string address = test::loopbackAddress(7052);
+    tcp::acceptor acceptor(
+        it.io(), {boost::asio::ip::make_address(address.substr(0, address.rfind(':'))), 7052});
+    std::string answer;
+    size_t sent = 0;
+    std::array<char, 4096> buf{};
+    std::function<void()> accept = [&]() {
+        auto socket = std::make_shared<tcp::socket>(it.io());
+        acceptor.async_accept(*socket, [&, socket](const boost::system::error_code &ec) {
+            if (ec)
+                return;
+            socket->async_read_some(boost::asio::buffer(buf), [&, socket](const auto &, size_t) {
+                boost::asio::write(*socket, boost::asio::buffer(answer.data(), sent));
+                socket->close();
+            });
+            accept();
+        });
+    };
+    accept();
+    endpoint.setAdvertisedAddress(address);
+    it.store().put("servers/" + endpoint.id(), endpoint.makeEntry("app", "a"));
+    it.publishConfig(1);
+    it.startGateway();
+    const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Seal: x\r\n";
+    for (const char *framing : {"", "Content-Length: 12\r\n", "Transfer-Encoding: chunked\r\n"}) {
+        answer = head + framing + "\r\n";
+        for (const char *path : {"/order/1", "/stream/once/1"}) {
+            for (sent = 0; sent < answer.size(); ++sent) {
+                const auto response = it.sendRequest("POST", path, "r1");
+                cr_assert_eq(response.status(), 502U, "status %u after %zu bytes of %s",
+                             response.status(), sent, answer.c_str());
+                // A whole answer in between keeps the endpoint from being ejected.
+                const std::string cut =
+                    std::exchange(answer, head + "Content-Length: 12\r\n\r\nanswer to r1");
+                const size_t cutAt = std::exchange(sent, answer.size());
+                cr_assert_eq(it.sendRequest("POST", "/order/1", "r1").status(), 200U);
+                answer = cut;
+                sent = cutAt;
+            }
+        }
+    }
+    acceptor.close();
+}
