A planned stop passes on nothing that is read late, and answers what is open at its end

Shown here: a request whose body is complete 3 s after SIGTERM was run, whatever time was left; and what was open at the end of the grace had its connection closed without an answer. Cause: only new connections were stopped; requests being read on accepted ones were not.

--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -27,6 +27,8 @@
 constexpr Milliseconds DrainPollInterval{100};
 constexpr Milliseconds MarginBeforeKill{500}; ///< Time kept free before the platform sends SIGKILL.
 constexpr Milliseconds NoConfigRetryAfter{1'000};
+constexpr Milliseconds StoppingRetryAfter{200}; ///< Other gateways are ready.
+constexpr Milliseconds LastAnswersTime{100};    ///< For the last answers to leave the process.
 // Limits all gateways together to about 2.5 watch calls per second.
 constexpr Milliseconds WatchWaitPerGateway{400};
 constexpr Milliseconds MinWatchWait{2'500};
@@ -318,7 +320,14 @@
 
 void Gateway::onRequest(http::Request request, http::Responder responder)
 {
-    m_requestRate.note(1, core::BootClock::now());
+    const TimePoint now = core::BootClock::now();
+    m_requestRate.note(1, now);
+    // It could not be answered before the process ends.
+    if (m_draining && now - m_drainSince >= BalancerRemovalTime) {
+        refuse(responder, request.head, http::status::ServiceUnavailable, "the gateway stops",
+               StoppingRetryAfter);
+        return;
+    }
     const auto config = m_config.load();
     if (!config) {
         refuse(responder, request.head, http::status::ServiceUnavailable, "no configuration yet",
@@ -457,7 +466,19 @@
         }
         core::Event("gateway.stopped").with("busy", m_clientServer.activeRequestCount());
         m_leadership.stop();
-        m_onDrained();
+        answerOpenRequests();
+    });
+}
+
+void Gateway::answerOpenRequests()
+{
+    const auto open = std::exchange(m_sessionServices.open, {});
+    for (const auto &it : open)
+        it->giveUp("the gateway stops");
+    m_drainTimer.expires_after(open.empty() ? Milliseconds(0) : LastAnswersTime);
+    m_drainTimer.async_wait([this](const ErrorCode &ec) {
+        if (!ec)
+            m_onDrained();
     });
 }
 
--- a/src/serving/gateway.h
+++ b/src/serving/gateway.h
@@ -55,6 +55,7 @@
     void logPredictions(core::TimePoint now);
     void tick();
     void pollDrain();
+    void answerOpenRequests();
     bool ready() const;
     uint64_t cacheTokens(const std::string &service) const;
 
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -74,6 +74,7 @@
 
 void Session::start()
 {
+    m_services.open.insert(shared_from_this());
     const auto weak = weak_from_this();
     m_responder.onDisconnect([weak]() {
         if (const auto self = weak.lock())
--- a/src/serving/session.h
+++ b/src/serving/session.h
@@ -29,6 +29,8 @@
 
 namespace jujube::serving {
 
+class Session;
+
 /** References and callbacks that all sessions of a gateway share. */
 struct SessionServices
 {
@@ -55,6 +57,7 @@
     PrefixBlockGossip &prefixBlockGossip;
     QuarantineKeeper &quarantine;
     std::function<policy::DecodeStepEstimator &(const std::string &service)> decodeSteps;
+    std::set<std::shared_ptr<Session>> open{}; ///< Sessions that have not ended.
 };
 
 /** A client request whose route is known and whose API key, if it needs one, is valid. */
@@ -83,6 +86,8 @@
     ~Session();
 
     void start();
+    /** Ends the request with what is known of it: refused if it has not run, else unknown. */
+    void giveUp(const std::string &why);
 
 private:
     Session(SessionServices &services, AdmittedRequest request, http::Responder responder);
--- a/src/serving/sessionend.cpp
+++ b/src/serving/sessionend.cpp
@@ -65,6 +65,8 @@
 {
     if (std::exchange(m_finished, true))
         return;
+    const auto self = shared_from_this();
+    m_services.open.erase(self);
     leavePromptQueue();
     releaseCacheHandle();
     endSend(false);
@@ -113,6 +115,13 @@
 }
 
 void Session::onDeadline()
+{
+    const bool sent = (m_connection && m_purpose == Purpose::Run) || m_mayHaveRun;
+    giveUp(sent ? "no answer before the deadline"
+                : "no endpoint accepted the request before the deadline");
+}
+
+void Session::giveUp(const std::string &why)
 {
     if (m_finished)
         return;
@@ -122,10 +131,9 @@
         m_responder.abort();
         finish("timed-out", m_head.status);
     } else if (running || m_mayHaveRun) {
-        fail(http::status::GatewayTimeout, "no answer before the deadline");
+        fail(http::status::GatewayTimeout, why);
     } else {
-        fail(http::status::ServiceUnavailable,
-             "no endpoint accepted the request before the deadline", retryAfterDelay());
+        fail(http::status::ServiceUnavailable, why, retryAfterDelay());
     }
 }
 
--- a/test/support/deployment.h
+++ b/test/support/deployment.h
@@ -88,9 +88,11 @@
     bool runUntil(const std::function<bool()> &done,
                   core::Milliseconds limit = core::Milliseconds(5'000));
 
+    /** Address at which a gateway accepts clients. */
+    std::string clientAddress(size_t gateway) const;
+
 private:
     std::string address(uint32_t host, uint16_t port) const;
-    std::string clientAddress(size_t gateway) const;
 
     boost::asio::io_context m_io;
     http::Client m_httpClient;
