--- a/src/serving/endpoints.cpp
+++ b/src/serving/endpoints.cpp
@@ -31,10 +31,8 @@
 // An entry expires when its owner has missed three reports, which are more than a second apart.
 constexpr core::Milliseconds HoldBackTime{6'000};
 
-} // namespace
-
 // Logs a limit that has changed; a negative one has ended.
-static void logLimit(const Endpoint &endpoint, std::string_view source)
+void logLimit(const Endpoint &endpoint, std::string_view source)
 {
     core::Event("endpoint.limit")
         .with("endpoint", endpoint.record.id)
@@ -42,6 +40,8 @@
         .with("source", source);
 }
 
+} // namespace
+
 uint64_t endpointHash(std::string_view id)
 {
     return XXH3_64bits(id.data(), id.size());
@@ -353,7 +353,8 @@
 {
     if (answer.leaving && !std::exchange(endpoint.leaving, true))
         core::Event("endpoint.leaving").with("endpoint", endpoint.record.id);
-    if (answer.fromEndpoint && endpoint.limit.observe(answer.requestLimit, now))
+    if ((answer.requestLimit || answer.endsLimit)
+        && endpoint.limit.observe(answer.requestLimit, now))
         logLimit(endpoint, "answer");
     if (!answer.retryAfter)
         return;
--- a/src/serving/requesttypes.h
+++ b/src/serving/requesttypes.h
@@ -67,10 +67,9 @@
     /** Back-off that a refusal asks for: no requests to the endpoint until it has passed. */
     std::optional<core::Milliseconds> retryAfter;
     std::optional<EndpointLoad> load;
-    /** Requests per second that the endpoint accepts from all gateways together. Nothing if the
-     * answer comes from the endpoint and names no limit, or one that is not a number. */
+    /** Requests per second that the endpoint accepts from all gateways together. */
     std::optional<double> requestLimit;
-    bool fromEndpoint = true; ///< Not from another instance at its address.
+    bool endsLimit = false; ///< Answers a request and names no limit.
 };
 
 /** The cache of a prefilled prompt, which its engine keeps for a short time. */
--- a/test/correctness/notices.cpp
+++ b/test/correctness/notices.cpp
@@ -161,7 +161,28 @@
     for (const char *text : {"", "-1", "nan", "inf", "1e9", "5/s", "five", "0x5", "5,6"})
         cr_assert_not(limit(text).has_value(), "%s", text);
     cr_assert_not(answerWith(421, "Server-Limit", "5").requestLimit.has_value());
-    cr_assert_not(answerWith(421, "Server-Limit", "5").fromEndpoint);
+}
+
+// Guards against a limit that seems to end with an answer to a report, an order or the release of a
+// handle, with a malformed field or with another instance's answer.
+Test(notices, only_an_answer_to_a_request_without_the_field_ends_a_limit)
+{
+    serving::EndpointTable table;
+    table.update(record("e", 7, 1), 1'000);
+    auto &endpoint = *table.find("e");
+    auto apply = [&, now = core::TimePoint{1s}](const serving::AnswerMetadata &answer) mutable {
+        serving::applyAnswerNotices(endpoint, answer, now += 1s);
+        return endpoint.limit.perSecond();
+    };
+    cr_assert(apply(answerWith(200, "Server-Limit", "5")) == 5.0);
+    cr_assert(apply(answerWith(200, "Content-Type", "application/json")) == 5.0);
+    cr_assert(apply(answerWith(421, "Request-Id", "r1")) == 5.0);
+    http::Head malformed;
+    malformed.status = 200;
+    malformed.fields.add("Request-Id", "r1");
+    malformed.fields.add("Server-Limit", "soon");
+    cr_assert(apply(platform::decodeResponseHead(malformed)) == 5.0);
+    cr_assert_not(apply(answerWith(200, "Request-Id", "r1")).has_value());
 }
 
 Test(notices, back_offs_are_parsed_as_seconds_only)
