Names and comments after a last reading: repeated limits, start order, tolerance of the soak

'News' is the old word for gossip, and said nothing of why a limit is sent again; startOrder and the soak's tolerance had no explanation. Only names in one file's anonymous namespace and comments change.

--- a/src/serving/countrelay.h
+++ b/src/serving/countrelay.h
@@ -59,8 +59,8 @@
 private:
     struct Peer
     {
-        uint64_t position = 0; ///< Of the next window to send.
-        uint64_t startOrder = 0;
+        uint64_t position = 0;   ///< Of the next window to send.
+        uint64_t startOrder = 0; ///< Grows with each start; the latest peer comes first.
     };
 
     std::map<std::string, Peer> m_peers;
--- a/src/serving/gatewaygossip.cpp
+++ b/src/serving/gatewaygossip.cpp
@@ -20,14 +20,14 @@
 // Keeps requests away from an endpoint that a peer reports as changing or leaving. The peer's next
 // gossip message renews the pause.
 constexpr Milliseconds GossipPause{200};
-constexpr Milliseconds LimitNewsTime{30'000};
-constexpr Milliseconds LimitEndNewsTime{2'000};
+constexpr Milliseconds LimitRepeatTime{30'000};
+constexpr Milliseconds LimitEndRepeatTime{2'000};
 
 // Limits are repeated while they last; the end of one only until all gateways know of it.
-bool isNews(const policy::LimitObservation &observation, TimePoint now)
+bool isRepeated(const policy::LimitObservation &observation, TimePoint now)
 {
     return observation.at != TimePoint{}
-    && now - observation.at < (observation.perSecond ? LimitNewsTime : LimitEndNewsTime);
+    && now - observation.at < (observation.perSecond ? LimitRepeatTime : LimitEndRepeatTime);
 }
 
 GossipLimit gossipOf(const Endpoint &endpoint, const policy::LimitObservation &observation,
@@ -65,7 +65,7 @@
     gossip.blocks = m_quarantine.report();
     gossip.requestsPerSecond = m_requestRate.rate(now);
     for (const auto &[id, endpoint] : m_endpoints.all()) {
-        if (const auto &own = endpoint->limit.own(); isNews(own, now))
+        if (const auto &own = endpoint->limit.own(); isRepeated(own, now))
             gossip.limits.push_back(gossipOf(*endpoint, own, now));
     }
     return gossip;
@@ -78,7 +78,7 @@
     const TimePoint now = core::BootClock::now();
     std::vector<GossipLimit> limits;
     for (const auto &[id, endpoint] : m_endpoints.all()) {
-        if (const auto &latest = endpoint->limit.latest(); isNews(latest, now))
+        if (const auto &latest = endpoint->limit.latest(); isRepeated(latest, now))
             limits.push_back(gossipOf(*endpoint, latest, now));
     }
     return limits;
--- a/test/soak/limitschedule.cpp
+++ b/test/soak/limitschedule.cpp
@@ -14,6 +14,7 @@
 constexpr Milliseconds Window{4'000};
 // From a change of a limit until all gateways keep the new one.
 constexpr Milliseconds ContactTime{3'000};
+// An endpoint may get this multiple of its limit in a window, and some requests more.
 constexpr double Tolerance = 1.5;
 constexpr size_t ExtraRequests = 5;
 constexpr Milliseconds ShortestLimit{9'000};
