Review case 3: entries removed during a listing come back

A gateway that starts behind a slow link takes a newer state from a peer while the store's listing is on its way. The listing then adds entries again that were removed meanwhile, and the watch starts behind their removal, so the gateway uses endpoints that have left until they exit.

--- a/review/support/deployment.cpp
+++ b/review/support/deployment.cpp
@@ -182,6 +182,11 @@
     m_store.put("servers/" + endpoint.id(), endpoint.makeEntry(service, "a", state));
 }
 
+std::string Deployment::storeAddress() const
+{
+    return address(1, StorePort);
+}
+
 GatewayProcess *Deployment::addGateway(const GatewayOptions &options)
 {
     const auto host = static_cast<uint32_t>(FirstGatewayHost + m_gateways.size());
@@ -189,8 +194,10 @@
     gateway->name = options.name;
     gateway->clientAddress = address(host, ClientPort);
     gateway->readyAddress = address(host, ReadyPort);
-    gateway->writeSettings(settingsText(options, *gateway, core::concat(m_networkPrefix, host),
-                                        address(1, StorePort), address(1, PlatformPort)));
+    gateway->writeSettings(
+        settingsText(options, *gateway, core::concat(m_networkPrefix, host),
+                     options.storeAddress.empty() ? storeAddress() : options.storeAddress,
+                     address(1, PlatformPort)));
     if (!gateway->start())
         return nullptr;
     m_gateways.push_back(std::move(gateway));
--- a/review/support/deployment.h
+++ b/review/support/deployment.h
@@ -30,6 +30,7 @@
     core::Milliseconds grace{8'000}; ///< From SIGTERM to SIGKILL.
     double linkMbps = 1'000;
     double cpuShare = 0.19;
+    std::string storeAddress{}; ///< Of a relay to the store; empty: the store itself.
 };
 
 /** A gateway that runs as a child process. */
@@ -118,6 +119,7 @@
     GatewayProcess *addGateway(const GatewayOptions &options);
     /** Runs the loop until all gateways are ready. */
     bool waitReady(core::Milliseconds limit);
+    std::string storeAddress() const;
     bool isReady(const GatewayProcess &gateway);
 
     std::shared_ptr<Outcome> send(const ClientRequest &request);
