Review: stand-ins beside the cases, and honest limits

The folders of review/ are the cases alone now; the stand-ins are files beside them and are built in build/review/.

--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -4,8 +4,8 @@
  */
 
 #include "core/text.h"
-#include "review/support/deployment.h"
-#include "review/support/link.h"
+#include "review/deployment.h"
+#include "review/link.h"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -19,8 +19,10 @@
 using namespace std::chrono_literals;
 using review::Verdict;
 
-constexpr core::Milliseconds ContactTime{3'000}; // ContactMs in the settings.
-constexpr core::Milliseconds DrainTime{2'000};   // DrainMs in the settings.
+// ContactMs, DrainMs and ConfigApplyMs of the site.
+constexpr core::Milliseconds ContactTime{4'000};
+constexpr core::Milliseconds DrainTime{3'000};
+constexpr core::Milliseconds ConfigTime{3'000};
 constexpr core::Milliseconds WorkTime{200};
 constexpr core::Milliseconds OrderTimeout{2'500};
 constexpr core::Milliseconds BeforeStop{2'000};
@@ -126,6 +128,10 @@
         for (int i = 0; i < Gateways; ++i) {
             review::GatewayOptions options;
             options.name = core::concat("front-", i + 1);
+            options.contactTime = ContactTime;
+            options.drainTime = DrainTime;
+            options.configTime = ConfigTime;
+            options.fenced = false;
             if (i == 0) {
                 options.storeAddress = linkAddress;
                 options.linkMbps = LinkMbps;
--- a/review/support/deployment.cpp
+++ b/review/deployment.cpp
@@ -1,4 +1,4 @@
-#include "review/support/deployment.h"
+#include "review/deployment.h"
 
 #include "core/eventlog.h"
 #include "core/text.h"
@@ -32,7 +32,7 @@
 constexpr Milliseconds LoopStep{5};
 constexpr Milliseconds ConnectTimeout{1'000};
 
-// The bounds of the users' small sites.
+// The bounds are those of the users' small sites unless the options say otherwise.
 std::string settingsText(const GatewayOptions &options, const GatewayProcess &gateway,
                          const std::string &ip, const std::string &store,
                          const std::string &platform)
@@ -45,10 +45,13 @@
         "[Listen]\nFront = \"", gateway.clientAddress, "\"\nReady = \"", gateway.readyAddress,
         "\"\n[Limits]\nCpuShare = ", options.cpuShare,
         "\nCores = 1\nMemoryMb = 260\nMaxFds = 4100\nLinkMbps = ", options.linkMbps,
-        "\n[Bounds]\nContactMs = 3000\nDrainMs = 2000\nGraceS = ",
-        static_cast<double>(options.grace.count()) / 1000,
-        "\nLossSlackMs = 200\nConfigApplyMs = 2000\nRetryBudgetRatio = 0.2\nBudgetWindowS = 10\n",
-        "RetryBudgetSlack = 58\nRequireFence = true\nLeaseMs = 3000\nThawSlackMs = 300\n",
+        "\n[Bounds]\nContactMs = ", options.contactTime.count(),
+        "\nDrainMs = ", options.drainTime.count(),
+        "\nGraceS = ", static_cast<double>(options.grace.count()) / 1000,
+        "\nLossSlackMs = 200\nConfigApplyMs = ", options.configTime.count(),
+        "\nRetryBudgetRatio = 0.2\nBudgetWindowS = 10\n",
+        "RetryBudgetSlack = 58\nRequireFence = ", options.fenced ? "true" : "false",
+        "\nLeaseMs = 3000\nThawSlackMs = 300\n",
         "ReportWindowS = 5\nUsageLateS = 10\nRecoveryS = 12\n[Platform]\nAddress = \"", store,
         "\"\nform = \"kv\"\nWritesPerS = 400\nReadsPerS = 2000\nHistoryS = 20\n",
         "ValueBytes = 1048576\nMinTtlMs = 1000\n[CloudApi]\nAddress = \"", platform,
--- a/review/support/deployment.h
+++ b/review/deployment.h
@@ -27,7 +27,11 @@
 struct GatewayOptions
 {
     std::string name;
-    core::Milliseconds grace{8'000}; ///< From SIGTERM to SIGKILL.
+    core::Milliseconds grace{8'000};       ///< From SIGTERM to SIGKILL.
+    core::Milliseconds contactTime{3'000}; ///< ContactMs.
+    core::Milliseconds drainTime{2'000};   ///< DrainMs.
+    core::Milliseconds configTime{2'000};  ///< ConfigApplyMs.
+    bool fenced = true;                    ///< RequireFence.
     double linkMbps = 1'000;
     double cpuShare = 0.19;
     std::string storeAddress{}; ///< Of a relay to the store; empty: the store itself.
--- a/review/support/link.cpp
+++ b/review/link.cpp
@@ -1,4 +1,4 @@
-#include "review/support/link.h"
+#include "review/link.h"
 
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/steady_timer.hpp>
