--- a/src/wire/news.capnp
+++ b/src/wire/news.capnp
@@ -13,8 +13,23 @@
   changing @3 :Bool;        # the sender has ordered a stage change that is not complete
   failing @4 :Bool;         # the sender has ejected the endpoint and not yet readmitted it
   leaving @5 :Bool;         # the endpoint has announced to the sender that it is leaving
+  remainingTokens @6 :UInt32; # output tokens that the sender's streams there still have to produce
+  heldTokens @7 :UInt32;      # KV cache that the sender's requests hold there, in tokens
+  reportedRunning @8 :UInt16; # of all callers, as the endpoint last stated to the sender
+  reportedWaiting @9 :UInt16;
+  pace @10 :UInt16;           # percent of the usual time that work takes there; 0: not stated
+  reportAgeMs @11 :UInt16;    # age of the endpoint's statement
 }
 
+# Tokens charged to a team's quota by one run of a gateway, less what was refunded.
+struct QuotaCount { team @0 :UInt64; tokens @1 :Int64; }
+
+# Level of a team's bucket as the hub knows it, and the receiver's count that is included in it.
+struct QuotaLevel { team @0 :UInt64; level @1 :Int64; includedTokens @2 :Int64; }
+
+# Evidence of one gateway on the speed of an engine.
+struct SpeedSample { endpoint @0 :UInt64; meanLogRatio @1 :Float32; weight @2 :Float32; }
+
 struct TeamCount { team @0 :Text; count @1 :UInt32; }
 
 # A prefix block that was sent to an endpoint, as the hash that chains it to all preceding blocks.
@@ -54,6 +69,10 @@
   quarantinedBlocks @19 :List(UInt64);
   limits @21 :List(EndpointLimit);
   requestsPerSecond @22 :Float32; # of clients, received by the sender
+  quotaCounts @23 :List(QuotaCount);
+  quotaLevels @24 :List(QuotaLevel); # in summaries only
+  heardPeers @25 :List(UInt64);      # hashes of the names of peers heard recently; without a hub only
+  engineSpeeds @26 :List(SpeedSample);
   counts @20 :Bool;          # windows of departed gateways only; no other field applies
   parts @8 :List(PartSent);  # blocks sent recently; repeated because datagrams may be lost
 }
