--- a/src/serving/fleetconfig.h
+++ b/src/serving/fleetconfig.h
@@ -77,11 +77,21 @@
     std::optional<EngineConfig> engine;
 };
 
+/** Quota of a team, for all gateways together. */
+struct TeamQuota
+{
+    double tokensPerSecond = 0;
+    double burstTokens = 0;
+    bool countsTokens = false; ///< Otherwise each request counts as one token.
+    double plainTokens = 1;    ///< Tokens of a request that does not state its size.
+};
+
 /** A configured team. */
 struct TeamConfig
 {
     std::string name;
-    std::optional<uint32_t> rank; ///< Overrides the rank of the route.
+    std::optional<uint32_t> rank;   ///< Overrides the rank of the route.
+    std::optional<TeamQuota> quota; ///< Nothing: the team has no quota.
 };
 
 /** Limits of client connections and requests. */
--- a/src/serving/nodesettings.h
+++ b/src/serving/nodesettings.h
@@ -38,6 +38,9 @@
     double retryRatio = 0.2;                        ///< Retries to a service per request for it.
     core::Milliseconds retryWindow{10'000};
     double retrySlack = 58; ///< Additional retries per window, for all gateways together.
+    core::Milliseconds quotaWindow{8'000}; ///< Sliding window in which quotas of teams hold.
+    double quotaOverrun = 0; ///< Share by which the use of a quota may exceed it in a window.
+    double quotaSlack = 0;   ///< Tokens by which it may exceed the quota besides.
 };
 
 } // namespace jujube::serving
--- a/src/serving/requesttypes.h
+++ b/src/serving/requesttypes.h
@@ -55,6 +55,7 @@
     uint32_t running = 0;
     uint32_t waiting = 0;
     uint32_t slots = 0;
+    std::optional<uint32_t> pacePercent; ///< Time that work takes there now; 100: as usual.
 };
 
 /** Metadata of an endpoint's answer, decoded from its head. */
