Decode quotas of teams, their rule in the settings and the pace in Server-Load

Cause: the gateway ignores the quotas of teams and the pace that endpoints report. Change: platform/ decodes both and the three quota settings into the declared types. A malformed quota makes the whole configuration invalid and names team and field; a Server-Load with figures out of range is ignored, and a malformed pace on its own. Figures of a quota are cut to 1e12, so that sums stay in range. Conclusion: the wire formats are whole; nothing enforces quotas yet.

--- a/test/error/platformcodec.cpp
+++ b/test/error/platformcodec.cpp
@@ -3,6 +3,7 @@
  * rejected, and that valid ones are decoded.
  */
 
+#include "core/text.h"
 #include "platform/fleetcodec.h"
 #include "platform/requestcodec.h"
 #include "platform/settings.h"
@@ -57,6 +58,20 @@
     return head;
 }
 
+// Decodes a configuration with one team; members are added to those of the team.
+absl::StatusOr<std::shared_ptr<const serving::FleetConfig>> configWithTeam(std::string_view members)
+{
+    return platform::decodeConfig(
+        core::concat(R"({"Version":1,"Tenants":[{"Name":"acme")", members, "}]}"));
+}
+
+std::optional<serving::EndpointLoad> loadFrom(const std::string &text)
+{
+    http::Head head;
+    head.fields.add("Server-Load", text);
+    return platform::decodeResponseHead(head).load;
+}
+
 } // namespace
 
 Test(settings_of_the_platform, are_read_with_unknown_fields_ignored)
@@ -133,6 +148,91 @@
     cr_assert_not(platform::decodeConfig("[]").ok());
 }
 
+// Guards against a quota that is lost or read in the wrong unit.
+Test(configuration_of_the_platform, the_quota_of_a_team_is_decoded)
+{
+    const auto config = configWithTeam(
+        R"(,"RatePerS":36000.5,"Burst":40000,"Unit":"token_stream","PlainTokens":300)");
+    cr_assert(config.ok());
+    const auto &quota = (*config)->teams.front().quota;
+    cr_assert(quota.has_value());
+    cr_assert_eq(quota->tokensPerSecond, 36'000.5);
+    cr_assert_eq(quota->burstTokens, 40'000);
+    cr_assert_eq(quota->plainTokens, 300);
+    cr_assert(quota->countsTokens);
+    for (const char *unit :
+         {"", R"(,"Unit":"")", R"(,"Unit":"request")", R"(,"Unit":"requests")"}) {
+        const auto inRequests = configWithTeam(core::concat(R"(,"RatePerS":0.5)", unit));
+        cr_assert(inRequests.ok(), "%s", unit);
+        cr_assert_not((*inRequests)->teams.front().quota->countsTokens, "%s", unit);
+        cr_assert_eq((*inRequests)->teams.front().quota->burstTokens, 0);
+    }
+}
+
+// Guards against a quota of zero, which would refuse every request of a team without a quota.
+Test(configuration_of_the_platform, no_rate_means_no_quota)
+{
+    for (const char *members : {"", R"(,"RatePerS":0)", R"(,"RatePerS":-0.0,"Burst":7)",
+                                R"(,"Burst":7,"Unit":"token_stream")"}) {
+        const auto config = configWithTeam(members);
+        cr_assert(config.ok(), "%s", members);
+        cr_assert_not((*config)->teams.front().quota.has_value(), "%s", members);
+    }
+}
+
+// Guards against undefined conversions to whole numbers, and infinities in sums.
+Test(configuration_of_the_platform, huge_quota_figures_stay_in_range)
+{
+    for (const char *figure : {"9007199254740993", "18446744073709551616", "1e300"}) {
+        const auto config = configWithTeam(core::concat(R"(,"RatePerS":)", figure, R"(,"Burst":)",
+                                                        figure, R"(,"PlainTokens":)", figure));
+        cr_assert(config.ok(), "%s", figure);
+        const serving::TeamQuota quota = *(*config)->teams.front().quota;
+        for (const double it : {quota.tokensPerSecond, quota.burstTokens, quota.plainTokens})
+            cr_assert(it >= 1e12 && it * 3600 < 9e18, "%s", figure);
+    }
+}
+
+// Guards against a typing error that silently removes a quota, also for a team without a rate.
+Test(configuration_of_the_platform, a_malformed_quota_names_team_and_field)
+{
+    for (const char *field : {"RatePerS", "Burst", "PlainTokens"}) {
+        for (const char *value : {"-1", "-0.001", R"("36000")", "null", "true", "[1]"}) {
+            const auto config = configWithTeam(core::concat(",\"", field, "\":", value));
+            cr_assert_not(config.ok(), "%s %s", field, value);
+            cr_assert_neq(config.status().message().find(core::concat("acme: ", field)),
+                          std::string_view::npos, "%s %s", field, value);
+        }
+        cr_assert_not(configWithTeam(core::concat(",\"", field, "\":1e999")).ok(), "%s", field);
+    }
+    for (const char *unit : {R"("tokens")", R"("Token_Stream")", "7", "null", "[]"}) {
+        const auto config = configWithTeam(core::concat(R"(,"RatePerS":1,"Unit":)", unit));
+        cr_assert_not(config.ok(), "%s", unit);
+        cr_assert_neq(config.status().message().find("acme: Unit"), std::string_view::npos);
+    }
+}
+
+// Guards against a report that is taken for another, such as a pace for a number of slots.
+Test(answers, state_load_with_an_optional_pace)
+{
+    const auto load = loadFrom("3,4,8,137");
+    cr_assert(load.has_value());
+    cr_assert(load->running == 3 && load->waiting == 4 && load->slots == 8);
+    cr_assert_eq(load->pacePercent, 137U);
+    cr_assert_eq(loadFrom("0,0,1,100000")->pacePercent, 100'000U);
+    cr_assert_not(loadFrom("1000000,1000000,1000000")->pacePercent.has_value());
+    for (const char *pace :
+         {"", "0", "-5", "100001", "99999999999999999999", "1.5", "fast", " 9"}) {
+        const auto withoutPace = loadFrom(core::concat("3,4,8,", pace));
+        cr_assert(withoutPace && withoutPace->slots == 8, "%s", pace);
+        cr_assert_not(withoutPace->pacePercent.has_value(), "%s", pace);
+    }
+    for (const char *it : {"", "3", "3,4", "3,4,8,100,1", "3,4,8,100,", "-3,4,8", "3,x,8", "3,4,0",
+                           "3,4,0,100", "1000001,4,8", "3,1000001,8", "3,4,1000001", "3,4,8.5",
+                           "99999999999999999999,4,8", "3,,8", ",,,"})
+        cr_assert_not(loadFrom(it).has_value(), "%s", it);
+}
+
 Test(answers, only_not_executed_and_misdirected_mean_not_run)
 {
     http::Head head;
--- a/test/error/settings.cpp
+++ b/test/error/settings.cpp
@@ -3,6 +3,7 @@
  * allowed values.
  */
 
+#include "platform/settings.h"
 #include "agent/agentsettings.h"
 #include "core/configuration.h"
 #include "core/text.h"
@@ -100,3 +101,35 @@
     cr_assert(mentions(core::validateShard("engines", "[[engine]]\nvm=\"x\"\nintent=\"gone\"\n"),
                        "active, drained, withdrawn"));
 }
+
+// Guards against gateways that start with a quota rule other than the stated one.
+Test(settings, of_the_platform_state_the_quota_rule)
+{
+    const auto load = [](const std::string &bounds) {
+        const std::string path = writeFile(core::concat(
+            "NodeName = \"n\"\nZone = \"a\"\nIp = \"127.0.0.1\"\nInternalPorts = [1, 2]\n"
+            "[Listen]\nFront = \"127.0.0.1:1\"\nReady = \"127.0.0.1:2\"\n"
+            "[Platform]\nAddress = \"127.0.0.1:3\"\n[Bounds]\n",
+            bounds));
+        auto settings = platform::loadSettings(path);
+        unlink(path.c_str());
+        return settings;
+    };
+    const auto stated = load("QuotaWindowS = 2.5\nQuotaOverrun = 0.1\nQuotaSlack = 140000\n");
+    cr_assert(stated.ok(), "%s", stated.status().ToString().c_str());
+    cr_assert_eq(stated->quotaWindow, core::Milliseconds(2'500));
+    cr_assert_eq(stated->quotaOverrun, 0.1);
+    cr_assert_eq(stated->quotaSlack, 140'000);
+    const auto absent = load("");
+    cr_assert(absent.ok());
+    cr_assert_eq(absent->quotaWindow, core::Milliseconds(8'000));
+    cr_assert(absent->quotaOverrun == 0 && absent->quotaSlack == 0);
+    for (const char *name : {"QuotaWindowS", "QuotaOverrun", "QuotaSlack"}) {
+        for (const char *value :
+             {"-1", "-0.1", "\"8\"", "true", "[8]", "nan", "inf", "1e300", "9223372036854775807"}) {
+            const auto settings = load(core::concat(name, " = ", value, "\n"));
+            cr_assert_not(settings.ok(), "%s = %s", name, value);
+            cr_assert(mentions(settings.status(), core::concat("Bounds.", name, " must be")));
+        }
+    }
+}
