Soak: teams with quotas, surges above them, and checks of the sums that ran

Cause: no test sums what all gateways together run of a team while processes are killed, paused and cut off from the store. Checked are the sums of each window by the rule of the settings, that a 429 never runs and carries a Retry-After, and that a team which sends less than its quota is not refused. A replaced quota stays allowed until gateways that reach the store must know of the change.

--- a/test/soak/disturbances.h
+++ b/test/soak/disturbances.h
@@ -16,6 +16,9 @@
 /** Stands for all gateways: a fault of the store, an endpoint or a link. */
 constexpr size_t AllGateways = std::numeric_limits<size_t>::max();
 
+/** Stands for the store and its link: without them, gateways do not learn of changes. */
+constexpr size_t StorePath = AllGateways - 1;
+
 /** Time spans of faults, for each gateway and for all of them together. */
 class Disturbances
 {
@@ -45,6 +48,21 @@
         });
     }
 
+    /** The time at which a gateway, or what it stands for, has been undisturbed for RecoveryDelay
+     * after a time; the maximum if a disturbance lasts. */
+    core::TimePoint settledAfter(size_t gateway, core::TimePoint from) const
+    {
+        core::TimePoint settled = from + RecoveryDelay;
+        for (const Span &it : m_spans) {
+            if (it.gateway != gateway || it.to < from || it.from > settled)
+                continue;
+            if (it.to == core::TimePoint::max())
+                return it.to;
+            settled = std::max(settled, it.to + RecoveryDelay);
+        }
+        return settled;
+    }
+
 private:
     // Time after a fault in which the suspicions, pauses and leases that remain from it expire.
     static constexpr core::Milliseconds RecoveryDelay{3'000};
--- a/test/soak/gatewayprocess.cpp
+++ b/test/soak/gatewayprocess.cpp
@@ -49,6 +49,9 @@
         << "\"\nDuties = [\"usage_report\"]\n[Bounds]\nReportWindowS = 2.0\nRetryBudgetRatio = "
         << m_config.retryLimits.ratio << "\nRetryBudgetSlack = " << m_config.retryLimits.slack
         << "\nBudgetWindowS = " << m_config.retryLimits.window.count() << '\n';
+    if (const auto &rule = m_config.quotaRule)
+        out << "QuotaWindowS = " << rule->window.count() << "\nQuotaOverrun = " << rule->overrun
+            << "\nQuotaSlack = " << rule->slack << '\n';
     out.close();
     return out ? absl::OkStatus() : absl::UnavailableError("cannot write " + settingsPath());
 }
--- a/test/soak/gatewayprocess.h
+++ b/test/soak/gatewayprocess.h
@@ -22,6 +22,14 @@
     std::chrono::seconds window{10};
 };
 
+/** Rule by which the use of a quota in a window may exceed the quota. */
+struct QuotaRule
+{
+    std::chrono::seconds window{8};
+    double overrun = 0; ///< As a share of the quota.
+    double slack = 0;   ///< In the unit of the quota.
+};
+
 /** Name and addresses of a gateway, and the addresses of the services it uses. */
 struct GatewayConfig
 {
@@ -32,6 +40,7 @@
     std::string storeAddress;
     std::string platformAddress;
     RetryBudgetLimits retryLimits{};
+    std::optional<QuotaRule> quotaRule; ///< Nothing: the settings do not state it.
 };
 
 /** A child process that runs a gateway. Signals go only to the process that start() started. */
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -11,6 +11,7 @@
 #include "soak/faults.h"
 #include "soak/invariants.h"
 #include "soak/limitschedule.h"
+#include "soak/quotaschedule.h"
 #include "soak/retrybudget.h"
 
 #include <gflags/gflags.h>
@@ -18,6 +19,7 @@
 #include <csignal>
 #include <cstdio>
 #include <filesystem>
+#include <optional>
 
 DEFINE_string(program, "build/jujube-gateway", "path of the gateway's executable");
 DEFINE_string(folder, "build/soak", "folder in which a subfolder is created for each seed");
@@ -28,6 +30,7 @@
 DEFINE_bool(crashes, false, "also send prompts that crash each engine which answers them");
 DEFINE_bool(limits, false, "also let endpoints name limits of requests");
 DEFINE_bool(retries, false, "also use up the retry budgets, beside kills and reloads in series");
+DEFINE_bool(quotas, false, "also give teams quotas that change, and exceed them at times");
 DEFINE_uint32(callers, 60, "number of concurrent clients");
 
 namespace {
@@ -72,6 +75,9 @@
 
 int runSoak(boost::asio::io_context &io, soak::SoakDeployment &deployment)
 {
+    std::optional<soak::QuotaSchedule> quotas;
+    if (FLAGS_quotas)
+        quotas.emplace(io, deployment, FLAGS_seed);
     soak::LoadSettings loadSettings;
     loadSettings.gateways = deployment.clientAddresses();
     loadSettings.inRotation = [&deployment](size_t i) { return deployment.inRotation(i); };
@@ -79,6 +85,10 @@
     loadSettings.seed = FLAGS_seed;
     if (FLAGS_crashes)
         loadSettings.crashingBlock = soak::SoakDeployment::CrashingBlock;
+    if (quotas)
+        loadSettings.drawTeam = [&quotas](std::mt19937_64 &random) {
+            return quotas->drawTeam(random);
+        };
     soak::LoadGenerator load(io, std::move(loadSettings));
     // The fakes and the clients run on this loop, so a delay of the loop delays them.
     serving::LoopMonitor loop(io);
@@ -95,6 +105,10 @@
         auto results = soak::checkInvariants(load, deployment, core::BootClock::now());
         results.push_back(limits.check(load));
         results.push_back(soak::checkRetryBudget(load, deployment));
+        if (quotas) {
+            for (soak::InvariantResult &it : quotas->check(load))
+                results.push_back(std::move(it));
+        }
         return results;
     };
     const size_t startUpDisturbance =
@@ -105,6 +119,8 @@
     injector.start();
     if (FLAGS_limits)
         limits.start();
+    if (quotas)
+        quotas->start();
     // A breach may be visible for a moment only, so checks run all the time and the first breach
     // ends the phase with faults.
     size_t breaches = 0;
@@ -114,6 +130,8 @@
     }
     if (FLAGS_limits)
         limits.stop();
+    if (quotas)
+        quotas->stop();
     runFor(io, RecoveryTime);
     const core::TimePoint recovered = core::BootClock::now();
     runFor(io, SteadyTime);
@@ -149,6 +167,14 @@
     soak::SoakSettings settings{FLAGS_program, folder, FLAGS_gateways, FLAGS_crashes};
     if (FLAGS_retries)
         settings.retryLimits = TightRetryLimits;
+    if (FLAGS_quotas && FLAGS_drills) {
+        std::fprintf(stderr,
+                     "soak-gateway: a restored store brings former quotas back into force, "
+                     "which --quotas does not take into account\n");
+        return 2;
+    }
+    if (FLAGS_quotas)
+        settings.quotaRule = soak::QuotaSchedule::Rule;
     const auto deployment = soak::SoakDeployment::create(io, std::move(settings));
     if (!deployment.ok()) {
         std::fprintf(stderr, "soak-gateway: %s\n",
--- a/test/soak/soakdeployment.h
+++ b/test/soak/soakdeployment.h
@@ -14,6 +14,7 @@
 #include <absl/status/statusor.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -45,6 +46,7 @@
     size_t gateways = 3;
     bool crashingPrompts = false; ///< Engines crash on prompts with CrashingBlock.
     RetryBudgetLimits retryLimits{};
+    std::optional<QuotaRule> quotaRule{};
 };
 
 /** Gateways as child processes, fakes in this process, and relays between them. */
@@ -74,6 +76,9 @@
 
     /** Writes the next version of the configuration. */
     void publishConfig();
+    /** Writes the next version of the configuration with other teams beside team-a. \param teams
+     * their JSON objects, each after a comma. */
+    void publishTeams(std::string teams);
     /** Writes the store entry of an endpoint with a state. */
     void registerEndpoint(SoakedEndpoint &endpoint, const std::string &state = "ready");
     /** Erases the store entry of an endpoint. */
@@ -111,6 +116,7 @@
     std::vector<std::string> m_formerIds; ///< Of endpoints that have started again.
     Disturbances m_disturbances;
     RetryBudgetLimits m_retryLimits;
+    std::string m_moreTeams;
     uint64_t m_configVersion = 0;
 };
 
