Quotas of teams: ledger, admission, gossip and refunds

Cause: teams have quotas over all gateways together, and fixed shares of a small quota are below one request. Change: policy::QuotaLedger keeps a bucket for each team, lowered by cumulative counts of each gateway's run; policy::QuotaGate decides by it, by the hub's statements or alone; TeamQuotas connects both with configuration and gossip. Without quotas no field is sent and nothing is computed.

--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -20,15 +20,9 @@
 constexpr uint16_t MetricsPort = 9464; // Has to match deploy/system.toml.
 constexpr Milliseconds TickInterval{200};
 constexpr Milliseconds TokenRateWindow{2'000}; ///< Shorter than swings of the request mix.
-// The load balancer removes a process after two failed readiness probes, one second apart. A
-// request accepted later than three seconds after SIGTERM could not be aborted before the grace
-// time ends.
-constexpr Milliseconds BalancerRemovalTime{2'700};
 constexpr Milliseconds DrainPollInterval{100};
 constexpr Milliseconds MarginBeforeKill{500}; ///< Time kept free before the platform sends SIGKILL.
-constexpr Milliseconds NoConfigRetryAfter{1'000};
-constexpr Milliseconds StoppingRetryAfter{200}; ///< Other gateways are ready.
-constexpr Milliseconds LastAnswersTime{100};    ///< For the last answers to leave the process.
+constexpr Milliseconds LastAnswersTime{100};  ///< For the last answers to leave the process.
 // Limits all gateways together to about 2.5 watch calls per second.
 constexpr Milliseconds WatchWaitPerGateway{400};
 constexpr Milliseconds MinWatchWait{2'500};
@@ -65,6 +59,7 @@
       m_store(m_httpClient, m_settings.storeAddress),
       m_quarantine(m_store, m_settings.name),
       m_usage(m_settings.usageWindow),
+      m_quotas(io, m_settings, m_random, [this]() { m_peers.loadChanged(); }),
       m_disaggregatedPrefill(m_placement.disaggregatedPrefill),
       m_colocatedPrefill(m_placement.colocatedPrefill),
       m_promptTokens(TokenRateWindow),
@@ -80,7 +75,8 @@
            [this](const GossipMessage &gossip) { onGossip(gossip); },
            &m_usage,
            [this]() { return m_usage.windowAt(m_wallClock.at(core::BootClock::now())); },
-           [this]() { return knownLimits(); }}),
+           [this]() { return knownLimits(); },
+           [this](const std::string &peer) { return m_quotas.levelsFor(peer); }}),
       m_feed(m_httpClient, m_settings.name, [this](const StorePage &state) { onPeerState(state); }),
       m_promptScheduler(io, m_endpoints, m_placement, m_random,
                         [this]() { return m_peers.aliveCount(); }),
@@ -138,7 +134,8 @@
           [this](const std::string &service) -> policy::DecodeStepEstimator & {
               return m_decodeSteps[service];
           },
-          std::make_shared<http::BufferBudget>(m_settings.memoryBytes / AnswerMemoryDivisor)},
+          std::make_shared<http::BufferBudget>(m_settings.memoryBytes / AnswerMemoryDivisor),
+          [this](const QuotaCharge &charge) { m_quotas.refund(charge); }},
       m_config(nullptr),
       m_clientServer(io,
                      [this](http::Request request, http::Responder responder) {
@@ -241,6 +238,7 @@
     if (current && current->version >= (*config)->version)
         return;
     m_config.store(*config);
+    m_quotas.configure(**config);
     const RequestLimits &limits = (*config)->limits;
     m_clientServer.setLimits(
         {limits.maxHeadBytes, limits.maxBodyBytes, limits.headTimeout, limits.idleTimeout});
@@ -285,10 +283,13 @@
 void Gateway::onPeer(const StoreItem &item)
 {
     const std::string name = item.key.substr(std::string_view(GatewayPrefix).size());
-    if (item.deleted)
+    if (item.deleted) {
         m_peers.removePeer(name);
-    else
+        m_quotas.removeGateway(name);
+    } else {
         m_peers.addPeer(name, item.value);
+        m_quotas.addGateway(name);
+    }
 }
 
 void Gateway::registerSelf()
@@ -318,85 +319,6 @@
     return !m_draining && m_config.load() && !m_endpoints.all().empty();
 }
 
-void Gateway::refuse(const http::Responder &responder, const http::Head &request, uint32_t status,
-                     const std::string &why, Milliseconds retryAfter)
-{
-    const std::string id = platform::requestIdOf(request);
-    const auto config = m_config.load();
-    core::Event("request.refused")
-        .with("request", id)
-        .with("status", status)
-        .with("why", why)
-        .with("config", config ? config->version : 0);
-    core::incrementCounter("jujube_refused_total", core::concat("status=\"", status, "\""));
-    responder.send(platform::gatewayResponseHead(status, id, retryAfter), {});
-}
-
-void Gateway::onRequest(http::Request request, http::Responder responder)
-{
-    const TimePoint now = core::BootClock::now();
-    m_requestRate.note(1, now);
-    // It could not be answered before the process ends.
-    if (m_draining && now - m_drainSince >= BalancerRemovalTime) {
-        refuse(responder, request.head, http::status::ServiceUnavailable, "the gateway stops",
-               StoppingRetryAfter);
-        return;
-    }
-    const auto config = m_config.load();
-    if (!config) {
-        refuse(responder, request.head, http::status::ServiceUnavailable, "no configuration yet",
-               NoConfigRetryAfter);
-        return;
-    }
-    auto facts = platform::decodeRequest(request.head);
-    if (!facts.ok()) {
-        refuse(responder, request.head, http::status::BadRequest,
-               std::string(facts.status().message()));
-        return;
-    }
-    const Route *route = config->findRoute(facts->host, facts->path);
-    if (!route) {
-        refuse(responder, request.head, http::status::NotFound,
-               "no route for " + facts->host + facts->path);
-        return;
-    }
-    AdmittedRequest admitted;
-    admitted.rank = route->rank;
-    if (config->requiresKeys) {
-        const TeamConfig *team =
-            facts->apiKey.empty() ? nullptr : config->findTeamByKey(facts->apiKey);
-        if (!team && !route->allowAnonymous) {
-            refuse(responder, request.head, http::status::Unauthorized, "unknown key");
-            return;
-        }
-        if (team) {
-            admitted.team = team->name;
-            admitted.rank = team->rank.value_or(route->rank);
-        }
-    }
-    admitted.message = std::move(request);
-    admitted.metadata = std::move(*facts);
-    admitted.config = config;
-    admitted.route = route;
-    admitted.service = pickWeightedService(*route);
-    Session::create(m_sessionServices, std::move(admitted), std::move(responder))->start();
-}
-
-std::string Gateway::pickWeightedService(const Route &route)
-{
-    double sum = 0;
-    for (const SplitTarget &it : route.targets)
-        sum += it.weight;
-    std::uniform_real_distribution<double> draw(0, sum);
-    double point = draw(m_random);
-    for (const SplitTarget &it : route.targets) {
-        point -= it.weight;
-        if (point < 0 && it.weight > 0)
-            return it.service;
-    }
-    return route.targets.front().service;
-}
-
 void Gateway::logPredictions(TimePoint now)
 {
     if (now - m_predictionsLoggedAt < PredictionLogInterval)
@@ -469,11 +391,11 @@
         if (ec)
             return;
         const auto since = core::BootClock::now() - m_drainSince;
-        if (since >= BalancerRemovalTime) {
+        if (since >= RemovalTime) {
             m_clientServer.stopListening();
             m_clientServer.closeIdleConnections();
         }
-        const bool empty = since >= BalancerRemovalTime && m_clientServer.activeRequestCount() == 0;
+        const bool empty = since >= RemovalTime && m_clientServer.activeRequestCount() == 0;
         if (!empty && since < m_settings.drainGrace - MarginBeforeKill) {
             pollDrain();
             return;
--- a/src/serving/gateway.h
+++ b/src/serving/gateway.h
@@ -13,6 +13,7 @@
 #include "serving/peermesh.h"
 #include "serving/session.h"
 #include "serving/storemirror.h"
+#include "serving/teamquotas.h"
 #include "serving/wallclock.h"
 
 #include <memory>
@@ -33,6 +34,11 @@
     void drain(std::function<void()> done);
 
 private:
+    // The load balancer removes a process after two failed readiness probes, one second apart. A
+    // request accepted later than three seconds after SIGTERM could not be aborted before the grace
+    // time ends.
+    static constexpr core::Milliseconds RemovalTime{2'700};
+
     void onItem(const StoreItem &item);
     void onConfig(const StoreItem &item);
     void onEndpoint(const StoreItem &item);
@@ -40,6 +46,9 @@
     void registerSelf();
 
     void onRequest(http::Request request, http::Responder responder);
+    void admitWithinQuota(const TeamConfig &team, AdmittedRequest admitted,
+                          http::Responder responder);
+    void startSession(AdmittedRequest admitted, http::Responder responder);
     void refuse(const http::Responder &responder, const http::Head &request, uint32_t status,
                 const std::string &why, core::Milliseconds retryAfter = {});
     std::string pickWeightedService(const Route &route);
@@ -71,6 +80,7 @@
     EndpointTable m_endpoints;
     QuarantineKeeper m_quarantine;
     UsageCounts m_usage;
+    TeamQuotas m_quotas;
     PrefixBlockGossip m_sentBlocks;
     policy::PlacementSettings m_placement;
     policy::PrefillTimeEstimator m_disaggregatedPrefill;
--- a/src/serving/gatewaygossip.cpp
+++ b/src/serving/gatewaygossip.cpp
@@ -68,6 +68,7 @@
         if (const auto &own = endpoint->limit.own(); isRepeated(own, now))
             gossip.limits.push_back(gossipOf(*endpoint, own, now));
     }
+    m_quotas.addTo(gossip, {m_peers.isLarge(), m_peers.hub()});
     return gossip;
 }
 
@@ -108,6 +109,7 @@
 void Gateway::onGossip(const GossipMessage &gossip)
 {
     m_promptScheduler.scheduleDispatch();
+    m_quotas.onGossip(gossip, {m_peers.isLarge(), m_peers.hub()});
     m_quarantine.merge(gossip.blocks);
     if (gossip.wallTime.count() > 0)
         m_wallClock.recordPeerTime(gossip.name, gossip.wallTime, core::BootClock::now());
--- a/src/serving/gossip.cpp
+++ b/src/serving/gossip.cpp
@@ -36,6 +36,16 @@
     return kj::arrayPtr(reinterpret_cast<const kj::byte *>(text.data()), text.size());
 }
 
+void readQuotas(const schema::GatewayNews::Reader &reader, GossipMessage &gossip)
+{
+    for (const auto it : reader.getQuotaCounts())
+        gossip.quotaCounts.push_back({it.getTeam(), it.getTokens()});
+    for (const auto it : reader.getQuotaLevels())
+        gossip.quotaLevels.push_back({it.getTeam(), it.getLevel(), it.getIncludedTokens()});
+    for (const uint64_t peer : reader.getHeardPeers())
+        gossip.heardPeers.push_back(peer);
+}
+
 GossipMessage readGossip(const schema::GatewayNews::Reader &reader)
 {
     GossipMessage gossip;
@@ -83,9 +93,35 @@
         gossip.blocks.successes.push_back({it.getBlock(), core::Milliseconds(it.getAgeMs())});
     for (const uint64_t block : reader.getQuarantinedBlocks())
         gossip.blocks.quarantined.push_back(block);
+    readQuotas(reader, gossip);
     return gossip;
 }
 
+// Empty lists are left out, as most deployments have no quotas.
+void writeQuotas(const GossipMessage &gossip, schema::GatewayNews::Builder root)
+{
+    if (!gossip.quotaCounts.empty()) {
+        auto counts = root.initQuotaCounts(static_cast<uint32_t>(gossip.quotaCounts.size()));
+        for (uint32_t i = 0; i < counts.size(); ++i) {
+            counts[i].setTeam(gossip.quotaCounts[i].team);
+            counts[i].setTokens(gossip.quotaCounts[i].tokens);
+        }
+    }
+    if (!gossip.quotaLevels.empty()) {
+        auto levels = root.initQuotaLevels(static_cast<uint32_t>(gossip.quotaLevels.size()));
+        for (uint32_t i = 0; i < levels.size(); ++i) {
+            levels[i].setTeam(gossip.quotaLevels[i].team);
+            levels[i].setLevel(gossip.quotaLevels[i].level);
+            levels[i].setIncludedTokens(gossip.quotaLevels[i].includedTokens);
+        }
+    }
+    if (!gossip.heardPeers.empty()) {
+        auto peers = root.initHeardPeers(static_cast<uint32_t>(gossip.heardPeers.size()));
+        for (uint32_t i = 0; i < peers.size(); ++i)
+            peers.set(i, gossip.heardPeers[i]);
+    }
+}
+
 void writeBlocks(const policy::BlockReport &blocks, schema::GatewayNews::Builder root)
 {
     auto crashes = root.initBlockCrashes(static_cast<uint32_t>(blocks.crashes.size()));
@@ -162,6 +198,7 @@
         limits[i].setAgeMs(static_cast<uint32_t>(gossip.limits[i].age.count()));
     }
     writeBlocks(gossip.blocks, root);
+    writeQuotas(gossip, root);
     return packedBytes(message);
 }
 
--- a/src/serving/gossip.h
+++ b/src/serving/gossip.h
@@ -5,6 +5,7 @@
  */
 
 #include "policy/blockquarantine.h"
+#include "policy/quotaledger.h"
 #include "serving/endpoints.h"
 #include "serving/storetypes.h"
 #include "serving/tokenrates.h"
@@ -67,8 +68,12 @@
     std::vector<GossipUsageWindow> windows;
     std::vector<GossipPrefixBlock> prefixBlocks;
     std::vector<GossipLimit> limits;
-    double requestsPerSecond = 0; ///< Requests of clients that the sender receives.
-    policy::BlockReport blocks;   ///< Blocks that are suspected of crashing engines.
+    double requestsPerSecond = 0;                ///< Requests of clients that the sender receives.
+    policy::BlockReport blocks;                  ///< Blocks that are suspected of crashing engines.
+    std::vector<policy::QuotaCount> quotaCounts; ///< Tokens charged to teams by the sender.
+    /** In summaries and for peers that have just started. */
+    std::vector<policy::QuotaLevel> quotaLevels;
+    std::vector<uint64_t> heardPeers; ///< Hashes of the names of connected peers; without a hub.
 };
 
 /** Limit of an unpacked state. */
--- a/src/serving/peermesh.cpp
+++ b/src/serving/peermesh.cpp
@@ -439,6 +439,8 @@
             continue;
         summary.shares = m_loadAggregator.loadExcept(name);
         summary.rates = m_loadAggregator.ratesExcept(name);
+        if (m_handler.quotaLevels)
+            summary.quotaLevels = m_handler.quotaLevels(name);
         send(peer, GossipKind::Summary, encodeGossip(summary));
     }
     m_endpoints.setPeerLoads(m_loadAggregator.loadExcept(m_name));
--- a/src/serving/peermesh.h
+++ b/src/serving/peermesh.h
@@ -41,6 +41,8 @@
         const UsageCounts *usage = nullptr;      ///< Counts that are relayed; null: none are.
         std::function<uint64_t()> usageWindow{}; ///< Number of the current usage window.
         std::function<std::vector<GossipLimit>()> limits{}; ///< Limits that a hub relays.
+        /** Levels of quotas that a hub states to a peer. */
+        std::function<std::vector<policy::QuotaLevel>(const std::string &peer)> quotaLevels{};
     };
 
     PeerMesh(boost::asio::io_context &io, http::Client &httpClient, EndpointTable &endpoints,
@@ -67,6 +69,8 @@
     bool runAlive(uint64_t run) const;
     /** Whether the deployment is large: load goes through a hub, other state once per second. */
     bool isLarge() const;
+    /** Name of the hub of a large deployment; empty: none was selected yet. */
+    const std::string &hub() const { return m_hub; }
     /** The live peers as sources of the store state. */
     std::vector<FeedPeer> statePeers() const;
     /** Whether this gateway watches the store for others. */
--- a/src/serving/requesttypes.h
+++ b/src/serving/requesttypes.h
@@ -36,6 +36,13 @@
     std::string lastEventId; ///< Last event received; a stream resumes after it.
 };
 
+/** Tokens that a request was charged to the quota of its team. */
+struct QuotaCharge
+{
+    uint64_t team = 0; ///< Hash of the team's name.
+    double tokens = 0; ///< 0: nothing was charged.
+};
+
 /** Metadata that the gateway sets on a request to an endpoint. */
 struct SendMetadata
 {
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -50,7 +50,7 @@
       m_responder(std::move(responder)),
       m_deadlineTimer(services.io),
       m_prefillTimer(services.io),
-      m_arrivedAt(core::BootClock::now()),
+      m_arrivedAt(m_request.arrivedAt),
       m_answerShare(services.answerBudget),
       m_unsentShare(services.answerBudget)
 {
@@ -184,6 +184,7 @@
     SendMetadata metadata;
     metadata.prefillOnly = true;
     metadata.fetchAddress = plan.fetchAddress;
+    m_prefillSent = true;
     send(Purpose::Prefill, plan.engine, std::move(metadata));
     startPrefillTimeouts();
 }
--- a/src/serving/session.h
+++ b/src/serving/session.h
@@ -58,7 +58,8 @@
     QuarantineKeeper &quarantine;
     std::function<policy::DecodeStepEstimator &(const std::string &service)> decodeSteps;
     std::shared_ptr<http::BufferBudget> answerBudget; ///< Of answers that are buffered here.
-    std::set<std::shared_ptr<Session>> open{};        ///< Sessions that have not ended.
+    std::function<void(const QuotaCharge &)> refundQuota;
+    std::set<std::shared_ptr<Session>> open{}; ///< Sessions that have not ended.
 };
 
 /** A client request whose route is known and whose API key, if it needs one, is valid. */
@@ -71,6 +72,8 @@
     std::string service;
     std::string team;
     uint32_t rank = 5; ///< Priority; 0 is the most urgent.
+    core::TimePoint arrivedAt{};
+    QuotaCharge charge; ///< Refunded if the request certainly does not run.
 };
 
 /** Carries one client request to its final answer.
@@ -203,6 +206,7 @@
     uint32_t m_runSends = 0;            ///< Sends for a run, attempts to connect included.
     uint32_t m_runs = 0;                ///< Endpoints that have run it or may have.
     uint64_t m_promptQueueId = 0;       ///< Id in the prompt scheduler; 0: not queued.
+    bool m_prefillSent = false;         ///< An engine may have prefilled the prompt.
     bool m_prefillTried = false;        ///< No further prefill; the endpoint that runs it prefills.
     bool m_streaming = false;           ///< The head of the answer was sent to the client.
     bool m_relayingLargeAnswer = false; ///< An answer too large to buffer is relayed.
--- a/src/serving/sessionend.cpp
+++ b/src/serving/sessionend.cpp
@@ -71,6 +71,9 @@
     releaseCacheHandle();
     endSend(false);
     m_deadlineTimer.cancel();
+    // A prefill is work of the request as well.
+    if (m_request.charge.tokens > 0 && m_runs == 0 && !m_mayHaveRun && !m_prefillSent)
+        m_services.refundQuota(m_request.charge);
     core::Event("request.end")
         .with("request", m_request.metadata.id)
         .with("route", m_request.route->name)
--- /dev/null
+++ b/test/correctness/quotas.cpp
@@ -0,0 +1,218 @@
+/** \file
+ * Tests of the quotas of teams in simulated deployments.
+ */
+
+#include "support/quotafleet.h"
+
+#include <criterion/criterion.h>
+
+using namespace jujube;
+using namespace std::chrono_literals;
+using core::TimePoint;
+using test::QuotaFleet;
+
+namespace {
+
+// 27 requests of 12,000 tokens a second: nine times the quota.
+constexpr double NineTimes = 27;
+constexpr double HalfOfQuota = 1.5;
+
+void assertKept(const QuotaFleet &fleet, TimePoint from, const char *when)
+{
+    cr_expect_leq(fleet.mostInWindow(from), fleet.allowed(), "%s: %g of %g tokens", when,
+                  fleet.mostInWindow(from), fleet.allowed());
+}
+
+void assertUsed(const QuotaFleet &fleet, TimePoint from, double share, const char *when)
+{
+    const double time = std::chrono::duration<double>(fleet.now() - from).count();
+    cr_expect_geq(fleet.tokensSince(from), share * 36'000 * time, "%s: %g of %g tokens", when,
+                  fleet.tokensSince(from), 36'000 * time);
+}
+
+} // namespace
+
+// Guards against gateways that together exceed a quota which is small compared with a request, and
+// against one that is left unused, in deployments of every size and with requests of all sizes.
+Test(quotas, a_team_that_sends_nine_times_its_quota_gets_all_of_it_and_no_more)
+{
+    for (const bool hub : {true, false}) {
+        for (const double tokens : {200.0, 12'000.0, 60'000.0}) {
+            for (const size_t gateways :
+                 hub ? std::vector<size_t>{11, 29} : std::vector<size_t>{1, 9}) {
+                QuotaFleet fleet({.gateways = gateways, .hub = hub, .requestTokens = tokens});
+                fleet.run(5s, 0.3 * 36'000 / tokens);
+                const TimePoint start = fleet.now();
+                fleet.run(30s, 9 * 36'000 / tokens);
+                const std::string when = std::to_string(gateways) + " gateways, "
+                    + std::to_string(static_cast<int>(tokens));
+                assertKept(fleet, start, when.c_str());
+                assertUsed(fleet, start, 0.9, when.c_str());
+            }
+        }
+    }
+}
+
+// Guards against refusals of a team that stays below its quota: when all of its requests arrive at
+// one gateway, and when that gateway changes.
+Test(quotas, no_request_below_the_quota_is_refused)
+{
+    for (const bool hub : {true, false}) {
+        QuotaFleet fleet({.gateways = hub ? 29U : 9U, .hub = hub});
+        fleet.run(20s, HalfOfQuota);
+        for (const size_t at : {3U, 0U, 5U, 8U}) {
+            std::vector<double> weights(hub ? 29 : 9, 0.0);
+            weights[at] = 1;
+            fleet.run(10s, HalfOfQuota, weights);
+        }
+        cr_expect_eq(fleet.refusals(), 0U, "%zu of %zu", fleet.refusals(), fleet.admissions());
+    }
+}
+
+// Guards against a quota that is exceeded, or not usable, after a gateway was added, restarted,
+// stopped or paused; old counts must neither be added again nor subtracted.
+Test(quotas, changes_of_the_gateways_neither_exceed_nor_waste_a_quota)
+{
+    for (const bool hub : {true, false}) {
+        QuotaFleet fleet({.gateways = hub ? 29U : 9U, .hub = hub});
+        const TimePoint start = fleet.now();
+        fleet.run(10s, NineTimes);
+        for (size_t i = 1; i < 5; ++i) {
+            fleet.restart(i);
+            fleet.run(2s, NineTimes);
+        }
+        const TimePoint restarted = fleet.now();
+        fleet.run(10s, NineTimes);
+        assertUsed(fleet, restarted, 0.9, "after restarts");
+        fleet.stop(6);
+        fleet.setPaused(7, true);
+        fleet.run(7s, NineTimes);
+        fleet.setPaused(7, false);
+        fleet.run(18s, NineTimes);
+        const TimePoint without = fleet.now();
+        fleet.run(10s, NineTimes);
+        assertUsed(fleet, without, 0.9, "with a gateway less");
+        fleet.add();
+        fleet.run(10s, NineTimes);
+        assertKept(fleet, start, hub ? "with a hub" : "mesh");
+    }
+}
+
+// Guards against an idle team's old counts being charged by a hub that has started since, and
+// against a quota that its level of zero blocks.
+Test(quotas, a_restarted_hub_takes_over_levels_and_counts)
+{
+    QuotaFleet fleet({});
+    fleet.run(20s, HalfOfQuota);
+    fleet.run(25s, 0);
+    const size_t refusals = fleet.refusals();
+    fleet.restart(0);
+    fleet.run(20s, HalfOfQuota);
+    cr_expect_leq(fleet.refusals() - refusals, 1U);
+    const TimePoint start = fleet.now();
+    fleet.run(10s, NineTimes);
+    fleet.restart(0);
+    fleet.run(20s, NineTimes);
+    assertKept(fleet, start, "restart of the hub");
+    assertUsed(fleet, start, 0.85, "restart of the hub");
+}
+
+// Guards against tokens that are spent twice while the hub changes and while there are two.
+Test(quotas, a_change_of_the_hub_and_two_hubs_do_not_exceed_a_quota)
+{
+    QuotaFleet fleet({});
+    const TimePoint start = fleet.now();
+    fleet.run(10s, NineTimes);
+    fleet.stop(0);
+    fleet.run(600ms, NineTimes);
+    fleet.setHubOfAll(1);
+    fleet.run(5s, NineTimes);
+    for (size_t i = 0; i < 29; i += 2)
+        fleet.setHub(i, 2);
+    fleet.setHub(2, 2);
+    fleet.run(1s, NineTimes);
+    fleet.setHubOfAll(2);
+    fleet.run(10s, NineTimes);
+    assertKept(fleet, start, "hub change");
+    assertUsed(fleet, start, 0.8, "hub change");
+}
+
+// Guards against partitioned gateways that together spend more than their parts, also when they
+// return, and against a one-way partition.
+Test(quotas, partitioned_gateways_do_not_exceed_a_quota)
+{
+    for (const bool hub : {true, false}) {
+        const size_t n = hub ? 29 : 9;
+        for (const auto time : {3'000ms, 18'000ms}) {
+            QuotaFleet fleet({.gateways = n, .hub = hub});
+            const TimePoint start = fleet.now();
+            fleet.run(10s, NineTimes);
+            for (size_t i = 1; i <= n / 3; ++i)
+                fleet.isolate(i, true);
+            fleet.run(time, NineTimes);
+            for (size_t i = 1; i <= n / 3; ++i)
+                fleet.isolate(i, false);
+            fleet.run(10s, NineTimes);
+            fleet.cut(0, n - 1, true); // Hears nothing of the hub.
+            fleet.run(5s, NineTimes);
+            fleet.cut(0, n - 1, false);
+            fleet.cut(n - 1, 0, true); // The hub hears nothing of it.
+            fleet.run(5s, NineTimes);
+            assertKept(fleet, start, hub ? "with a hub" : "mesh");
+        }
+    }
+}
+
+// Guards against a paused gateway that spends the time of its suspension at once.
+Test(quotas, a_paused_gateway_does_not_use_the_time_of_its_pause)
+{
+    QuotaFleet fleet({});
+    fleet.run(2s, HalfOfQuota);
+    fleet.setPaused(4, true);
+    fleet.run(30s, NineTimes);
+    fleet.setPaused(4, false);
+    cr_expect(fleet.modeOf(4) == policy::QuotaMode::Alone);
+    const size_t before = fleet.admissions();
+    for (int i = 0; i < 10; ++i)
+        fleet.request(4, 12'000);
+    cr_expect_eq(fleet.admissions(), before);
+}
+
+// Guards against a lowered quota that is kept late, a raised one that stays unused, and a removed
+// one that still refuses.
+Test(quotas, changes_of_a_quota_are_kept)
+{
+    QuotaFleet fleet({});
+    fleet.run(10s, NineTimes);
+    fleet.setQuota(policy::QuotaRate{18'000, 18'000});
+    const TimePoint lowered = fleet.now();
+    fleet.run(12s, NineTimes);
+    assertKept(fleet, lowered + 3s, "lowered");
+    fleet.setQuota(policy::QuotaRate{72'000, 72'000});
+    const TimePoint raised = fleet.now();
+    fleet.run(10s, NineTimes);
+    assertUsed(fleet, raised, 1.9, "raised");
+    fleet.setQuota(std::nullopt);
+    const size_t refusals = fleet.refusals();
+    fleet.run(5s, 3 * NineTimes);
+    cr_expect_eq(fleet.refusals(), refusals);
+}
+
+// Guards against a request that is larger than the burst and never admitted, and against a refund
+// that leaves the level low.
+Test(quotas, requests_above_the_burst_are_admitted_and_refunds_raise_the_level)
+{
+    QuotaFleet fleet({.gateways = 1, .hub = false, .quota = {1'000, 1'000}, .terms = {8s, 0.1, 0}});
+    for (int i = 0; i < 3; ++i) {
+        fleet.request(0, 5'000);
+        fleet.run(6s, 0);
+    }
+    cr_expect_eq(fleet.admissions(), 3U);
+    policy::QuotaLedger &ledger = fleet.ledgerOf(0);
+    policy::QuotaGate gate(ledger, fleet.now());
+    const double before = ledger.level(7, fleet.now());
+    gate.charge(7, 500, fleet.now());
+    cr_expect_float_eq(ledger.level(7, fleet.now()), before - 500, 1);
+    gate.refund(7, 500, fleet.now());
+    cr_expect_float_eq(ledger.level(7, fleet.now()), before, 1);
+}
