Estimate the speed of engines and the duration of prefills

Cause: the prefill of a prompt took 0.56 of the predicted time at the median, as the prediction was fitted to the time to the first token, and engines of very different rates were told apart only by a smoothed ratio of that time. Change: PrefillDurationEstimator fits the time of prefills alone; EngineSlowdown learns the factor of each engine and merges the evidence of all gateways; ReportedPace weights the pace in reports by its age. Gossip carries both. Placement, the room of engines, time-outs and the expected wait use them.

--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -33,8 +33,44 @@
     return preferred;
 }
 
+// Load and speed figures are not recent enough to tell smaller differences, and gateways that
+// decide on the same figures should not all choose the same engine.
+constexpr double PrefillTieShare = 0.05;
+
+/** Times to the first token at one engine. */
+struct PredictedTimes
+{
+    double prefillMs = 0; ///< Until the engine has prefilled the prompt.
+    double restMs = 0;    ///< From then to the first token.
+    double usualPrefillMs = 0;
+};
+
+PredictedTimes predictTimes(const PlacementCandidate &engine, double tokens, bool fetch,
+                            const PromptInfo &prompt, const PlacementSettings &settings)
+{
+    PredictedTimes times;
+    if (engine.isPrefillEngine) {
+        times.usualPrefillMs =
+            settings.prefill.predictMs({tokens, engine.backlogTokens, prompt.priority, fetch});
+        times.prefillMs = times.usualPrefillMs * prefillFactor(engine);
+        times.restMs = settings.handOver.fixedMs + prompt.tokens / settings.handOver.tokensPerMs;
+        return times;
+    }
+    // The smoothed slowness contains the usual pace already.
+    const PrefillTimeModel &model = settings.colocatedPrefill;
+    times.usualPrefillMs = (engine.backlogTokens + tokens) / model.tokensPerMs;
+    times.prefillMs = times.usualPrefillMs * engine.slowness * engine.pace / engine.usualPace;
+    times.restMs = model.fixedMs + (fetch ? settings.prefixFetchMs : 0);
+    return times;
+}
+
 } // namespace
 
+double prefillFactor(const PlacementCandidate &engine)
+{
+    return engine.slowdown.value_or(engine.slowness) * engine.pace;
+}
+
 std::optional<PrefillChoice> choosePrefillEngine(const std::vector<PlacementCandidate> &engines,
                                                  const PromptInfo &prompt,
                                                  const PlacementSettings &settings,
@@ -54,8 +90,6 @@
             || (!engine.isPrefillEngine
                 && engine.running >= engine.slots * settings.maxColocatedSlotUse))
             continue;
-        const PrefillTimeModel &model =
-            engine.isPrefillEngine ? settings.disaggregatedPrefill : settings.colocatedPrefill;
         const bool fetch = prompt.fetchableTokens > engine.cachedTokens + settings.minFetchTokens;
         const uint32_t reusableTokens = fetch ? prompt.fetchableTokens : engine.cachedTokens;
         const double missingTokens = prompt.tokens - std::min(reusableTokens, prompt.tokens);
@@ -64,12 +98,21 @@
             : missingTokens;
         const double crossDomainMs =
             engine.domain == settings.domain ? 0 : settings.crossDomainPrefillMs;
-        const double ms = model.fixedMs + crossDomainMs + (fetch ? settings.prefixFetchMs : 0)
-            + (engine.backlogTokens + expectedTokens) * engine.slowness / model.tokensPerMs
-            + tie(random);
-        if (ms < best) {
-            best = ms;
-            choice = PrefillChoice{i, static_cast<uint32_t>(missingTokens), fetch, wholeMs(ms)};
+        const PredictedTimes times = predictTimes(engine, expectedTokens, fetch, prompt, settings);
+        const double ms = times.prefillMs + times.restMs + crossDomainMs;
+        const double score = ms + times.prefillMs * PrefillTieShare * tie(random);
+        if (score < best) {
+            best = score;
+            choice.emplace();
+            choice->index = i;
+            choice->uncachedTokens = static_cast<uint32_t>(missingTokens);
+            choice->expectedTokens = expectedTokens;
+            choice->fetch = fetch;
+            choice->predictedFirstToken = wholeMs(ms);
+            choice->predictedPrefill = wholeMs(times.prefillMs);
+            choice->usualPrefillMs = times.usualPrefillMs;
+            choice->slowdown = engine.slowdown.value_or(engine.slowness);
+            choice->pace = engine.pace;
         }
     }
     return choice;
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -5,6 +5,7 @@
  */
 
 #include "core/clock.h"
+#include "policy/prefilldurationestimator.h"
 
 #include <cstdint>
 #include <optional>
@@ -26,6 +27,10 @@
     double backlogTokens = 0;  ///< Prompt tokens sent to it that await prefill.
     uint32_t cachedTokens = 0; ///< Tokens of this request's prompt in its cache.
     double slowness = 1;       ///< Ratio of observed to expected duration of requests.
+    /** Learned factor on the duration of prefills (EngineSlowdown); nothing without evidence. */
+    std::optional<double> slowdown{};
+    double pace = 1;      ///< Factor on the duration of work by the endpoint's reports.
+    double usualPace = 1; ///< Mean of the pace over the last seconds.
     /** Prefills prompts that others decode; otherwise only those that it decodes. */
     bool isPrefillEngine = false;
     bool usable = true; ///< Accepts new requests.
@@ -38,6 +43,7 @@
     uint32_t tokens = 0;
     uint64_t prefixHash = 0; ///< Hash of the last block that is shared with other prompts; 0: none.
     uint32_t fetchableTokens = 0; ///< Tokens held by some endpoint that others can fetch them from.
+    uint32_t priority = 0;        ///< At the engine; 0 is served first.
 };
 
 /** Linear model of the time from sending a prompt to its first token, without the wait for prompts
@@ -50,9 +56,10 @@
 
 struct PlacementSettings
 {
-    // Initial values; both are updated from observed requests by PrefillTimeEstimator.
-    /** On a prefill engine, whose cache is then handed over. */
-    PrefillTimeModel disaggregatedPrefill{60, 75};
+    // Initial values, which are updated from observed requests.
+    PrefillDurationModel prefill; ///< On a prefill engine of usual speed.
+    /** From the end of a prefill on a prefill engine to the first token of the decode engine. */
+    PrefillTimeModel handOver{500, 50};
     /** On the decode engine, between tokens of other requests. */
     PrefillTimeModel colocatedPrefill{18, 45};
     double prefixFetchMs = 10; ///< Time to fetch cached prefix blocks from another endpoint.
@@ -78,10 +85,19 @@
 {
     size_t index = 0;
     uint32_t uncachedTokens = 0;
+    double expectedTokens = 0; ///< Tokens that the engine is expected to prefill.
     bool fetch = false; ///< Whether to fetch cached prefix blocks from another endpoint.
     core::Milliseconds predictedFirstToken{}; ///< Time from sending the prompt.
+    core::Milliseconds predictedPrefill{};    ///< Time to the answer of a prefill engine.
+    /** The part of predictedPrefill that an engine of usual speed and pace would take. */
+    double usualPrefillMs = 0;
+    double slowdown = 1; ///< Factor by which this engine takes longer, without its pace.
+    double pace = 1;     ///< Factor of its reported pace.
 };
 
+/** Factor by which a prefill on a prefill engine takes longer than usual at this moment. */
+double prefillFactor(const PlacementCandidate &engine);
+
 /** Chooses the engine with the lowest predicted time to the first token, among prefill engines and
  * decode engines that prefill the prompt themselves. Returns nothing if no engine is usable. */
 std::optional<PrefillChoice> choosePrefillEngine(const std::vector<PlacementCandidate> &engines,
--- a/src/policy/promptqueue.cpp
+++ b/src/policy/promptqueue.cpp
@@ -13,6 +13,9 @@
 // the priority by one step. Short chats have a key of 800 tokens, the largest documents, when late,
 // one of 200,000.
 constexpr double HighestPriorityKey = 800;
+// The permitted backlog of an engine is a time, so a fast one may hold more tokens. A wrong slowdown
+// must neither gather the work of all gateways at one engine nor let it run dry.
+constexpr double MaxBacklogFactor = 2;
 
 uint32_t enginePriority(double key)
 {
@@ -51,8 +54,11 @@
 
 bool PromptQueue::hasRoom(const PlacementCandidate &engine) const
 {
-    return engine.backlogTokens < (engine.isPrefillEngine ? m_settings.maxBacklogTokens
-                                                          : m_settings.maxColocatedBacklogTokens);
+    if (!engine.isPrefillEngine)
+        return engine.backlogTokens < m_settings.maxColocatedBacklogTokens;
+    const double factor =
+        std::clamp(engine.slowdown.value_or(1), 1 / MaxBacklogFactor, MaxBacklogFactor);
+    return engine.backlogTokens * factor < m_settings.maxBacklogTokens;
 }
 
 // Prompts in prefill count as occupied decode slots, because they need one shortly after.
@@ -98,6 +104,7 @@
         for (size_t j = 0; j < engines.size(); ++j)
             engines[j].cachedTokens = tokens[j];
         PromptInfo info = it->info;
+        info.priority = enginePriority(order[i].first);
         info.fetchableTokens = tokens.empty() ? 0 : *std::max_element(tokens.begin(), tokens.end());
         const auto choice = it->failedEngines.empty()
             ? choosePrefillEngine(engines, info, placement, random)
--- a/src/policy/promptqueue.h
+++ b/src/policy/promptqueue.h
@@ -31,9 +31,9 @@
 
 struct PromptQueueSettings
 {
-    /** Backlog of prompt tokens up to which an engine is sent further prompts: enough to keep it
-     * busy until its next answer arrives, and small enough that an urgent prompt does not wait long
-     * behind earlier ones. */
+    /** Backlog of prompt tokens up to which an engine of usual speed is sent further prompts: enough
+     * to keep it busy until its next answer arrives, and small enough that an urgent prompt does not
+     * wait long behind earlier ones. */
     double maxBacklogTokens = 6'000;
     /** The same for a decode engine that prefills its own prompts. */
     double maxColocatedBacklogTokens = 1'800;
@@ -49,8 +49,6 @@
     core::Milliseconds firstTokenDelay{150}; ///< Time from the end of prefill to the first token.
 };
 
-constexpr uint32_t LowestEnginePriority = 9; ///< Least urgent priority of an engine's queue.
-
 /** A prompt taken from the queue, with the engine chosen for it. */
 struct PromptDispatch
 {
--- a/src/serving/endpoints.cpp
+++ b/src/serving/endpoints.cpp
@@ -57,6 +57,35 @@
     pausedUntil = std::max(pausedUntil, now + time);
 }
 
+void Endpoint::noteReport(const ReportedLoad &load, core::TimePoint now, bool own)
+{
+    const core::TimePoint at = now - load.age;
+    if (own) {
+        ownReport = load;
+        ownReportAt = at;
+    }
+    if (at <= reportedAt)
+        return;
+    report = load;
+    reportedAt = at;
+    pace.note(load.pacePercent, at);
+}
+
+// Peers need a report if it states the pace, or more requests than the gateways know of. Reports
+// that others have received are not passed on, as they would seem newer with each step.
+std::optional<ReportedLoad> Endpoint::reportToShare(core::TimePoint now) const
+{
+    if (ownReportAt == core::TimePoint{} || now - ownReportAt >= policy::LoadReportLifetime)
+        return std::nullopt;
+    const bool otherClients =
+        ownReport.running + ownReport.waiting > ownLoad.running + peerLoad.running;
+    if (ownReport.pacePercent == 0 && !otherClients)
+        return std::nullopt;
+    ReportedLoad shared = ownReport;
+    shared.age = std::chrono::floor<core::Milliseconds>(now - ownReportAt);
+    return shared;
+}
+
 // The copy has one record of each endpoint, so a second record was written in the new era. A record
 // of a draining endpoint is applied at once.
 bool EndpointTable::mayPredateRestore(const EndpointRecord &record) const
@@ -247,6 +276,19 @@
     }
 }
 
+void EndpointTable::updateSlowdowns(core::TimePoint now)
+{
+    std::vector<policy::EngineSlowdown *> engines;
+    for (const auto &[service, endpoints] : m_byService) {
+        engines.clear();
+        for (const EndpointPtr &it : endpoints) {
+            if (it->prefills())
+                engines.push_back(&it->slowdown);
+        }
+        policy::normalizeSlowdowns(engines, now);
+    }
+}
+
 const std::vector<EndpointPtr> &EndpointTable::ofService(const std::string &service) const
 {
     static const std::vector<EndpointPtr> none;
@@ -294,6 +336,9 @@
     view.backlogTokens = endpoint.ownLoad.backlogTokens + endpoint.peerLoad.backlogTokens;
     view.cachedTokens = endpoint.prefixCache.cachedTokens(prompt);
     view.slowness = endpoint.slowness;
+    view.slowdown = endpoint.slowdown.factor();
+    view.pace = endpoint.pace.factor(now);
+    view.usualPace = endpoint.pace.usual(now);
     view.isPrefillEngine = endpoint.prefills();
     const auto state = endpoint.health.state(now);
     view.probe = state == policy::OutlierDetector::State::ProbeDue;
@@ -356,6 +401,10 @@
     if ((answer.requestLimit || answer.endsLimit)
         && endpoint.limit.observe(answer.requestLimit, now))
         logLimit(endpoint, "answer");
+    if (answer.load)
+        endpoint.noteReport({answer.load->running, answer.load->waiting,
+                             answer.load->pacePercent.value_or(0), {}},
+                            now, true);
     if (!answer.retryAfter)
         return;
     // Answers can arrive out of order, so a shorter back-off does not replace a longer one.
--- a/src/serving/endpoints.h
+++ b/src/serving/endpoints.h
@@ -4,9 +4,11 @@
  * Defines the table of endpoints that a gateway knows, with their load and health.
  */
 
+#include "policy/engineslowdown.h"
 #include "policy/outlierdetector.h"
 #include "policy/placement.h"
 #include "policy/prefixcachemodel.h"
+#include "policy/reportedpace.h"
 #include "policy/requestlimit.h"
 #include "serving/fleetconfig.h"
 #include "serving/requesttypes.h"
@@ -28,6 +30,15 @@
     uint32_t backlogTokens = 0; ///< Prompt tokens sent and not prefilled yet.
 };
 
+/** Load that an endpoint has reported, with the age of the report. */
+struct ReportedLoad
+{
+    uint32_t running = 0;
+    uint32_t waiting = 0;
+    uint32_t pacePercent = 0; ///< 0: not stated.
+    core::Milliseconds age{};
+};
+
 /** Load and state of one endpoint in a gossip message. */
 struct GossipLoadShare
 {
@@ -36,6 +47,7 @@
     bool changing = false; ///< The sender has ordered it to change its stage.
     bool failing = false;  ///< The sender has ejected it.
     bool leaving = false;  ///< It has announced its shutdown to the sender.
+    std::optional<ReportedLoad> report{}; ///< That the sender has received from the endpoint.
 };
 
 /** Hash that identifies an endpoint in gossip messages. */
@@ -63,6 +75,11 @@
      * stage. A longer pause stays. */
     void pauseFor(core::TimePoint now, core::Milliseconds time);
     bool prefills() const { return record.stage == Stage::Prefill; }
+    /** Applies a report of the load unless a newer one is known.
+     * \param own whether this gateway has received it from the endpoint. */
+    void noteReport(const ReportedLoad &load, core::TimePoint now, bool own);
+    /** \return the report of this gateway that others should know of, if any. */
+    std::optional<ReportedLoad> reportToShare(core::TimePoint now) const;
 
     EndpointRecord record;
     uint64_t hash = 0;        ///< Hash of the id, for gossip messages.
@@ -71,7 +88,15 @@
     policy::OutlierDetector health{EndpointHealthSettings};
     policy::ErrorRateTest errors;
     policy::PrefixCacheModel prefixCache;
-    double slowness = 1; ///< Observed over predicted time to the first token, smoothed.
+    /** Observed over predicted time to the first token, smoothed. Not updated by prefills for other
+     * engines, whose duration slowdown describes. */
+    double slowness = 1;
+    policy::EngineSlowdown slowdown; ///< Of prefills.
+    policy::ReportedPace pace;
+    ReportedLoad report;            ///< Freshest known; its age is that at its arrival.
+    core::TimePoint reportedAt{};   ///< Time of the freshest report; not set: none.
+    ReportedLoad ownReport;         ///< Last report that this gateway has received.
+    core::TimePoint ownReportAt{};
     core::TimePoint lastLostAnswerAt{}; ///< Last time that a request ended without an answer.
     uint32_t consecutiveRefusals = 0;   ///< Without another answer in between, to this gateway.
     uint32_t connections = 0;           ///< In use by this gateway.
@@ -114,6 +139,8 @@
     void mergeLimit(uint64_t hash, const policy::LimitObservation &observation);
     /** Replaces the known load of the other gateways. */
     void setPeerLoads(const std::vector<GossipLoadShare> &shares);
+    /** Updates the slowdowns of all prefill engines. Call several times a second. */
+    void updateSlowdowns(core::TimePoint now);
     const std::map<std::string, EndpointPtr> &all() const { return m_byId; }
 
 private:
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -65,7 +65,7 @@
       m_store(m_httpClient, m_settings.storeAddress),
       m_quarantine(m_store, m_settings.name),
       m_usage(m_settings.usageWindow),
-      m_disaggregatedPrefill(m_placement.disaggregatedPrefill),
+      m_handOver(m_placement.handOver),
       m_colocatedPrefill(m_placement.colocatedPrefill),
       m_promptTokens(TokenRateWindow),
       m_outputTokens(TokenRateWindow),
@@ -80,7 +80,7 @@
            [this](const GossipMessage &gossip) { onGossip(gossip); },
            &m_usage,
            [this]() { return m_usage.windowAt(m_wallClock.at(core::BootClock::now())); },
-           [this]() { return knownLimits(); }}),
+           [this]() { return knownLimits(); }, [this]() { return engineSpeeds(); }}),
       m_feed(m_httpClient, m_settings.name, [this](const StorePage &state) { onPeerState(state); }),
       m_promptScheduler(io, m_endpoints, m_placement, m_random,
                         [this]() { return m_peers.aliveCount(); }),
@@ -117,7 +117,8 @@
           m_usage,
           m_random,
           m_placement,
-          m_disaggregatedPrefill,
+          m_prefillDuration,
+          m_handOver,
           m_colocatedPrefill,
           m_prefillRate,
           m_settings.domain,
@@ -403,8 +404,10 @@
         return;
     m_predictionsLoggedAt = now;
     core::Event("predictions")
-        .with("apart_tokens_per_ms", m_placement.disaggregatedPrefill.tokensPerMs)
-        .with("apart_fixed_ms", m_placement.disaggregatedPrefill.fixedMs)
+        .with("apart_tokens_per_ms", m_placement.prefill.tokensPerMs)
+        .with("apart_fixed_ms", m_placement.prefill.fixedMs)
+        .with("hand_over_tokens_per_ms", m_placement.handOver.tokensPerMs)
+        .with("hand_over_fixed_ms", m_placement.handOver.fixedMs)
         .with("itself_tokens_per_ms", m_placement.colocatedPrefill.tokensPerMs)
         .with("itself_fixed_ms", m_placement.colocatedPrefill.fixedMs)
         .with("read_tokens_per_s", m_prefillRate.tokensPerSecond())
@@ -431,7 +434,9 @@
                                                  SmallestMinWatchInterval,
                                                  LargestMinWatchInterval));
         m_leadership.setContenders(static_cast<uint32_t>(gateways));
-        m_placement.disaggregatedPrefill = m_disaggregatedPrefill.model();
+        m_endpoints.updateSlowdowns(now);
+        m_placement.prefill = m_prefillDuration.model();
+        m_placement.handOver = m_handOver.model();
         m_placement.colocatedPrefill = m_colocatedPrefill.model();
         logPredictions(now);
         if (m_mirror->complete() && m_mirror->reachable() && !m_draining) {
--- a/src/serving/gateway.h
+++ b/src/serving/gateway.h
@@ -46,6 +46,7 @@
 
     GossipMessage composeGossip();
     std::vector<GossipLimit> knownLimits() const;
+    std::vector<GossipEngineSpeed> engineSpeeds() const;
     TokenRates localTokenRates(core::TimePoint now) const;
     void addUsageWindows(GossipMessage &gossip);
     void onPeerState(const StorePage &state);
@@ -73,7 +74,8 @@
     UsageCounts m_usage;
     PrefixBlockGossip m_sentBlocks;
     policy::PlacementSettings m_placement;
-    policy::PrefillTimeEstimator m_disaggregatedPrefill;
+    policy::PrefillDurationEstimator m_prefillDuration;
+    policy::PrefillTimeEstimator m_handOver;
     policy::PrefillTimeEstimator m_colocatedPrefill;
     policy::PrefillRateEstimator m_prefillRate;
     std::map<std::string, policy::DecodeStepEstimator> m_decodeSteps; ///< By name of the service.
--- a/src/serving/gatewaygossip.cpp
+++ b/src/serving/gatewaygossip.cpp
@@ -56,9 +56,10 @@
     for (const auto &[id, endpoint] : m_endpoints.all()) {
         const bool changing = now < endpoint->pausedUntil && m_leadership.held();
         const bool failing = endpoint->health.state(now) != policy::OutlierDetector::State::Healthy;
-        if (endpoint->ownLoad.running > 0 || changing || failing || endpoint->leaving)
-            gossip.shares.push_back(
-                {endpoint->hash, endpoint->ownLoad, changing, failing, endpoint->leaving});
+        const auto report = endpoint->reportToShare(now);
+        if (endpoint->ownLoad.running > 0 || changing || failing || endpoint->leaving || report)
+            gossip.shares.push_back({endpoint->hash, endpoint->ownLoad, changing, failing,
+                                     endpoint->leaving, report});
     }
     addUsageWindows(gossip);
     gossip.prefixBlocks = m_sentBlocks.blocksToSend(now);
@@ -84,6 +85,17 @@
     return limits;
 }
 
+std::vector<GossipEngineSpeed> Gateway::engineSpeeds() const
+{
+    const TimePoint now = core::BootClock::now();
+    std::vector<GossipEngineSpeed> speeds;
+    for (const auto &[id, endpoint] : m_endpoints.all()) {
+        if (const auto evidence = endpoint->slowdown.own(now); evidence && endpoint->prefills())
+            speeds.push_back({endpoint->hash, *evidence});
+    }
+    return speeds;
+}
+
 TokenRates Gateway::localTokenRates(TimePoint now) const
 {
     return {m_promptTokens.rate(now), m_outputTokens.rate(now)};
@@ -122,10 +134,17 @@
     const TimePoint now = core::BootClock::now();
     for (const GossipLimit &it : gossip.limits)
         m_endpoints.mergeLimit(it.endpoint, {it.perSecond, now - it.age});
+    const uint64_t sender = gossip.engineSpeeds.empty() ? 0 : endpointHash(gossip.name);
+    for (const GossipEngineSpeed &it : gossip.engineSpeeds) {
+        if (const EndpointPtr endpoint = m_endpoints.findByHash(it.endpoint))
+            endpoint->slowdown.merge(sender, it.evidence, now);
+    }
     for (const GossipLoadShare &share : gossip.shares) {
-        if (!share.changing && !share.failing && !share.leaving)
+        if (!share.changing && !share.failing && !share.leaving && !share.report)
             continue;
         const EndpointPtr endpoint = m_endpoints.findByHash(share.endpoint);
+        if (endpoint && share.report)
+            endpoint->noteReport(*share.report, now, false);
         // Gossip identifies an endpoint by the hash of its id, which a new incarnation may have
         // taken over, so a pause expires unless a later message repeats it.
         if (endpoint && (share.changing || share.leaving))
--- a/src/serving/gossip.cpp
+++ b/src/serving/gossip.cpp
@@ -7,6 +7,8 @@
 #include <kj/exception.h>
 #include <kj/io.h>
 
+#include <algorithm>
+
 namespace jujube::serving {
 
 namespace {
@@ -36,6 +38,29 @@
     return kj::arrayPtr(reinterpret_cast<const kj::byte *>(text.data()), text.size());
 }
 
+// A share without a report has no figure set.
+std::optional<ReportedLoad> readReport(const schema::LoadShare::Reader &share)
+{
+    const ReportedLoad report{share.getReportedRunning(), share.getReportedWaiting(),
+                              share.getPace(), core::Milliseconds(share.getReportAgeMs())};
+    const bool stated = report.running > 0 || report.waiting > 0 || report.pacePercent > 0;
+    return stated ? std::optional(report) : std::nullopt;
+}
+
+template <class Value>
+uint16_t limitedTo16Bits(Value value)
+{
+    return static_cast<uint16_t>(std::clamp<Value>(value, 0, UINT16_MAX));
+}
+
+void writeReport(const ReportedLoad &report, schema::LoadShare::Builder share)
+{
+    share.setReportedRunning(limitedTo16Bits(report.running));
+    share.setReportedWaiting(limitedTo16Bits(report.waiting));
+    share.setPace(limitedTo16Bits(report.pacePercent));
+    share.setReportAgeMs(limitedTo16Bits(report.age.count()));
+}
+
 GossipMessage readGossip(const schema::GatewayNews::Reader &reader)
 {
     GossipMessage gossip;
@@ -58,7 +83,8 @@
                                  {it.getRunning(), it.getBacklogTokens()},
                                  it.getChanging(),
                                  it.getFailing(),
-                                 it.getLeaving()});
+                                 it.getLeaving(),
+                                 readReport(it)});
     for (const auto it : reader.getWindows()) {
         GossipUsageWindow &window = gossip.windows.emplace_back();
         window.run = it.getRun();
@@ -76,6 +102,8 @@
         if (it.getPerSecond() >= 0)
             limit.perSecond = it.getPerSecond();
     }
+    for (const auto it : reader.getEngineSpeeds())
+        gossip.engineSpeeds.push_back({it.getEndpoint(), {it.getMeanLogRatio(), it.getWeight()}});
     for (const auto it : reader.getBlockCrashes())
         gossip.blocks.crashes.push_back(
             {it.getBlock(), it.getEngine(), it.getPosition(), core::Milliseconds(it.getAgeMs())});
@@ -134,6 +162,8 @@
         shares[i].setChanging(gossip.shares[i].changing);
         shares[i].setFailing(gossip.shares[i].failing);
         shares[i].setLeaving(gossip.shares[i].leaving);
+        if (gossip.shares[i].report)
+            writeReport(*gossip.shares[i].report, shares[i]);
     }
     auto windows = root.initWindows(static_cast<uint32_t>(gossip.windows.size()));
     for (uint32_t i = 0; i < windows.size(); ++i) {
@@ -161,6 +191,12 @@
         limits[i].setPerSecond(static_cast<float>(gossip.limits[i].perSecond.value_or(-1)));
         limits[i].setAgeMs(static_cast<uint32_t>(gossip.limits[i].age.count()));
     }
+    auto speeds = root.initEngineSpeeds(static_cast<uint32_t>(gossip.engineSpeeds.size()));
+    for (uint32_t i = 0; i < speeds.size(); ++i) {
+        speeds[i].setEndpoint(gossip.engineSpeeds[i].endpoint);
+        speeds[i].setMeanLogRatio(static_cast<float>(gossip.engineSpeeds[i].evidence.meanLogRatio));
+        speeds[i].setWeight(static_cast<float>(gossip.engineSpeeds[i].evidence.weight));
+    }
     writeBlocks(gossip.blocks, root);
     return packedBytes(message);
 }
--- a/src/serving/gossip.h
+++ b/src/serving/gossip.h
@@ -41,6 +41,13 @@
     core::Milliseconds age{};
 };
 
+/** Evidence of the sender on the speed of an engine. */
+struct GossipEngineSpeed
+{
+    uint64_t endpoint = 0; ///< Hash of the endpoint's id.
+    policy::SpeedEvidence evidence;
+};
+
 /** Purpose of a message. */
 enum class GossipKind {
     Full,    ///< The full state of a gateway, sent to every peer.
@@ -67,6 +74,7 @@
     std::vector<GossipUsageWindow> windows;
     std::vector<GossipPrefixBlock> prefixBlocks;
     std::vector<GossipLimit> limits;
+    std::vector<GossipEngineSpeed> engineSpeeds; ///< In full messages, about once per second.
     double requestsPerSecond = 0; ///< Requests of clients that the sender receives.
     policy::BlockReport blocks;   ///< Blocks that are suspected of crashing engines.
 };
--- a/src/serving/loadexchange.cpp
+++ b/src/serving/loadexchange.cpp
@@ -98,10 +98,37 @@
     }
     m_loads.insert_or_assign(gossip.name, GatewayLoad{gossip, now});
     addToSums(gossip, 1);
+    updateReports(gossip, now);
+}
+
+void LoadAggregator::updateReports(const GossipMessage &gossip, TimePoint now)
+{
+    for (const GossipLoadShare &share : gossip.shares) {
+        if (!share.report)
+            continue;
+        Report &known = m_reports[share.endpoint];
+        if (now - share.report->age > known.at)
+            known = {*share.report, now - share.report->age};
+    }
+}
+
+std::optional<ReportedLoad> LoadAggregator::reportOf(uint64_t endpoint) const
+{
+    const auto it = m_reports.find(endpoint);
+    if (it == m_reports.end())
+        return std::nullopt;
+    ReportedLoad load = it->second.load;
+    load.age = std::max(std::chrono::floor<Milliseconds>(m_prunedAt - it->second.at),
+                        Milliseconds(0));
+    return load;
 }
 
 void LoadAggregator::prune(TimePoint now)
 {
+    m_prunedAt = now;
+    std::erase_if(m_reports, [now](const auto &it) {
+        return now - it.second.at >= policy::LoadReportLifetime;
+    });
     for (auto it = m_loads.begin(); it != m_loads.end();) {
         if (now - it->second.receivedAt <= LoadLifetime) {
             ++it;
@@ -146,14 +173,21 @@
     std::vector<GossipLoadShare> shares;
     shares.reserve(sums.size());
     for (const auto &[endpoint, sum] : sums) {
-        if (sum.running > 0 || sum.backlogTokens > 0 || sum.changing > 0 || sum.failing > 0
+        const auto report = reportOf(endpoint);
+        if (report || sum.running > 0 || sum.backlogTokens > 0 || sum.changing > 0 || sum.failing > 0
             || sum.leaving > 0)
             shares.push_back({endpoint,
                               {static_cast<uint32_t>(std::max<int64_t>(0, sum.running)),
                                static_cast<uint32_t>(std::max<int64_t>(0, sum.backlogTokens))},
                               sum.changing > 0,
                               sum.failing > 0,
-                              sum.leaving > 0});
+                              sum.leaving > 0,
+                              report});
+    }
+    // The last request of an endpoint can have ended after its report.
+    for (const auto &[endpoint, report] : m_reports) {
+        if (!sums.contains(endpoint))
+            shares.push_back({endpoint, {}, false, false, false, reportOf(endpoint)});
     }
     return shares;
 }
--- a/src/serving/loadexchange.h
+++ b/src/serving/loadexchange.h
@@ -85,7 +85,8 @@
     void apply(const GossipMessage &gossip, core::TimePoint now);
     /** Removes the load of gateways that have been silent. */
     void prune(core::TimePoint now);
-    /** Returns the load of all gateways except one. */
+    /** Returns the load of all gateways except one, with the freshest report of each endpoint. The
+     * ages of reports are those at the last prune(). */
     std::vector<GossipLoadShare> loadExcept(const std::string &name) const;
     /** Returns the token rates of all gateways except one. */
     TokenRates ratesExcept(const std::string &name) const;
@@ -97,7 +98,16 @@
         core::TimePoint receivedAt{};
     };
 
+    /** The freshest report of an endpoint's load. */
+    struct Report
+    {
+        ReportedLoad load;
+        core::TimePoint at{};
+    };
+
     void addToSums(const GossipMessage &gossip, int sign);
+    void updateReports(const GossipMessage &gossip, core::TimePoint now);
+    std::optional<ReportedLoad> reportOf(uint64_t endpoint) const;
 
     std::map<std::string, GatewayLoad> m_loads;
     struct Sum
@@ -115,6 +125,8 @@
         }
     };
     std::unordered_map<uint64_t, Sum> m_sums;
+    std::unordered_map<uint64_t, Report> m_reports; ///< By endpoint.
+    core::TimePoint m_prunedAt{};
     TokenRates m_rates;
 };
 
--- a/src/serving/peermesh.cpp
+++ b/src/serving/peermesh.cpp
@@ -35,6 +35,9 @@
 constexpr Milliseconds IdleLoadInterval{120};
 constexpr Milliseconds LargeGossipInterval{1'000};
 constexpr Milliseconds LargePeerTimeout{3'500};
+// Evidence on engine speeds has a half-life of ten seconds; small deployments broadcast far more
+// often. Less than the interval of full broadcasts in large ones, so that each carries it.
+constexpr Milliseconds SpeedInterval{800};
 constexpr Milliseconds RelayDuration{70}; ///< Two or three rounds of the hub.
 constexpr size_t MaxRelayedBlocks = 80;
 // Relayed counts per broadcast, and the wait that they may impose on the next one.
@@ -305,9 +308,16 @@
 std::string PeerMesh::composeFull(bool sentAtOnce)
 {
     GossipMessage gossip = m_handler.compose();
-    if (!sentAtOnce) { // Both are relative to the time of sending.
+    if (!sentAtOnce) { // These are relative to the time of sending.
         gossip.wallTime = {};
         gossip.limits.clear();
+        for (GossipLoadShare &share : gossip.shares)
+            share.report.reset();
+    }
+    const TimePoint now = core::BootClock::now();
+    if (m_handler.engineSpeeds && now - m_speedsSentAt >= SpeedInterval) {
+        gossip.engineSpeeds = m_handler.engineSpeeds();
+        m_speedsSentAt = now;
     }
     gossip.processorShare = m_processorShare;
     return encodeGossip(gossip);
--- a/src/serving/peermesh.h
+++ b/src/serving/peermesh.h
@@ -41,6 +41,8 @@
         const UsageCounts *usage = nullptr;      ///< Counts that are relayed; null: none are.
         std::function<uint64_t()> usageWindow{}; ///< Number of the current usage window.
         std::function<std::vector<GossipLimit>()> limits{}; ///< Limits that a hub relays.
+        /** Evidence on engine speeds that full messages carry. */
+        std::function<std::vector<GossipEngineSpeed>()> engineSpeeds{};
     };
 
     PeerMesh(boost::asio::io_context &io, http::Client &httpClient, EndpointTable &endpoints,
@@ -129,6 +131,7 @@
     core::TimePoint m_startedAt{};
     core::TimePoint m_sharesSummedAt{};
     core::TimePoint m_lastBroadcastAt{};
+    core::TimePoint m_speedsSentAt{};
     BroadcastRound m_round;
     GossipTraffic m_traffic;
     policy::LinkPace m_pace;
--- a/src/serving/promptscheduler.cpp
+++ b/src/serving/promptscheduler.cpp
@@ -167,12 +167,14 @@
     const auto limitWait = expectedLimitWait(endpoints, serviceQueue->second.entries.size());
     if (limitWait)
         return *limitWait;
-    const auto engines = std::count_if(endpoints.begin(), endpoints.end(), [](const auto &it) {
-        return it->prefills() && it->acceptsWork();
-    });
+    double engines = 0; // In engines of usual speed.
+    for (const EndpointPtr &it : endpoints) {
+        if (it->prefills() && it->acceptsWork())
+            engines += 1 / it->slowdown.factor().value_or(1);
+    }
     constexpr double msPerSecond = 1000;
-    const double rate = m_placement.disaggregatedPrefill.tokensPerMs * msPerSecond
-        * static_cast<double>(std::max<int64_t>(1, engines)) / std::max(1U, m_gatewayCount());
+    const double rate = m_placement.prefill.tokensPerMs * msPerSecond
+        * (engines > 0 ? engines : 1) / std::max(1U, m_gatewayCount());
     return serviceQueue->second.queue.expectedWait(prompt, rate, core::BootClock::now());
 }
 
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -20,12 +20,13 @@
 constexpr Milliseconds ConnectTimeout{350};
 // A prompt can be prefilled again elsewhere, so the timeout of a prefill is not much longer than
 // the prediction. The prediction misses work that other gateways have sent since their last gossip.
+// It is near the median: a tenth of the prefills take more than twice as long.
 constexpr Milliseconds PrefillTimeoutSlack{600}; // 90 % of prompts are prefilled within 250 ms.
-constexpr int PrefillTimeoutFactor = 3;
+constexpr int PrefillTimeoutFactor = 5;
 // An engine that is this late has probably stopped answering and is suspected: otherwise two dozen
 // prompts a second would follow.
 constexpr Milliseconds SuspectSlack{200};
-constexpr int SuspectFactor = 2;
+constexpr int SuspectFactor = 3;
 constexpr Milliseconds SuspectPause{400};
 // Failed connection attempts are not charged to the retry budget; this limit bounds them.
 constexpr uint32_t MaxSends = 8;
@@ -192,13 +193,17 @@
 // short time; after the second the prompt goes to another engine.
 void Session::startPrefillTimeouts()
 {
-    const Milliseconds predicted = m_prefillPlan.choice.predictedFirstToken;
+    const Milliseconds predicted = m_prefillPlan.choice.predictedPrefill;
     const Milliseconds suspect = predicted * SuspectFactor + SuspectSlack;
     startPrefillTimer(suspect, [this, predicted, suspect]() {
         core::incrementCounter("jujube_engines_suspected_total");
         m_endpoint->pauseFor(core::BootClock::now(), SuspectPause);
         startPrefillTimer(predicted * PrefillTimeoutFactor + PrefillTimeoutSlack - suspect,
                           [this]() {
+                              // It takes at least as long.
+                              recordEngineSpeed(std::chrono::duration<double, std::milli>(
+                                                core::BootClock::now() - m_sentAt)
+                                                .count());
                               recordLostAnswer();
                               handlePrefillFailure(true, "no answer to the prefill in time");
                           });
--- a/src/serving/session.h
+++ b/src/serving/session.h
@@ -42,9 +42,10 @@
     UsageCounts &usage;
     std::mt19937_64 &random;
     const policy::PlacementSettings &placement;
+    policy::PrefillDurationEstimator &prefillDuration; ///< On a prefill engine.
+    policy::PrefillTimeEstimator &handOver; ///< From the end of a prefill to the first token.
     policy::PrefillTimeEstimator
-        &disaggregatedPrefill; ///< Time to first token through a prefill engine.
-    policy::PrefillTimeEstimator &colocatedPrefill; ///< The same if the decode engine prefills.
+        &colocatedPrefill; ///< Time to the first token if the decode engine prefills.
     policy::PrefillRateEstimator &prefillRate;      ///< Of the service's prefill engines.
     std::string domain;                             ///< Failure domain of this gateway.
     std::function<policy::SendBudget &(const std::string &service)> retryBudget;
@@ -131,6 +132,9 @@
     void recordStepTime(std::string_view body);
     void beginStream();
     void recordFirstToken();
+    void recordPrefill();
+    /** Records the speed of the engine that was sent the prefill. */
+    void recordEngineSpeed(double takenMs);
     /** Handles a run that ended without an answer for the client.
      * \param notRun whether the request certainly did not run.
      * \param sent whether the endpoint may have received it. */
--- a/src/serving/sessionanswer.cpp
+++ b/src/serving/sessionanswer.cpp
@@ -55,11 +55,23 @@
     return type.empty() || type == "text/event-stream";
 }
 
+double msBetween(TimePoint from, TimePoint to)
+{
+    return std::chrono::duration<double, std::milli>(to - from).count();
+}
+
+policy::PrefillWork prefillWork(const PrefillPlan &plan)
+{
+    return {plan.choice.expectedTokens, plan.aheadTokens, plan.priority, plan.choice.fetch};
+}
+
 } // namespace
 
 bool Session::onHead(const http::Head &head)
 {
-    const AnswerMetadata metadata = platform::decodeResponseHead(head);
+    AnswerMetadata metadata = platform::decodeResponseHead(head);
+    if (head.status == http::status::Misdirected)
+        metadata.load.reset(); // It comes from another instance at this address.
     if (metadata.requestId && *metadata.requestId != m_request.metadata.id) {
         core::Event("answer.foreign")
             .with("request", m_request.metadata.id)
@@ -228,11 +240,14 @@
 {
     if (!m_prefillPlan.engine)
         return;
-    const double ms =
-        std::chrono::duration<double, std::milli>(m_firstEventAt - m_assignedAt).count();
+    if (m_prefillEngine) {
+        if (m_runSends == 1)
+            m_services.handOver.note(m_promptInfo.tokens, msBetween(m_prefilledAt, m_firstEventAt));
+        return;
+    }
+    const double ms = msBetween(m_assignedAt, m_firstEventAt);
     const double tokens = m_prefillPlan.aheadTokens + m_prefillPlan.choice.uncachedTokens;
-    (m_prefillEngine ? m_services.disaggregatedPrefill : m_services.colocatedPrefill)
-        .note(tokens, ms);
+    m_services.colocatedPrefill.note(tokens, ms);
     updateSlowness(*m_prefillPlan.engine, Milliseconds(std::llround(ms)),
                    m_prefillPlan.choice.predictedFirstToken);
 }
@@ -259,19 +274,48 @@
     recordEndpointAnswer(false);
     m_cacheHandle = std::move(*handle);
     m_prefilledAt = core::BootClock::now();
-    // The duration is that of the prefill itself only if no other prompt was queued ahead and no
-    // prefix blocks were fetched.
-    if (m_prefillPlan.aheadTokens == 0 && m_prefillPlan.fetchAddress.empty()) {
-        const double ms =
-            std::chrono::duration<double, std::milli>(m_prefilledAt - m_sentAt).count();
-        m_services.prefillRate.note(m_prefillPlan.choice.uncachedTokens, ms);
-    }
+    recordPrefill();
     m_prefillEngine = m_endpoint;
     m_prefillTried = true;
     endSend(true);
     startNextStep();
 }
 
+void Session::recordPrefill()
+{
+    const double ms = msBetween(m_sentAt, m_prefilledAt);
+    const policy::PrefillChoice &choice = m_prefillPlan.choice;
+    // The duration is that of the prefill itself only if no other prompt was queued ahead and no
+    // prefix blocks were fetched.
+    if (m_prefillPlan.aheadTokens == 0 && m_prefillPlan.fetchAddress.empty())
+        m_services.prefillRate.note(choice.uncachedTokens, ms);
+    m_services.prefillDuration.note(prefillWork(m_prefillPlan),
+                                    ms / (choice.slowdown * choice.pace));
+    recordEngineSpeed(ms);
+    core::Event("prefill.done")
+        .with("request", m_request.metadata.id)
+        .with("endpoint", m_endpoint->record.id)
+        .with("predicted_ms", choice.predictedPrefill.count())
+        .with("taken_ms", std::llround(ms))
+        .with("slowdown", choice.slowdown)
+        .with("pace", choice.pace)
+        .with("tokens", choice.uncachedTokens)
+        .with("ahead", std::llround(m_prefillPlan.aheadTokens));
+}
+
+// A prefill that waited for others says little about the speed of its engine.
+void Session::recordEngineSpeed(double takenMs)
+{
+    const policy::PrefillChoice &choice = m_prefillPlan.choice;
+    const policy::PrefillWork work = prefillWork(m_prefillPlan);
+    policy::PrefillWork alone = work;
+    alone.aheadTokens = 0;
+    const policy::PrefillDurationModel &model = m_services.prefillDuration.model();
+    const double ownShare = model.predictMs(alone) / model.predictMs(work);
+    m_endpoint->slowdown.note(takenMs, choice.usualPrefillMs * choice.pace, ownShare,
+                              core::BootClock::now());
+}
+
 void Session::handlePrefillFailure(bool mayHaveArrived, const std::string &why)
 {
     core::Event("prefill.failed")
