--- a/src/policy/engineslowdown.cpp
+++ b/src/policy/engineslowdown.cpp
@@ -21,8 +21,7 @@
 
 double decayOver(core::BootClock::duration age)
 {
-    return std::exp2(-std::chrono::duration<double>(age)
-                     / std::chrono::duration<double>(HalfLife));
+    return std::exp2(-std::chrono::duration<double>(age) / std::chrono::duration<double>(HalfLife));
 }
 
 double limitedLog(double logRatio)
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -86,7 +86,7 @@
     size_t index = 0;
     uint32_t uncachedTokens = 0;
     double expectedTokens = 0; ///< Tokens that the engine is expected to prefill.
-    bool fetch = false; ///< Whether to fetch cached prefix blocks from another endpoint.
+    bool fetch = false;        ///< Whether to fetch cached prefix blocks from another endpoint.
     core::Milliseconds predictedFirstToken{}; ///< Time from sending the prompt.
     core::Milliseconds predictedPrefill{};    ///< Time to the answer of a prefill engine.
     /** The part of predictedPrefill that an engine of usual speed and pace would take. */
--- a/src/policy/promptqueue.cpp
+++ b/src/policy/promptqueue.cpp
@@ -13,8 +13,8 @@
 // the priority by one step. Short chats have a key of 800 tokens, the largest documents, when late,
 // one of 200,000.
 constexpr double HighestPriorityKey = 800;
-// The permitted backlog of an engine is a time, so a fast one may hold more tokens. A wrong slowdown
-// must neither gather the work of all gateways at one engine nor let it run dry.
+// The permitted backlog of an engine is a time, so a fast one may hold more tokens. A wrong
+// slowdown must neither gather the work of all gateways at one engine nor let it run dry.
 constexpr double MaxBacklogFactor = 2;
 
 uint32_t enginePriority(double key)
--- a/src/policy/promptqueue.h
+++ b/src/policy/promptqueue.h
@@ -31,9 +31,9 @@
 
 struct PromptQueueSettings
 {
-    /** Backlog of prompt tokens up to which an engine of usual speed is sent further prompts: enough
-     * to keep it busy until its next answer arrives, and small enough that an urgent prompt does not
-     * wait long behind earlier ones. */
+    /** Backlog of prompt tokens up to which an engine of usual speed is sent further prompts:
+     * enough to keep it busy until its next answer arrives, and small enough that an urgent prompt
+     * does not wait long behind earlier ones. */
     double maxBacklogTokens = 6'000;
     /** The same for a decode engine that prefills its own prompts. */
     double maxColocatedBacklogTokens = 1'800;
--- a/src/policy/reportedpace.cpp
+++ b/src/policy/reportedpace.cpp
@@ -30,8 +30,7 @@
     constexpr double percentOfUsual = 100;
     m_last = std::clamp(percent / percentOfUsual, MinPace, MaxPace);
     // A gap says nothing about the pace in it.
-    const auto covered =
-        std::min<core::BootClock::duration>(at - m_at, LoadReportLifetime);
+    const auto covered = std::min<core::BootClock::duration>(at - m_at, LoadReportLifetime);
     m_usual = m_last + (usual(at) - m_last) * remainder(covered);
     m_at = at;
 }
@@ -48,7 +47,8 @@
     const double usualPace = usual(now);
     if (m_at == core::TimePoint{} || now - m_at >= LoadReportLifetime)
         return usualPace;
-    const double age = std::chrono::duration<double>(std::max(now - m_at, core::BootClock::duration(0)))
+    const double age =
+        std::chrono::duration<double>(std::max(now - m_at, core::BootClock::duration(0)))
         / std::chrono::duration<double>(LoadReportLifetime);
     return usualPace * age + m_last * (1 - age);
 }
--- a/src/serving/endpoints.cpp
+++ b/src/serving/endpoints.cpp
@@ -402,9 +402,9 @@
         && endpoint.limit.observe(answer.requestLimit, now))
         logLimit(endpoint, "answer");
     if (answer.load)
-        endpoint.noteReport({answer.load->running, answer.load->waiting,
-                             answer.load->pacePercent.value_or(0), {}},
-                            now, true);
+        endpoint.noteReport(
+            {answer.load->running, answer.load->waiting, answer.load->pacePercent.value_or(0), {}},
+            now, true);
     if (!answer.retryAfter)
         return;
     // Answers can arrive out of order, so a shorter back-off does not replace a longer one.
--- a/src/serving/endpoints.h
+++ b/src/serving/endpoints.h
@@ -44,9 +44,9 @@
 {
     uint64_t endpoint = 0; ///< Hash of the endpoint's id.
     OutstandingLoad load;
-    bool changing = false; ///< The sender has ordered it to change its stage.
-    bool failing = false;  ///< The sender has ejected it.
-    bool leaving = false;  ///< It has announced its shutdown to the sender.
+    bool changing = false;                ///< The sender has ordered it to change its stage.
+    bool failing = false;                 ///< The sender has ejected it.
+    bool leaving = false;                 ///< It has announced its shutdown to the sender.
     std::optional<ReportedLoad> report{}; ///< That the sender has received from the endpoint.
 };
 
@@ -93,9 +93,9 @@
     double slowness = 1;
     policy::EngineSlowdown slowdown; ///< Of prefills.
     policy::ReportedPace pace;
-    ReportedLoad report;            ///< Freshest known; its age is that at its arrival.
-    core::TimePoint reportedAt{};   ///< Time of the freshest report; not set: none.
-    ReportedLoad ownReport;         ///< Last report that this gateway has received.
+    ReportedLoad report;          ///< Freshest known; its age is that at its arrival.
+    core::TimePoint reportedAt{}; ///< Time of the freshest report; not set: none.
+    ReportedLoad ownReport;       ///< Last report that this gateway has received.
     core::TimePoint ownReportAt{};
     core::TimePoint lastLostAnswerAt{}; ///< Last time that a request ended without an answer.
     uint32_t consecutiveRefusals = 0;   ///< Without another answer in between, to this gateway.
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -44,7 +44,6 @@
 // unavailable before the counts are committed.
 constexpr Milliseconds UsageCountsDelay{1'200};
 constexpr Milliseconds LargeUsageCountsDelay{3'200};
-constexpr Milliseconds PredictionLogInterval{5'000};
 constexpr uint64_t DefaultKvCacheTokens = 500'000; ///< For engines without a configured size.
 // Parts of the process's memory that the bodies of requests and buffered answers may take. A body
 // is held twice while it is sent.
@@ -80,7 +79,8 @@
            [this](const GossipMessage &gossip) { onGossip(gossip); },
            &m_usage,
            [this]() { return m_usage.windowAt(m_wallClock.at(core::BootClock::now())); },
-           [this]() { return knownLimits(); }, [this]() { return engineSpeeds(); }}),
+           [this]() { return knownLimits(); },
+           [this]() { return engineSpeeds(); }}),
       m_feed(m_httpClient, m_settings.name, [this](const StorePage &state) { onPeerState(state); }),
       m_promptScheduler(io, m_endpoints, m_placement, m_random,
                         [this]() { return m_peers.aliveCount(); }),
@@ -398,22 +398,6 @@
     return route.targets.front().service;
 }
 
-void Gateway::logPredictions(TimePoint now)
-{
-    if (now - m_predictionsLoggedAt < PredictionLogInterval)
-        return;
-    m_predictionsLoggedAt = now;
-    core::Event("predictions")
-        .with("apart_tokens_per_ms", m_placement.prefill.tokensPerMs)
-        .with("apart_fixed_ms", m_placement.prefill.fixedMs)
-        .with("hand_over_tokens_per_ms", m_placement.handOver.tokensPerMs)
-        .with("hand_over_fixed_ms", m_placement.handOver.fixedMs)
-        .with("itself_tokens_per_ms", m_placement.colocatedPrefill.tokensPerMs)
-        .with("itself_fixed_ms", m_placement.colocatedPrefill.fixedMs)
-        .with("read_tokens_per_s", m_prefillRate.tokensPerSecond())
-        .with("waiting", m_promptScheduler.waitingCount());
-}
-
 void Gateway::tick()
 {
     m_tickTimer.expires_after(TickInterval);
--- a/src/serving/gatewaygossip.cpp
+++ b/src/serving/gatewaygossip.cpp
@@ -2,8 +2,6 @@
  * Composes the gossip messages of a gateway and applies those of its peers.
  */
 
-#include "core/eventlog.h"
-#include "core/metrics.h"
 #include "serving/gateway.h"
 
 namespace jujube::serving {
@@ -13,10 +11,6 @@
 using core::Milliseconds;
 using core::TimePoint;
 
-// Followers lag by one second while a change propagates. A lag of two seconds is logged, and again
-// after each further second.
-constexpr Milliseconds MinLoggedLag{2'000};
-constexpr Milliseconds LagLogInterval{1'000};
 // Keeps requests away from an endpoint that a peer reports as changing or leaving. The peer's next
 // gossip message renews the pause.
 constexpr Milliseconds GossipPause{200};
@@ -58,8 +52,8 @@
         const bool failing = endpoint->health.state(now) != policy::OutlierDetector::State::Healthy;
         const auto report = endpoint->reportToShare(now);
         if (endpoint->ownLoad.running > 0 || changing || failing || endpoint->leaving || report)
-            gossip.shares.push_back({endpoint->hash, endpoint->ownLoad, changing, failing,
-                                     endpoint->leaving, report});
+            gossip.shares.push_back(
+                {endpoint->hash, endpoint->ownLoad, changing, failing, endpoint->leaving, report});
     }
     addUsageWindows(gossip);
     gossip.prefixBlocks = m_sentBlocks.blocksToSend(now);
@@ -176,25 +170,4 @@
         m_feed.fetch(peers, m_mirror->version(), now);
 }
 
-// Logs for how long at least one peer has had a newer store state than this gateway.
-void Gateway::logLag(const StoreVersion &newest, bool follows, TimePoint now)
-{
-    if (newest <= m_mirror->version()) {
-        m_lagSince = {};
-        return;
-    }
-    if (m_lagSince == TimePoint{})
-        m_lagSince = m_lagLoggedAt = now;
-    if (now - m_lagSince < MinLoggedLag || now - m_lagLoggedAt < LagLogInterval)
-        return;
-    m_lagLoggedAt = now;
-    core::incrementCounter("jujube_state_behind_total");
-    core::Event("state.behind")
-        .with("for_ms", std::chrono::duration_cast<Milliseconds>(now - m_lagSince).count())
-        .with("revision", m_mirror->version().revision)
-        .with("newest", newest.revision)
-        .with("follows", follows)
-        .with("reachable", m_mirror->reachable());
-}
-
 } // namespace jujube::serving
--- a/src/serving/gossip.cpp
+++ b/src/serving/gossip.cpp
@@ -47,8 +47,7 @@
     return stated ? std::optional(report) : std::nullopt;
 }
 
-template <class Value>
-uint16_t limitedTo16Bits(Value value)
+template <class Value> uint16_t limitedTo16Bits(Value value)
 {
     return static_cast<uint16_t>(std::clamp<Value>(value, 0, UINT16_MAX));
 }
--- a/src/serving/gossip.h
+++ b/src/serving/gossip.h
@@ -75,8 +75,8 @@
     std::vector<GossipPrefixBlock> prefixBlocks;
     std::vector<GossipLimit> limits;
     std::vector<GossipEngineSpeed> engineSpeeds; ///< In full messages, about once per second.
-    double requestsPerSecond = 0; ///< Requests of clients that the sender receives.
-    policy::BlockReport blocks;   ///< Blocks that are suspected of crashing engines.
+    double requestsPerSecond = 0;                ///< Requests of clients that the sender receives.
+    policy::BlockReport blocks;                  ///< Blocks that are suspected of crashing engines.
 };
 
 /** Limit of an unpacked state. */
--- a/src/serving/loadexchange.cpp
+++ b/src/serving/loadexchange.cpp
@@ -118,8 +118,8 @@
     if (it == m_reports.end())
         return std::nullopt;
     ReportedLoad load = it->second.load;
-    load.age = std::max(std::chrono::floor<Milliseconds>(m_prunedAt - it->second.at),
-                        Milliseconds(0));
+    load.age =
+        std::max(std::chrono::floor<Milliseconds>(m_prunedAt - it->second.at), Milliseconds(0));
     return load;
 }
 
@@ -174,8 +174,8 @@
     shares.reserve(sums.size());
     for (const auto &[endpoint, sum] : sums) {
         const auto report = reportOf(endpoint);
-        if (report || sum.running > 0 || sum.backlogTokens > 0 || sum.changing > 0 || sum.failing > 0
-            || sum.leaving > 0)
+        if (report || sum.running > 0 || sum.backlogTokens > 0 || sum.changing > 0
+            || sum.failing > 0 || sum.leaving > 0)
             shares.push_back({endpoint,
                               {static_cast<uint32_t>(std::max<int64_t>(0, sum.running)),
                                static_cast<uint32_t>(std::max<int64_t>(0, sum.backlogTokens))},
--- a/src/serving/promptscheduler.cpp
+++ b/src/serving/promptscheduler.cpp
@@ -173,8 +173,8 @@
             engines += 1 / it->slowdown.factor().value_or(1);
     }
     constexpr double msPerSecond = 1000;
-    const double rate = m_placement.prefill.tokensPerMs * msPerSecond
-        * (engines > 0 ? engines : 1) / std::max(1U, m_gatewayCount());
+    const double rate = m_placement.prefill.tokensPerMs * msPerSecond * (engines > 0 ? engines : 1)
+        / std::max(1U, m_gatewayCount());
     return serviceQueue->second.queue.expectedWait(prompt, rate, core::BootClock::now());
 }
 
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -198,15 +198,15 @@
     startPrefillTimer(suspect, [this, predicted, suspect]() {
         core::incrementCounter("jujube_engines_suspected_total");
         m_endpoint->pauseFor(core::BootClock::now(), SuspectPause);
-        startPrefillTimer(predicted * PrefillTimeoutFactor + PrefillTimeoutSlack - suspect,
-                          [this]() {
-                              // It takes at least as long.
-                              recordEngineSpeed(std::chrono::duration<double, std::milli>(
-                                                core::BootClock::now() - m_sentAt)
-                                                .count());
-                              recordLostAnswer();
-                              handlePrefillFailure(true, "no answer to the prefill in time");
-                          });
+        startPrefillTimer(
+            predicted * PrefillTimeoutFactor + PrefillTimeoutSlack - suspect, [this]() {
+                // It takes at least as long.
+                recordEngineSpeed(
+                    std::chrono::duration<double, std::milli>(core::BootClock::now() - m_sentAt)
+                        .count());
+                recordLostAnswer();
+                handlePrefillFailure(true, "no answer to the prefill in time");
+            });
     });
 }
 
--- a/src/serving/session.h
+++ b/src/serving/session.h
@@ -46,8 +46,8 @@
     policy::PrefillTimeEstimator &handOver; ///< From the end of a prefill to the first token.
     policy::PrefillTimeEstimator
         &colocatedPrefill; ///< Time to the first token if the decode engine prefills.
-    policy::PrefillRateEstimator &prefillRate;      ///< Of the service's prefill engines.
-    std::string domain;                             ///< Failure domain of this gateway.
+    policy::PrefillRateEstimator &prefillRate; ///< Of the service's prefill engines.
+    std::string domain;                        ///< Failure domain of this gateway.
     std::function<policy::SendBudget &(const std::string &service)> retryBudget;
     std::function<uint32_t()> budgetGateways;        ///< Gateways that share a retry budget.
     std::function<core::Milliseconds()> wallTime;    ///< Time of day that usage windows follow.
--- /dev/null
+++ b/src/serving/sessionevidence.cpp
@@ -0,0 +1,102 @@
+/** \file
+ * Records what a session's sends show of the speed of engines.
+ */
+
+#include "serving/session.h"
+
+#include "core/eventlog.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jujube::serving {
+
+namespace {
+
+using core::Milliseconds;
+using core::TimePoint;
+
+double msBetween(TimePoint from, TimePoint to)
+{
+    return std::chrono::duration<double, std::milli>(to - from).count();
+}
+
+policy::PrefillWork prefillWork(const PrefillPlan &plan)
+{
+    return {plan.choice.expectedTokens, plan.aheadTokens, plan.priority, plan.choice.fetch};
+}
+
+} // namespace
+
+// Derives the decode step time from the interval before an event.
+void Session::recordStepTime(std::string_view body)
+{
+    const TimePoint now = core::BootClock::now();
+    const TimePoint before = std::exchange(m_lastEventAt, now);
+    const size_t events = EventFramer::count(body);
+    const auto it = m_request.config->services.find(m_request.service);
+    const bool known = it != m_request.config->services.end() && it->second.engine.has_value();
+    if (before == TimePoint{} || events == 0 || !known)
+        return;
+    const bool prefillPending =
+        m_endpoint->ownLoad.backlogTokens + m_endpoint->peerLoad.backlogTokens > 0;
+    const auto tokens = static_cast<double>(events * it->second.engine->tokensPerEvent);
+    const double ms = std::chrono::duration<double, std::milli>(now - before).count();
+    const auto running = static_cast<double>(std::min(
+        m_endpoint->ownLoad.running + m_endpoint->peerLoad.running, m_endpoint->record.slots));
+    m_services.decodeSteps(m_request.service).note(running, ms / tokens, prefillPending);
+}
+
+// Compares the time to the first token with its prediction, to correct later predictions.
+void Session::recordFirstToken()
+{
+    if (!m_prefillPlan.engine)
+        return;
+    if (m_prefillEngine) {
+        if (m_runSends == 1)
+            m_services.handOver.note(m_promptInfo.tokens, msBetween(m_prefilledAt, m_firstEventAt));
+        return;
+    }
+    const double ms = msBetween(m_assignedAt, m_firstEventAt);
+    const double tokens = m_prefillPlan.aheadTokens + m_prefillPlan.choice.uncachedTokens;
+    m_services.colocatedPrefill.note(tokens, ms);
+    updateSlowness(*m_prefillPlan.engine, Milliseconds(std::llround(ms)),
+                   m_prefillPlan.choice.predictedFirstToken);
+}
+
+void Session::recordPrefill()
+{
+    const double ms = msBetween(m_sentAt, m_prefilledAt);
+    const policy::PrefillChoice &choice = m_prefillPlan.choice;
+    // The duration is that of the prefill itself only if no other prompt was queued ahead and no
+    // prefix blocks were fetched.
+    if (m_prefillPlan.aheadTokens == 0 && m_prefillPlan.fetchAddress.empty())
+        m_services.prefillRate.note(choice.uncachedTokens, ms);
+    m_services.prefillDuration.note(prefillWork(m_prefillPlan),
+                                    ms / (choice.slowdown * choice.pace));
+    recordEngineSpeed(ms);
+    core::Event("prefill.done")
+        .with("request", m_request.metadata.id)
+        .with("endpoint", m_endpoint->record.id)
+        .with("predicted_ms", choice.predictedPrefill.count())
+        .with("taken_ms", std::llround(ms))
+        .with("slowdown", choice.slowdown)
+        .with("pace", choice.pace)
+        .with("tokens", choice.uncachedTokens)
+        .with("ahead", std::llround(m_prefillPlan.aheadTokens));
+}
+
+// A prefill that waited for others says little about the speed of its engine.
+void Session::recordEngineSpeed(double takenMs)
+{
+    const policy::PrefillChoice &choice = m_prefillPlan.choice;
+    const policy::PrefillWork work = prefillWork(m_prefillPlan);
+    policy::PrefillWork alone = work;
+    alone.aheadTokens = 0;
+    const policy::PrefillDurationModel &model = m_services.prefillDuration.model();
+    const double ownShare = model.predictMs(alone) / model.predictMs(work);
+    m_endpoint->slowdown.note(takenMs, choice.usualPrefillMs * choice.pace, ownShare,
+                              core::BootClock::now());
+}
+
+} // namespace jujube::serving
