Estimate the output of requests and their cost

Cause: the expected output of a request was the client's hint, which is often far off, or half of its limit. Change: OutputLengthEstimator learns the output by route and team and the error of hints by route, from streams that ended whole after one run, and combines both by variance; RequestCost counts prefill, output and memory in blocks. Session::expectedOutputTokens() uses the estimate; the event output.done states expected and actual tokens.

--- /dev/null
+++ b/src/policy/requestcost.cpp
@@ -0,0 +1,27 @@
+#include "policy/requestcost.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jujube::policy {
+
+namespace {
+
+constexpr uint64_t BlockTokens = 16; ///< Engines allocate their KV cache in blocks of this size.
+constexpr double MaxOutputTokens = 1e9;
+
+} // namespace
+
+RequestCost RequestCost::of(uint32_t promptTokens, uint32_t cachedTokens,
+                            double expectedOutputTokens)
+{
+    RequestCost cost;
+    cost.prefillTokens = promptTokens - std::min(promptTokens, cachedTokens);
+    cost.outputTokens =
+        expectedOutputTokens > 0 ? std::min(expectedOutputTokens, MaxOutputTokens) : 0;
+    const uint64_t tokens = promptTokens + static_cast<uint64_t>(std::ceil(cost.outputTokens));
+    cost.memoryTokens = (tokens + BlockTokens - 1) / BlockTokens * BlockTokens;
+    return cost;
+}
+
+} // namespace jujube::policy
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -121,6 +121,7 @@
           m_handOver,
           m_colocatedPrefill,
           m_prefillRate,
+          m_outputLengths,
           m_settings.domain,
           [this](const std::string &service) -> policy::SendBudget & {
               policy::SendBudgetSettings budget{m_settings.retryRatio, m_settings.retryWindow,
--- a/src/serving/gateway.h
+++ b/src/serving/gateway.h
@@ -78,6 +78,7 @@
     policy::PrefillTimeEstimator m_handOver;
     policy::PrefillTimeEstimator m_colocatedPrefill;
     policy::PrefillRateEstimator m_prefillRate;
+    policy::OutputLengthEstimator m_outputLengths;
     std::map<std::string, policy::DecodeStepEstimator> m_decodeSteps; ///< By name of the service.
     policy::RateMeter m_promptTokens;
     policy::RateMeter m_outputTokens;
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -159,10 +159,15 @@
         m_services.promptScheduler.remove(m_request.service, std::exchange(m_promptQueueId, 0));
 }
 
+policy::OutputRequest Session::outputRequest() const
+{
+    return {m_request.service, m_request.route->name, m_request.team,
+            m_request.metadata.expectedOutputTokens, m_request.metadata.maxOutputTokens};
+}
+
 double Session::expectedOutputTokens() const
 {
-    // Without an estimate from the client: answers use about half of their token limit.
-    return m_request.metadata.expectedOutputTokens.value_or(m_request.metadata.maxOutputTokens / 2);
+    return m_services.outputLengths.estimate(outputRequest()).expected;
 }
 
 // Sends the prompt to its assigned engine, which prefills it for a decode engine or runs the whole
@@ -174,7 +179,8 @@
     m_assignedAt = core::BootClock::now();
     m_prefillPlan = plan;
     m_services.recordPrefillTokens(plan.choice.uncachedTokens);
-    m_services.recordExpectedOutputTokens(expectedOutputTokens());
+    m_expectedOutputTokens = expectedOutputTokens();
+    m_services.recordExpectedOutputTokens(m_expectedOutputTokens);
     if (!plan.engine->prefills()) {
         m_prefillTried = true;
         sendRunTo(plan.engine);
--- a/src/serving/session.h
+++ b/src/serving/session.h
@@ -8,6 +8,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "policy/decodestepestimator.h"
+#include "policy/outputlengthestimator.h"
 #include "policy/placement.h"
 #include "policy/prefillrateestimator.h"
 #include "policy/prefilltimeestimator.h"
@@ -47,7 +48,8 @@
     policy::PrefillTimeEstimator
         &colocatedPrefill; ///< Time to the first token if the decode engine prefills.
     policy::PrefillRateEstimator &prefillRate; ///< Of the service's prefill engines.
-    std::string domain;                        ///< Failure domain of this gateway.
+    policy::OutputLengthEstimator &outputLengths;
+    std::string domain; ///< Failure domain of this gateway.
     std::function<policy::SendBudget &(const std::string &service)> retryBudget;
     std::function<uint32_t()> budgetGateways;        ///< Gateways that share a retry budget.
     std::function<core::Milliseconds()> wallTime;    ///< Time of day that usage windows follow.
@@ -102,7 +104,9 @@
     void startNextStep();
     void queuePrompt();
     void dispatchPrompt(const PrefillPlan &plan);
+    policy::OutputRequest outputRequest() const;
     double expectedOutputTokens() const;
+    void recordOutputLength();
     void sendRun();
     void sendRunTo(const EndpointPtr &endpoint);
     uint32_t enginePriority() const;
@@ -196,6 +200,7 @@
     EventCounter m_events;            ///< Events of this send's answer.
     http::Head m_head;
     AnswerMetadata m_answer;
+    double m_expectedOutputTokens = 0;
     std::string m_body;
     http::BufferShare m_answerShare; ///< Of the part of this send's answer that is buffered.
     http::BufferShare m_unsentShare; ///< Of what the client has not taken yet.
--- a/src/serving/sessionanswer.cpp
+++ b/src/serving/sessionanswer.cpp
@@ -274,6 +274,7 @@
         m_services.quarantine.recordSuccess(m_sharedBlocks);
     if (m_streaming && success && m_answer.hasSignature) {
         recordEndpointAnswer(false);
+        recordOutputLength();
         endSend(true);
         finishStream(true);
         return;
--- a/src/serving/sessionevidence.cpp
+++ b/src/serving/sessionevidence.cpp
@@ -99,4 +99,21 @@
                               core::BootClock::now());
 }
 
+// Only the whole output of a request counts: a resumed stream lacks the events before it.
+void Session::recordOutputLength()
+{
+    const auto it = m_request.config->services.find(m_request.service);
+    const bool known = it != m_request.config->services.end() && it->second.engine.has_value();
+    const bool whole = m_runs == 1 && m_request.metadata.lastEventId.empty();
+    if (!known || !whole || m_request.route->kind != RouteKind::Stream)
+        return;
+    const auto tokens = static_cast<double>(m_events.count() * it->second.engine->tokensPerEvent);
+    m_services.outputLengths.note(outputRequest(), tokens);
+    if (m_expectedOutputTokens > 0)
+        core::Event("output.done")
+            .with("request", m_request.metadata.id)
+            .with("expected", std::llround(m_expectedOutputTokens))
+            .with("tokens", std::llround(tokens));
+}
+
 } // namespace jujube::serving
