Prompts whose best engine is full may go to a slower one with room

Cause: by known speeds, long prompts prefer the fast engines even when these are full, so slow engines would be idle while prompts wait. Change: the first four held prompts compare the wait for room, estimated from the tokens that wait at this and, in expectation, at the other gateways, with the best prefill engine that has room. The factor of slowdown and pace is limited to 0.15 to 8. Output tokens are stated in request.end instead of a line of their own.

--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -36,6 +36,9 @@
 // Load and speed figures are not recent enough to tell smaller differences, and gateways that
 // decide on the same figures should not all choose the same engine.
 constexpr double PrefillTieShare = 0.05;
+// The largest slowdown and the highest pace at once are more likely to be wrong than true.
+constexpr double MinPrefillFactor = 0.15;
+constexpr double MaxPrefillFactor = 8;
 
 /** Times to the first token at one engine. */
 struct PredictedTimes
@@ -68,7 +71,9 @@
 
 double prefillFactor(const PlacementCandidate &engine)
 {
-    return engine.slowdown.value_or(engine.slowness) * engine.pace;
+    if (!engine.slowdown)
+        return engine.slowness * engine.pace;
+    return std::clamp(*engine.slowdown * engine.pace, MinPrefillFactor, MaxPrefillFactor);
 }
 
 std::optional<PrefillChoice> choosePrefillEngine(const std::vector<PlacementCandidate> &engines,
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -78,6 +78,7 @@
     double crossDomainSlotPenalty = 0.15;
     double crossDomainPrefillMs = 20; ///< Time added for a prefill in another domain.
     std::string domain{};             ///< Failure domain of this gateway.
+    uint32_t gateways = 1;            ///< That send prompts to the same engines.
 };
 
 /** Engine chosen to prefill a prompt. */
@@ -95,7 +96,8 @@
     double pace = 1;     ///< Factor of its reported pace.
 };
 
-/** Factor by which a prefill on a prefill engine takes longer than usual at this moment. */
+/** Factor by which a prefill on a prefill engine takes longer than usual at this moment; limited,
+ * so that wrong figures never take an engine out of use. */
 double prefillFactor(const PlacementCandidate &engine);
 
 /** Chooses the engine with the lowest predicted time to the first token, among prefill engines and
--- a/src/policy/promptqueue.cpp
+++ b/src/policy/promptqueue.cpp
@@ -16,6 +16,7 @@
 // The permitted backlog of an engine is a time, so a fast one may hold more tokens. A wrong
 // slowdown must neither gather the work of all gateways at one engine nor let it run dry.
 constexpr double MaxBacklogFactor = 2;
+constexpr size_t MaxSecondChoices = 4; ///< Each costs as much as the first choice of a prompt.
 
 uint32_t enginePriority(double key)
 {
@@ -24,6 +25,17 @@
         std::clamp(doublings, 0.0, static_cast<double>(LowestEnginePriority)));
 }
 
+// Time until the prefill engines have taken a waiting token of each gateway. The other gateways
+// have about as many prompts waiting as this one.
+double waitMsPerToken(const std::vector<PlacementCandidate> &engines,
+                      const PlacementSettings &placement)
+{
+    double rate = 0;
+    for (const PlacementCandidate &it : engines)
+        rate += it.usable && it.isPrefillEngine ? 1 / prefillFactor(it) : 0;
+    return rate > 0 ? placement.gateways / (rate * placement.prefill.tokensPerMs) : 0;
+}
+
 // Returns the engines with the excluded ones marked unusable; unchanged if no other is usable.
 std::vector<PlacementCandidate> withoutEngines(const std::vector<PlacementCandidate> &engines,
                                                const std::set<std::string> &excluded)
@@ -83,6 +95,22 @@
         * (late ? m_settings.lateFactor : 1);
 }
 
+// Without this, slow engines are idle while all long prompts wait for the fast ones.
+std::optional<PrefillChoice> PromptQueue::chooseInstead(const PrefillChoice &choice, double waitMs,
+                                                        std::vector<PlacementCandidate> engines,
+                                                        const PromptInfo &info,
+                                                        const PlacementSettings &placement,
+                                                        std::mt19937_64 &random) const
+{
+    for (PlacementCandidate &it : engines)
+        it.usable = it.usable && it.isPrefillEngine && hasRoom(it);
+    const auto other = choosePrefillEngine(engines, info, placement, random);
+    const double patienceMs = static_cast<double>(choice.predictedFirstToken.count()) + waitMs;
+    if (!other || static_cast<double>(other->predictedFirstToken.count()) > patienceMs)
+        return std::nullopt;
+    return other;
+}
+
 std::optional<PromptDispatch> PromptQueue::takeNext(std::vector<PlacementCandidate> &engines,
                                                     const CachedTokens &cached,
                                                     const PlacementSettings &placement,
@@ -98,6 +126,8 @@
         order.emplace_back(orderingKey(*it, now), it);
     std::stable_sort(order.begin(), order.end(),
                      [](const auto &a, const auto &b) { return a.first < b.first; });
+    const double msPerToken = waitMsPerToken(engines, placement);
+    double tokensAhead = 0;
     for (size_t i = 0; i < std::min(order.size(), m_settings.maxScannedPrompts); ++i) {
         const auto it = order[i].second;
         const std::vector<uint32_t> tokens = cached(*it);
@@ -106,11 +136,19 @@
         PromptInfo info = it->info;
         info.priority = enginePriority(order[i].first);
         info.fetchableTokens = tokens.empty() ? 0 : *std::max_element(tokens.begin(), tokens.end());
-        const auto choice = it->failedEngines.empty()
+        auto choice = it->failedEngines.empty()
             ? choosePrefillEngine(engines, info, placement, random)
             : choosePrefillEngine(withoutEngines(engines, it->failedEngines), info, placement,
                                   random);
-        if (!choice || !hasRoom(engines[choice->index]))
+        if (choice && !hasRoom(engines[choice->index])) {
+            // Of the prompts that other gateways have in the same place, half go first.
+            const double waitMs = (tokensAhead + choice->expectedTokens / 2) * msPerToken;
+            tokensAhead += choice->expectedTokens;
+            choice = i < MaxSecondChoices && it->failedEngines.empty()
+                ? chooseInstead(*choice, waitMs, engines, info, placement, random)
+                : std::nullopt;
+        }
+        if (!choice)
             continue;
         PromptDispatch dispatch{std::move(*it), *choice, enginePriority(order[i].first)};
         m_waiting.erase(it);
--- a/src/policy/promptqueue.h
+++ b/src/policy/promptqueue.h
@@ -101,6 +101,13 @@
 private:
     bool hasRoom(const PlacementCandidate &engine) const;
     bool decodeHasRoom(const std::vector<PlacementCandidate> &engines) const;
+    /** Returns the best prefill engine with room if a prompt is prefilled there sooner than after
+     * waiting for room at the chosen engine. \param waitMs expected wait. */
+    std::optional<PrefillChoice> chooseInstead(const PrefillChoice &choice, double waitMs,
+                                               std::vector<PlacementCandidate> engines,
+                                               const PromptInfo &info,
+                                               const PlacementSettings &placement,
+                                               std::mt19937_64 &random) const;
     double orderingKey(const WaitingPrompt &prompt, core::TimePoint now) const;
 
     PromptQueueSettings m_settings;
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -422,6 +422,7 @@
         m_endpoints.updateSlowdowns(now);
         m_placement.prefill = m_prefillDuration.model();
         m_placement.handOver = m_handOver.model();
+        m_placement.gateways = m_peers.aliveCount();
         m_placement.colocatedPrefill = m_colocatedPrefill.model();
         logPredictions(now);
         if (m_mirror->complete() && m_mirror->reachable() && !m_draining) {
--- a/src/serving/session.h
+++ b/src/serving/session.h
@@ -201,6 +201,7 @@
     http::Head m_head;
     AnswerMetadata m_answer;
     double m_expectedOutputTokens = 0;
+    double m_outputTokens = 0; ///< Of a stream that ended whole after one run.
     std::string m_body;
     http::BufferShare m_answerShare; ///< Of the part of this send's answer that is buffered.
     http::BufferShare m_unsentShare; ///< Of what the client has not taken yet.
--- a/src/serving/sessionend.cpp
+++ b/src/serving/sessionend.cpp
@@ -11,6 +11,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
+#include <cmath>
 
 namespace jujube::serving {
 
@@ -80,7 +81,9 @@
         .with("assigned_ms", msSinceArrival(m_assignedAt))
         .with("read_ms", msSinceArrival(m_prefilledAt))
         .with("first_ms", msSinceArrival(m_firstEventAt))
-        .with("ms", msSinceArrival(core::BootClock::now()));
+        .with("ms", msSinceArrival(core::BootClock::now()))
+        .with("output_expected", std::llround(m_expectedOutputTokens))
+        .with("output", std::llround(m_outputTokens));
     core::incrementCounter("jujube_requests_total", core::concat("outcome=\"", outcome, "\""));
 }
 
--- a/src/serving/sessionevidence.cpp
+++ b/src/serving/sessionevidence.cpp
@@ -109,11 +109,7 @@
         return;
     const auto tokens = static_cast<double>(m_events.count() * it->second.engine->tokensPerEvent);
     m_services.outputLengths.note(outputRequest(), tokens);
-    if (m_expectedOutputTokens > 0)
-        core::Event("output.done")
-            .with("request", m_request.metadata.id)
-            .with("expected", std::llround(m_expectedOutputTokens))
-            .with("tokens", std::llround(tokens));
+    m_outputTokens = tokens;
 }
 
 } // namespace jujube::serving
--- a/test/correctness/engineslowdown.cpp
+++ b/test/correctness/engineslowdown.cpp
@@ -311,6 +311,32 @@
     }
 }
 
+// Engines of two speeds under one queue: while all long prompts prefer the fast engines, which have
+// no room, the slow ones would be idle. They take a prompt once it would wait longer otherwise.
+Test(promptqueue, slow_engines_are_used_while_fast_ones_are_full)
+{
+    std::vector engines{engine("slow"), engine("fast")};
+    engines[0].slowdown = 1.7;
+    engines[1].slowdown = 0.7;
+    engines[1].backlogTokens = 9'000;
+    const auto cached = [](const policy::WaitingPrompt &) { return std::vector<uint32_t>{0, 0}; };
+    policy::PlacementSettings placement;
+    placement.prefill.tokensPerMs = 35;
+    std::mt19937_64 random(1);
+    for (const uint32_t gateways : {1U, 40U}) {
+        placement.gateways = gateways;
+        policy::PromptQueue queue({});
+        policy::WaitingPrompt prompt;
+        prompt.info.tokens = 12'000;
+        prompt.firstTokenDueAt = prompt.deadlineAt = Start + 60s;
+        prompt.id = 1;
+        queue.add(prompt);
+        const auto dispatch = queue.takeNext(engines, cached, placement, Start, random);
+        cr_assert_eq(dispatch.has_value(), gateways > 1);
+        cr_assert(!dispatch || dispatch->choice.index == 0);
+    }
+}
+
 // The line is fitted to prefills alone, and one in twenty that takes 20 times as long does not
 // change it.
 Test(prefillduration, the_fit_resists_very_slow_prefills)
