--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -38,7 +38,6 @@
 // unavailable before the counts are committed.
 constexpr Milliseconds UsageCountsDelay{1'200};
 constexpr Milliseconds LargeUsageCountsDelay{3'200};
-constexpr Milliseconds PredictionLogInterval{5'000};
 constexpr uint64_t DefaultKvCacheTokens = 500'000; ///< For engines without a configured size.
 // Parts of the process's memory that the bodies of requests and buffered answers may take. A body
 // is held twice while it is sent.
@@ -60,7 +59,7 @@
       m_quarantine(m_store, m_settings.name),
       m_usage(m_settings.usageWindow),
       m_quotas(io, m_settings, m_random, [this]() { m_peers.loadChanged(); }),
-      m_disaggregatedPrefill(m_placement.disaggregatedPrefill),
+      m_handOver(m_placement.handOver),
       m_colocatedPrefill(m_placement.colocatedPrefill),
       m_promptTokens(TokenRateWindow),
       m_outputTokens(TokenRateWindow),
@@ -76,7 +75,8 @@
            &m_usage,
            [this]() { return m_usage.windowAt(m_wallClock.at(core::BootClock::now())); },
            [this]() { return knownLimits(); },
-           [this](const std::string &peer) { return m_quotas.levelsFor(peer); }}),
+           [this](const std::string &peer) { return m_quotas.levelsFor(peer); },
+           [this]() { return engineSpeeds(); }}),
       m_feed(m_httpClient, m_settings.name, [this](const StorePage &state) { onPeerState(state); }),
       m_promptScheduler(io, m_endpoints, m_placement, m_random,
                         [this]() { return m_peers.aliveCount(); }),
@@ -113,9 +113,11 @@
           m_usage,
           m_random,
           m_placement,
-          m_disaggregatedPrefill,
+          m_prefillDuration,
+          m_handOver,
           m_colocatedPrefill,
           m_prefillRate,
+          m_outputLengths,
           m_settings.domain,
           [this](const std::string &service) -> policy::SendBudget & {
               policy::SendBudgetSettings budget{m_settings.retryRatio, m_settings.retryWindow,
@@ -319,20 +321,6 @@
     return !m_draining && m_config.load() && !m_endpoints.all().empty();
 }
 
-void Gateway::logPredictions(TimePoint now)
-{
-    if (now - m_predictionsLoggedAt < PredictionLogInterval)
-        return;
-    m_predictionsLoggedAt = now;
-    core::Event("predictions")
-        .with("apart_tokens_per_ms", m_placement.disaggregatedPrefill.tokensPerMs)
-        .with("apart_fixed_ms", m_placement.disaggregatedPrefill.fixedMs)
-        .with("itself_tokens_per_ms", m_placement.colocatedPrefill.tokensPerMs)
-        .with("itself_fixed_ms", m_placement.colocatedPrefill.fixedMs)
-        .with("read_tokens_per_s", m_prefillRate.tokensPerSecond())
-        .with("waiting", m_promptScheduler.waitingCount());
-}
-
 void Gateway::tick()
 {
     m_tickTimer.expires_after(TickInterval);
@@ -353,7 +341,10 @@
                                                  SmallestMinWatchInterval,
                                                  LargestMinWatchInterval));
         m_leadership.setContenders(static_cast<uint32_t>(gateways));
-        m_placement.disaggregatedPrefill = m_disaggregatedPrefill.model();
+        m_endpoints.updateSlowdowns(now);
+        m_placement.prefill = m_prefillDuration.model();
+        m_placement.handOver = m_handOver.model();
+        m_placement.gateways = m_peers.aliveCount();
         m_placement.colocatedPrefill = m_colocatedPrefill.model();
         logPredictions(now);
         if (m_mirror->complete() && m_mirror->reachable() && !m_draining) {
--- a/src/serving/gateway.h
+++ b/src/serving/gateway.h
@@ -55,6 +55,7 @@
 
     GossipMessage composeGossip();
     std::vector<GossipLimit> knownLimits() const;
+    std::vector<GossipEngineSpeed> engineSpeeds() const;
     TokenRates localTokenRates(core::TimePoint now) const;
     void addUsageWindows(GossipMessage &gossip);
     void onPeerState(const StorePage &state);
@@ -83,9 +84,11 @@
     TeamQuotas m_quotas;
     PrefixBlockGossip m_sentBlocks;
     policy::PlacementSettings m_placement;
-    policy::PrefillTimeEstimator m_disaggregatedPrefill;
+    policy::PrefillDurationEstimator m_prefillDuration;
+    policy::PrefillTimeEstimator m_handOver;
     policy::PrefillTimeEstimator m_colocatedPrefill;
     policy::PrefillRateEstimator m_prefillRate;
+    policy::OutputLengthEstimator m_outputLengths;
     std::map<std::string, policy::DecodeStepEstimator> m_decodeSteps; ///< By name of the service.
     policy::RateMeter m_promptTokens;
     policy::RateMeter m_outputTokens;
--- a/src/serving/gatewaygossip.cpp
+++ b/src/serving/gatewaygossip.cpp
@@ -2,8 +2,6 @@
  * Composes the gossip messages of a gateway and applies those of its peers.
  */
 
-#include "core/eventlog.h"
-#include "core/metrics.h"
 #include "serving/gateway.h"
 
 namespace jujube::serving {
@@ -13,10 +11,6 @@
 using core::Milliseconds;
 using core::TimePoint;
 
-// Followers lag by one second while a change propagates. A lag of two seconds is logged, and again
-// after each further second.
-constexpr Milliseconds MinLoggedLag{2'000};
-constexpr Milliseconds LagLogInterval{1'000};
 // Keeps requests away from an endpoint that a peer reports as changing or leaving. The peer's next
 // gossip message renews the pause.
 constexpr Milliseconds GossipPause{200};
@@ -56,9 +50,10 @@
     for (const auto &[id, endpoint] : m_endpoints.all()) {
         const bool changing = now < endpoint->pausedUntil && m_leadership.held();
         const bool failing = endpoint->health.state(now) != policy::OutlierDetector::State::Healthy;
-        if (endpoint->ownLoad.running > 0 || changing || failing || endpoint->leaving)
+        const auto report = endpoint->reportToShare(now);
+        if (endpoint->ownLoad.running > 0 || changing || failing || endpoint->leaving || report)
             gossip.shares.push_back(
-                {endpoint->hash, endpoint->ownLoad, changing, failing, endpoint->leaving});
+                {endpoint->hash, endpoint->ownLoad, changing, failing, endpoint->leaving, report});
     }
     addUsageWindows(gossip);
     gossip.prefixBlocks = m_sentBlocks.blocksToSend(now);
@@ -85,6 +80,17 @@
     return limits;
 }
 
+std::vector<GossipEngineSpeed> Gateway::engineSpeeds() const
+{
+    const TimePoint now = core::BootClock::now();
+    std::vector<GossipEngineSpeed> speeds;
+    for (const auto &[id, endpoint] : m_endpoints.all()) {
+        if (const auto evidence = endpoint->slowdown.own(now); evidence && endpoint->prefills())
+            speeds.push_back({endpoint->hash, *evidence});
+    }
+    return speeds;
+}
+
 TokenRates Gateway::localTokenRates(TimePoint now) const
 {
     return {m_promptTokens.rate(now), m_outputTokens.rate(now)};
@@ -124,10 +130,17 @@
     const TimePoint now = core::BootClock::now();
     for (const GossipLimit &it : gossip.limits)
         m_endpoints.mergeLimit(it.endpoint, {it.perSecond, now - it.age});
+    const uint64_t sender = gossip.engineSpeeds.empty() ? 0 : endpointHash(gossip.name);
+    for (const GossipEngineSpeed &it : gossip.engineSpeeds) {
+        if (const EndpointPtr endpoint = m_endpoints.findByHash(it.endpoint))
+            endpoint->slowdown.merge(sender, it.evidence, now);
+    }
     for (const GossipLoadShare &share : gossip.shares) {
-        if (!share.changing && !share.failing && !share.leaving)
+        if (!share.changing && !share.failing && !share.leaving && !share.report)
             continue;
         const EndpointPtr endpoint = m_endpoints.findByHash(share.endpoint);
+        if (endpoint && share.report)
+            endpoint->noteReport(*share.report, now, false);
         // Gossip identifies an endpoint by the hash of its id, which a new incarnation may have
         // taken over, so a pause expires unless a later message repeats it.
         if (endpoint && (share.changing || share.leaving))
@@ -159,25 +172,4 @@
         m_feed.fetch(peers, m_mirror->version(), now);
 }
 
-// Logs for how long at least one peer has had a newer store state than this gateway.
-void Gateway::logLag(const StoreVersion &newest, bool follows, TimePoint now)
-{
-    if (newest <= m_mirror->version()) {
-        m_lagSince = {};
-        return;
-    }
-    if (m_lagSince == TimePoint{})
-        m_lagSince = m_lagLoggedAt = now;
-    if (now - m_lagSince < MinLoggedLag || now - m_lagLoggedAt < LagLogInterval)
-        return;
-    m_lagLoggedAt = now;
-    core::incrementCounter("jujube_state_behind_total");
-    core::Event("state.behind")
-        .with("for_ms", std::chrono::duration_cast<Milliseconds>(now - m_lagSince).count())
-        .with("revision", m_mirror->version().revision)
-        .with("newest", newest.revision)
-        .with("follows", follows)
-        .with("reachable", m_mirror->reachable());
-}
-
 } // namespace jujube::serving
--- a/src/serving/peermesh.h
+++ b/src/serving/peermesh.h
@@ -43,6 +43,8 @@
         std::function<std::vector<GossipLimit>()> limits{}; ///< Limits that a hub relays.
         /** Levels of quotas that a hub states to a peer. */
         std::function<std::vector<policy::QuotaLevel>(const std::string &peer)> quotaLevels{};
+        /** Evidence on engine speeds that full messages carry. */
+        std::function<std::vector<GossipEngineSpeed>()> engineSpeeds{};
     };
 
     PeerMesh(boost::asio::io_context &io, http::Client &httpClient, EndpointTable &endpoints,
@@ -133,6 +135,7 @@
     core::TimePoint m_startedAt{};
     core::TimePoint m_sharesSummedAt{};
     core::TimePoint m_lastBroadcastAt{};
+    core::TimePoint m_speedsSentAt{};
     BroadcastRound m_round;
     GossipTraffic m_traffic;
     policy::LinkPace m_pace;
--- a/src/serving/sessionanswer.cpp
+++ b/src/serving/sessionanswer.cpp
@@ -10,7 +10,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cmath>
 
 namespace jujube::serving {
 
@@ -59,7 +58,9 @@
 
 bool Session::onHead(const http::Head &head)
 {
-    const AnswerMetadata metadata = platform::decodeResponseHead(head);
+    AnswerMetadata metadata = platform::decodeResponseHead(head);
+    if (head.status == http::status::Misdirected)
+        metadata.load.reset(); // It comes from another instance at this address.
     if (metadata.requestId && *metadata.requestId != m_request.metadata.id) {
         core::Event("answer.foreign")
             .with("request", m_request.metadata.id)
@@ -187,25 +188,6 @@
     applyBackPressure();
 }
 
-// Derives the decode step time from the interval before an event.
-void Session::recordStepTime(std::string_view body)
-{
-    const TimePoint now = core::BootClock::now();
-    const TimePoint before = std::exchange(m_lastEventAt, now);
-    const size_t events = EventFramer::count(body);
-    const auto it = m_request.config->services.find(m_request.service);
-    const bool known = it != m_request.config->services.end() && it->second.engine.has_value();
-    if (before == TimePoint{} || events == 0 || !known)
-        return;
-    const bool prefillPending =
-        m_endpoint->ownLoad.backlogTokens + m_endpoint->peerLoad.backlogTokens > 0;
-    const auto tokens = static_cast<double>(events * it->second.engine->tokensPerEvent);
-    const double ms = std::chrono::duration<double, std::milli>(now - before).count();
-    const auto running = static_cast<double>(std::min(
-        m_endpoint->ownLoad.running + m_endpoint->peerLoad.running, m_endpoint->record.slots));
-    m_services.decodeSteps(m_request.service).note(running, ms / tokens, prefillPending);
-}
-
 // Sends the head of the answer. It is held until the first bytes of the body, as a failure before
 // them can still be reported with its own status.
 void Session::beginStream()
@@ -223,20 +205,6 @@
     core::recordDuration("jujube_first_event_seconds", "", core::BootClock::now() - m_arrivedAt);
 }
 
-// Compares the time to the first token with its prediction, to correct later predictions.
-void Session::recordFirstToken()
-{
-    if (!m_prefillPlan.engine)
-        return;
-    const double ms =
-        std::chrono::duration<double, std::milli>(m_firstEventAt - m_assignedAt).count();
-    const double tokens = m_prefillPlan.aheadTokens + m_prefillPlan.choice.uncachedTokens;
-    (m_prefillEngine ? m_services.disaggregatedPrefill : m_services.colocatedPrefill)
-        .note(tokens, ms);
-    updateSlowness(*m_prefillPlan.engine, Milliseconds(std::llround(ms)),
-                   m_prefillPlan.choice.predictedFirstToken);
-}
-
 void Session::onEnd()
 {
     if (m_purpose == Purpose::Prefill)
@@ -259,13 +227,7 @@
     recordEndpointAnswer(false);
     m_cacheHandle = std::move(*handle);
     m_prefilledAt = core::BootClock::now();
-    // The duration is that of the prefill itself only if no other prompt was queued ahead and no
-    // prefix blocks were fetched.
-    if (m_prefillPlan.aheadTokens == 0 && m_prefillPlan.fetchAddress.empty()) {
-        const double ms =
-            std::chrono::duration<double, std::milli>(m_prefilledAt - m_sentAt).count();
-        m_services.prefillRate.note(m_prefillPlan.choice.uncachedTokens, ms);
-    }
+    recordPrefill();
     m_prefillEngine = m_endpoint;
     m_prefillTried = true;
     endSend(true);
@@ -312,6 +274,7 @@
         m_services.quarantine.recordSuccess(m_sharedBlocks);
     if (m_streaming && success && m_answer.hasSignature) {
         recordEndpointAnswer(false);
+        recordOutputLength();
         endSend(true);
         finishStream(true);
         return;
