Probe the load of engines on one gateway; usual pace as a low quantile

Answers to prefills state no pace, so the pace of prefill engines and of all engines before traffic is unknown. One gateway now probes the health path of engines of services that state a pace. Built; no tests run yet.

--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -30,7 +30,7 @@
     /** Learned factor on the duration of prefills (EngineSlowdown); nothing without evidence. */
     std::optional<double> slowdown{};
     double pace = 1;      ///< Factor on the duration of work by the endpoint's reports.
-    double usualPace = 1; ///< Mean of the pace over the last seconds.
+    double usualPace = 1; ///< Low quantile of the reported paces.
     /** Prefills prompts that others decode; otherwise only those that it decodes. */
     bool isPrefillEngine = false;
     bool usable = true; ///< Accepts new requests.
--- a/src/serving/admission.cpp
+++ b/src/serving/admission.cpp
@@ -38,8 +38,7 @@
 {
     const TimePoint now = core::BootClock::now();
     m_requestRate.note(1, now);
-    // It could not be answered before the process ends.
-    if (m_draining && now - m_drainSince >= RemovalTime) {
+    if (acceptsNoRequests(now)) {
         refuse(responder, request.head, http::status::ServiceUnavailable, "the gateway stops",
                StoppingRetryAfter);
         return;
--- a/src/serving/endpoints.cpp
+++ b/src/serving/endpoints.cpp
@@ -60,7 +60,10 @@
 void Endpoint::noteReport(const ReportedLoad &load, core::TimePoint now, bool own)
 {
     const core::TimePoint at = now - load.age;
-    if (own) {
+    // Answers to prefills state no pace; they must not keep the pace of a probe from the peers.
+    const bool hidesPace = load.pacePercent == 0 && ownReport.pacePercent > 0
+        && at - ownReportAt < policy::LoadReportLifetime;
+    if (own && !hidesPace) {
         ownReport = load;
         ownReportAt = at;
     }
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -20,9 +20,6 @@
 constexpr uint16_t MetricsPort = 9464; // Has to match deploy/system.toml.
 constexpr Milliseconds TickInterval{200};
 constexpr Milliseconds TokenRateWindow{2'000}; ///< Shorter than swings of the request mix.
-constexpr Milliseconds DrainPollInterval{100};
-constexpr Milliseconds MarginBeforeKill{500}; ///< Time kept free before the platform sends SIGKILL.
-constexpr Milliseconds LastAnswersTime{100};  ///< For the last answers to leave the process.
 // Limits all gateways together to about 2.5 watch calls per second.
 constexpr Milliseconds WatchWaitPerGateway{400};
 constexpr Milliseconds MinWatchWait{2'500};
@@ -159,6 +156,9 @@
                           head.fields.add("Content-Type", "text/plain; version=0.0.4");
                           responder.send(head, core::renderMetrics());
                       }),
+      m_loadProber(
+          io, m_httpClient, m_endpoints, [this]() { return m_config.load(); },
+          [this]() { return !m_draining && m_peers.isCoordinator(); }),
       m_loopMonitor(io),
       m_tickTimer(io),
       m_drainTimer(io)
@@ -190,6 +190,7 @@
         !status.ok())
         return status;
     m_mirror->start();
+    m_loadProber.start();
     m_loopMonitor.start();
     tick();
     core::Event("gateway.started")
@@ -362,51 +363,4 @@
     });
 }
 
-void Gateway::drain(std::function<void()> done)
-{
-    if (std::exchange(m_draining, true))
-        return;
-    core::Event("gateway.draining").with("busy", m_clientServer.activeRequestCount());
-    m_drainSince = core::BootClock::now();
-    m_onDrained = std::move(done);
-    m_clientServer.closeAfterResponses();
-    pollDrain();
-}
-
-// New connections arrive until the load balancer has removed this process. After that the process
-// ends as soon as the last request is answered.
-void Gateway::pollDrain()
-{
-    m_drainTimer.expires_after(DrainPollInterval);
-    m_drainTimer.async_wait([this](const ErrorCode &ec) {
-        if (ec)
-            return;
-        const auto since = core::BootClock::now() - m_drainSince;
-        if (since >= RemovalTime) {
-            m_clientServer.stopListening();
-            m_clientServer.closeIdleConnections();
-        }
-        const bool empty = since >= RemovalTime && m_clientServer.activeRequestCount() == 0;
-        if (!empty && since < m_settings.drainGrace - MarginBeforeKill) {
-            pollDrain();
-            return;
-        }
-        core::Event("gateway.stopped").with("busy", m_clientServer.activeRequestCount());
-        m_leadership.stop();
-        answerOpenRequests();
-    });
-}
-
-void Gateway::answerOpenRequests()
-{
-    const auto open = std::exchange(m_sessionServices.open, {});
-    for (const auto &it : open)
-        it->giveUp("the gateway stops");
-    m_drainTimer.expires_after(open.empty() ? Milliseconds(0) : LastAnswersTime);
-    m_drainTimer.async_wait([this](const ErrorCode &ec) {
-        if (!ec)
-            m_onDrained();
-    });
-}
-
 } // namespace jujube::serving
--- a/src/serving/gateway.h
+++ b/src/serving/gateway.h
@@ -9,6 +9,7 @@
 #include "policy/ratemeter.h"
 #include "serving/catchup.h"
 #include "serving/leaderduties.h"
+#include "serving/loadprober.h"
 #include "serving/loopmonitor.h"
 #include "serving/peermesh.h"
 #include "serving/session.h"
@@ -37,7 +38,6 @@
     // The load balancer removes a process after two failed readiness probes, one second apart. A
     // request accepted later than three seconds after SIGTERM could not be aborted before the grace
     // time ends.
-    static constexpr core::Milliseconds RemovalTime{2'700};
 
     void onItem(const StoreItem &item);
     void onConfig(const StoreItem &item);
@@ -65,6 +65,7 @@
     void logPredictions(core::TimePoint now);
     void tick();
     void pollDrain();
+    bool acceptsNoRequests(core::TimePoint now) const;
     void answerOpenRequests();
     bool ready() const;
     uint64_t cacheTokens(const std::string &service) const;
@@ -108,6 +109,7 @@
     http::Server m_clientServer;
     http::Server m_readyServer;
     http::Server m_metricsServer;
+    LoadProber m_loadProber;
     LoopMonitor m_loopMonitor;
     boost::asio::steady_timer m_tickTimer;
     boost::asio::steady_timer m_drainTimer;
--- a/src/serving/loadexchange.cpp
+++ b/src/serving/loadexchange.cpp
@@ -107,8 +107,12 @@
         if (!share.report)
             continue;
         Report &known = m_reports[share.endpoint];
-        if (now - share.report->age > known.at)
-            known = {*share.report, now - share.report->age};
+        const TimePoint at = now - share.report->age;
+        // A report without a pace must not keep a fresh pace from the others.
+        const bool hidesPace = share.report->pacePercent == 0 && known.load.pacePercent > 0
+            && at - known.at < policy::LoadReportLifetime;
+        if (at > known.at && !hidesPace)
+            known = {*share.report, at};
     }
 }
 
--- a/src/serving/peermesh.h
+++ b/src/serving/peermesh.h
@@ -73,6 +73,9 @@
     bool isLarge() const;
     /** Name of the hub of a large deployment; empty: none was selected yet. */
     const std::string &hub() const { return m_hub; }
+    /** Whether this gateway does what one gateway does for all without an agreement. For a moment
+     * there may be two such gateways, or none. */
+    bool isCoordinator() const;
     /** The live peers as sources of the store state. */
     std::vector<FeedPeer> statePeers() const;
     /** Whether this gateway watches the store for others. */
--- a/src/serving/peermeshstatus.cpp
+++ b/src/serving/peermeshstatus.cpp
@@ -20,6 +20,10 @@
 // their share of limits to others.
 constexpr double MinActivity = 0.25;
 
+// Full messages of all peers arrive within a second; before that, each gateway that starts would
+// consider itself the coordinator.
+constexpr Milliseconds CoordinatorDelay{1'500};
+
 } // namespace
 
 std::vector<HubCandidate> PeerMesh::candidates() const
@@ -137,6 +141,15 @@
     return peers;
 }
 
+// A gateway that hears less than half of the others may be the one that is cut off.
+bool PeerMesh::isCoordinator() const
+{
+    const bool cutOff = aliveCount() * 2 <= m_peers.size();
+    if (cutOff || core::BootClock::now() - m_startedAt < CoordinatorDelay)
+        return false;
+    return isLarge() ? m_hub == m_name : isBestEquipped(m_name, "", candidates(), 1);
+}
+
 bool PeerMesh::watchesForOthers() const
 {
     return !isLarge() || serving::watchesForOthers(m_name, m_hub, candidates());
