--- a/src/policy/probeschedule.cpp
+++ b/src/policy/probeschedule.cpp
@@ -35,6 +35,15 @@
 
 } // namespace
 
+void ProbeSchedule::endDiscovery(const std::string &name, Service &service, Discovery result)
+{
+    if (service.discovery == result)
+        return;
+    service.discovery = result;
+    service.failures = 0;
+    m_discovered.push_back({name, result == Discovery::Paced});
+}
+
 void ProbeSchedule::observe(const std::vector<ProbeCandidate> &engines, TimePoint now)
 {
     for (auto &[name, service] : m_services)
@@ -47,7 +56,7 @@
             known = m_services.emplace(std::string(it.service), Service()).first;
         known->second.present = true;
         if (it.reportAge)
-            known->second.discovery = Discovery::Paced;
+            endDiscovery(known->first, known->second, Discovery::Paced);
         Engine &engine = m_engines[it.endpoint];
         if (engine.incarnation != it.incarnation || engine.service != it.service) {
             engine = Engine();
@@ -104,10 +113,10 @@
 
 bool ProbeSchedule::due(const ProbeCandidate &candidate, const Engine &engine, TimePoint now) const
 {
-    const auto since = engine.probedAt == TimePoint{} ? BusyTime + MaxRetryInterval
-                                                      : now - engine.probedAt;
     if (engine.probing)
         return false;
+    const auto since = engine.probedAt == TimePoint{} ? core::BootClock::duration(MaxRetryInterval)
+                                                      : now - engine.probedAt;
     if (!candidate.paceKnown && engine.startProbes < MaxStartProbes
         && since >= doubled(StartProbeInterval, engine.failures))
         return true;
@@ -165,7 +174,7 @@
     return chosen;
 }
 
-bool ProbeSchedule::noteResult(std::string_view service, uint64_t endpoint, int64_t incarnation,
+void ProbeSchedule::noteResult(std::string_view service, uint64_t endpoint, int64_t incarnation,
                                ProbeResult result, TimePoint now)
 {
     if (const auto it = m_engines.find(endpoint);
@@ -175,18 +184,15 @@
     }
     const auto it = m_services.find(service);
     if (it == m_services.end() || it->second.discovery != Discovery::Open)
-        return false;
-    Service &discovered = it->second;
+        return;
     if (result == ProbeResult::Failed) {
-        ++discovered.failures;
-        return false;
+        ++it->second.failures;
+        return;
     }
-    discovered.failures = 0;
-    discovered.discovery =
-        result == ProbeResult::Pace ? Discovery::Paced : Discovery::Unpaced;
-    if (result == ProbeResult::NoPace)
-        discovered.nextAt = now + UnpacedTime;
-    return true;
+    const bool paced = result == ProbeResult::Pace;
+    if (!paced)
+        it->second.nextAt = now + UnpacedTime;
+    endDiscovery(it->first, it->second, paced ? Discovery::Paced : Discovery::Unpaced);
 }
 
 bool ProbeSchedule::anyPaced() const
--- a/src/policy/probeschedule.h
+++ b/src/policy/probeschedule.h
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace jujube::policy {
@@ -34,6 +35,13 @@
     Failed
 };
 
+/** The end of the discovery of a service. */
+struct DiscoveredService
+{
+    std::string name;
+    bool statesPace = false;
+};
+
 /** Decides which engines to probe at a time.
  *
  * A service is discovered by probes to one engine at a time until one is answered. If the answer
@@ -47,10 +55,11 @@
     /** Returns the indices of the engines to probe now, and counts these probes as sent.
      * \param engines all engines; the state of those that are missing is dropped. */
     std::vector<size_t> choose(const std::vector<ProbeCandidate> &engines, core::TimePoint now);
-    /** Records the result of a probe.
-     * \return whether it has ended the discovery of its service. */
-    bool noteResult(std::string_view service, uint64_t endpoint, int64_t incarnation,
+    /** Records the result of a probe. */
+    void noteResult(std::string_view service, uint64_t endpoint, int64_t incarnation,
                     ProbeResult result, core::TimePoint now);
+    /** Returns the discoveries that have ended since the last call. */
+    std::vector<DiscoveredService> takeDiscovered() { return std::exchange(m_discovered, {}); }
     /** Whether the engines of some service state their pace, so that short intervals matter. */
     bool anyPaced() const;
 
@@ -78,6 +87,7 @@
         bool present = false;
     };
 
+    void endDiscovery(const std::string &name, Service &service, Discovery result);
     void observe(const std::vector<ProbeCandidate> &engines, core::TimePoint now);
     bool takeToken(core::TimePoint now);
     std::optional<size_t> chooseForDiscovery(const std::vector<ProbeCandidate> &engines,
@@ -87,6 +97,7 @@
 
     std::map<std::string, Service, std::less<>> m_services;
     std::map<uint64_t, Engine> m_engines;
+    std::vector<DiscoveredService> m_discovered;
     double m_tokens = 0;
     core::TimePoint m_refilledAt{};
 };
--- a/src/serving/loadprober.cpp
+++ b/src/serving/loadprober.cpp
@@ -15,8 +15,8 @@
 using core::TimePoint;
 using ErrorCode = boost::system::error_code;
 
-// A fourth of the interval between two probes of a busy engine.
-constexpr Milliseconds TickInterval{30};
+// A fifth of the interval between two probes of a busy engine, so that they are hardly late.
+constexpr Milliseconds TickInterval{25};
 // While this gateway does not probe, or no service states a pace.
 constexpr Milliseconds IdleTickInterval{200};
 // An answer that takes longer describes the past.
@@ -90,6 +90,8 @@
     }
     for (const size_t i : m_schedule.choose(candidates, now))
         probe(engines[i], config->services.find(engines[i]->record.service)->second.healthPath);
+    for (const policy::DiscoveredService &it : m_schedule.takeDiscovered())
+        core::Event("service.pace").with("service", it.name).with("stated", it.statesPace);
     logPaces(engines, now);
 }
 
@@ -101,13 +103,8 @@
         endpoint->record.address, platform::encodeLoadProbe(healthPath, endpoint->record.id),
         ProbeTimeout, [this, endpoint](const http::CallResult &result) {
             const policy::ProbeResult outcome = applyAnswer(*endpoint, result);
-            const EndpointRecord &record = endpoint->record;
-            if (m_schedule.noteResult(record.service, endpoint->hash, record.bornMs, outcome,
-                                      core::BootClock::now()))
-                core::Event("service.pace")
-                    .with("service", record.service)
-                    .with("endpoint", record.id)
-                    .with("stated", outcome == policy::ProbeResult::Pace);
+            m_schedule.noteResult(endpoint->record.service, endpoint->hash, endpoint->record.bornMs,
+                                  outcome, core::BootClock::now());
         });
 }
 
