--- a/src/policy/probeschedule.cpp
+++ b/src/policy/probeschedule.cpp
@@ -80,10 +80,9 @@
     if (m_refilledAt == TimePoint{})
         m_tokens = ProbeBurst;
     else
-        m_tokens = std::min(ProbeBurst,
-                            m_tokens
-                                + ProbesPerSecond
-                                    * std::chrono::duration<double>(now - m_refilledAt).count());
+        m_tokens = std::min(
+            ProbeBurst,
+            m_tokens + ProbesPerSecond * std::chrono::duration<double>(now - m_refilledAt).count());
     m_refilledAt = now;
     if (m_tokens < 1)
         return false;
@@ -92,9 +91,9 @@
 }
 
 // Each probe of a discovery goes to the engine after the last one, as that may not answer.
-std::optional<size_t>
-ProbeSchedule::chooseForDiscovery(const std::vector<ProbeCandidate> &engines,
-                                  const std::string &name, const Service &service) const
+std::optional<size_t> ProbeSchedule::chooseForDiscovery(const std::vector<ProbeCandidate> &engines,
+                                                        const std::string &name,
+                                                        const Service &service) const
 {
     std::optional<size_t> first;
     std::optional<size_t> next;
@@ -104,8 +103,7 @@
             continue;
         if (!first || it.endpoint < engines[*first].endpoint)
             first = i;
-        if (it.endpoint > service.lastProbed
-            && (!next || it.endpoint < engines[*next].endpoint))
+        if (it.endpoint > service.lastProbed && (!next || it.endpoint < engines[*next].endpoint))
             next = i;
     }
     return next ? next : first;
@@ -120,8 +118,7 @@
     if (!candidate.paceKnown && engine.startProbes < MaxStartProbes
         && since >= doubled(StartProbeInterval, engine.failures))
         return true;
-    const bool busy =
-        engine.lastPromptAt != TimePoint{} && now - engine.lastPromptAt <= BusyTime;
+    const bool busy = engine.lastPromptAt != TimePoint{} && now - engine.lastPromptAt <= BusyTime;
     const bool stale = !candidate.reportAge || *candidate.reportAge > BusyProbeInterval;
     return candidate.prefills && busy && stale
         && since >= doubled(BusyProbeInterval, engine.failures);
@@ -197,9 +194,8 @@
 
 bool ProbeSchedule::anyPaced() const
 {
-    return std::any_of(m_services.begin(), m_services.end(), [](const auto &it) {
-        return it.second.discovery == Discovery::Paced;
-    });
+    return std::any_of(m_services.begin(), m_services.end(),
+                       [](const auto &it) { return it.second.discovery == Discovery::Paced; });
 }
 
 } // namespace jujube::policy
--- a/src/policy/probeschedule.h
+++ b/src/policy/probeschedule.h
@@ -20,8 +20,8 @@
 struct ProbeCandidate
 {
     std::string_view service;
-    uint64_t endpoint = 0;     ///< Hash of the id.
-    int64_t incarnation = 0;   ///< Changes at a restart under the same id.
+    uint64_t endpoint = 0;   ///< Hash of the id.
+    int64_t incarnation = 0; ///< Changes at a restart under the same id.
     /** Age of the freshest report of its pace that any gateway has received; nothing: none. */
     std::optional<core::BootClock::duration> reportAge{};
     bool paceKnown = false; ///< There are enough reports to know its usual pace.
@@ -69,10 +69,10 @@
     struct Service
     {
         Discovery discovery = Discovery::Open;
-        core::TimePoint nextAt{};  ///< Of a probe for the discovery.
-        uint32_t failures = 0;     ///< Of discovery probes in a row.
-        uint64_t lastProbed = 0;   ///< Engine of the last discovery probe.
-        bool present = false;      ///< Has engines.
+        core::TimePoint nextAt{}; ///< Of a probe for the discovery.
+        uint32_t failures = 0;    ///< Of discovery probes in a row.
+        uint64_t lastProbed = 0;  ///< Engine of the last discovery probe.
+        bool present = false;     ///< Has engines.
     };
 
     struct Engine
--- a/src/serving/gateway.h
+++ b/src/serving/gateway.h
@@ -35,10 +35,6 @@
     void drain(std::function<void()> done);
 
 private:
-    // The load balancer removes a process after two failed readiness probes, one second apart. A
-    // request accepted later than three seconds after SIGTERM could not be aborted before the grace
-    // time ends.
-
     void onItem(const StoreItem &item);
     void onConfig(const StoreItem &item);
     void onEndpoint(const StoreItem &item);
--- a/src/serving/gatewaydrain.cpp
+++ b/src/serving/gatewaydrain.cpp
@@ -19,7 +19,7 @@
 constexpr Milliseconds BalancerRemovalTime{2'700};
 constexpr Milliseconds DrainPollInterval{100};
 constexpr Milliseconds MarginBeforeKill{500}; ///< Time kept free before the platform sends SIGKILL.
-constexpr Milliseconds LastAnswersTime{100};    ///< For the last answers to leave the process.
+constexpr Milliseconds LastAnswersTime{100};  ///< For the last answers to leave the process.
 
 } // namespace
 
--- a/src/serving/loadprober.cpp
+++ b/src/serving/loadprober.cpp
@@ -140,8 +140,8 @@
         const double usual = it->pace.usual(now);
         LoggedPace &logged = m_logged[it->hash];
         const bool first = logged.endpoint != it.get();
-        const bool changed = usual > logged.usual * MinLoggedChange
-            || usual < logged.usual / MinLoggedChange;
+        const bool changed =
+            usual > logged.usual * MinLoggedChange || usual < logged.usual / MinLoggedChange;
         if (!first && (!changed || now - logged.at < PaceLogInterval))
             continue;
         core::Event("endpoint.pace")
--- a/test/correctness/probeschedule.cpp
+++ b/test/correctness/probeschedule.cpp
@@ -151,7 +151,9 @@
 Test(probeschedule, a_spell_on_a_busy_prefill_engine_is_known_within_150_ms)
 {
     Simulation it;
-    const auto inSpell = [](core::TimePoint now) { return now >= Start + 5s && now < Start + 5'500ms; };
+    const auto inSpell = [](core::TimePoint now) {
+        return now >= Start + 5s && now < Start + 5'500ms;
+    };
     SimulatedEngine &engine =
         it.add([&](core::TimePoint now) { return inSpell(now) ? 175U : 70U; });
     SimulatedEngine &decodeEngine = it.add(70, false);
--- a/test/correctness/reportedpace.cpp
+++ b/test/correctness/reportedpace.cpp
@@ -92,7 +92,8 @@
     cr_assert_float_eq(pace.factor(spell + 500ms), 0.7, 0.01);
 }
 
-// Guards against one malformed or absurd figure that would draw all work to an engine or exclude it.
+// Guards against one malformed or absurd figure that would draw all work to an engine or exclude
+// it.
 Test(reportedpace, a_single_absurd_report_leaves_the_usual_pace)
 {
     policy::ReportedPace pace;
@@ -129,7 +130,8 @@
     serving::LoadAggregator loads;
     serving::GossipMessage gossip;
     gossip.name = "a";
-    gossip.shares.push_back({17, {1, 0}, false, false, false, serving::ReportedLoad{1, 0, Slow, {}}});
+    gossip.shares.push_back(
+        {17, {1, 0}, false, false, false, serving::ReportedLoad{1, 0, Slow, {}}});
     loads.apply(gossip, Start);
     gossip.name = "b";
     gossip.shares.back().report = serving::ReportedLoad{3, 0, 0, {}};
--- a/test/fakes/fakeendpoint.cpp
+++ b/test/fakes/fakeendpoint.cpp
@@ -124,6 +124,16 @@
         responder.send(head, {});
         return;
     }
+    if (!m_healthPath.empty() && request.head.target == m_healthPath) {
+        ++m_healthChecks;
+        http::Head head;
+        head.status = 200;
+        for (const http::Field &it : m_responseFields)
+            head.fields.add(it.name, it.value);
+        if (!m_silentHealth)
+            responder.send(head, "ok");
+        return;
+    }
     if (request.head.target == "/api/report") {
         const QJsonObject body{{"Busy", false},
                                {"Sequence", static_cast<qint64>(m_orderCount)},
--- a/test/fakes/fakeendpoint.h
+++ b/test/fakes/fakeendpoint.h
@@ -105,6 +105,12 @@
     void setEventCount(uint32_t events) { m_eventCount = events; }
     void setEventGap(core::Milliseconds gap) { m_eventGap = gap; }
 
+    /** Sets the path of health checks, which are answered at once and are no requests. */
+    void setHealthPath(std::string path) { m_healthPath = std::move(path); }
+    /** Sets that health checks are never answered. */
+    void setSilentHealth(bool silent) { m_silentHealth = silent; }
+    /** Number of health checks that reached this incarnation. */
+    size_t healthChecks() const { return m_healthChecks; }
     const std::vector<ReceivedRequest> &receivedRequests() const { return m_receivedRequests; }
     /** Number of times a request was started, whether or not it finished. */
     size_t runCount(const std::string &requestId) const;
@@ -156,6 +162,9 @@
     std::multiset<std::string> m_startedRequests;
     std::multiset<std::string> m_runningRequests;
     std::vector<http::Field> m_responseFields;
+    std::string m_healthPath;
+    size_t m_healthChecks = 0;
+    bool m_silentHealth = false;
     size_t m_bodySize = 0; ///< In bytes; 0: a short text with the request id.
     size_t m_endlessBytes = 0;
     uint64_t m_orderCount = 0;
--- a/test/support/deployment.cpp
+++ b/test/support/deployment.cpp
@@ -115,6 +115,15 @@
     m_store->put("op/config", configJson(version, keys, timeoutMs));
 }
 
+void Deployment::publishConfigWithHealthPath(uint64_t version, const std::string &path)
+{
+    std::string json = configJson(version, R"(["key-a"])", 2'000);
+    const std::string name = R"({"Name":"model")";
+    json.replace(json.find(name), name.size(),
+                 core::concat(name, R"(,"HealthPath":")", path, "\""));
+    m_store->put("op/config", json);
+}
+
 void Deployment::startGateway(serving::NodeSettings settings, bool wait)
 {
     const auto host = static_cast<uint32_t>(FirstGatewayHost + m_gateways.size());
--- a/test/support/deployment.h
+++ b/test/support/deployment.h
@@ -65,6 +65,8 @@
     /** Writes the configuration of configJson() to the store. */
     void publishConfig(uint64_t version, const std::string &keys = R"(["key-a"])",
                        uint32_t timeoutMs = 2'000);
+    /** Writes a configuration of configJson() in which the engines have a health path. */
+    void publishConfigWithHealthPath(uint64_t version, const std::string &path);
     /** Starts a gateway and, if \a wait is set, runs the loop until it is ready. */
     void startGateway(serving::NodeSettings settings = {}, bool wait = true);
 
