Planner: a new, unused engine gets its stage at once while the prefill stage is short

Cause: engines that replace others register as decode engines, and a used engine is moved only when a quarter of a stage is missing, so the prefill stage drains during replacements (23 to 16 of 43). Change: StagePlanner assigns engines that have just registered and got no request outside of rounds and delays; gateways hold new work back from such an engine for 400 ms while a leader is known and another decode engine has a free slot; the leader omits the order if the engine reports requests or orders. Followers do not take the share during a replacement for the target.

--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -101,4 +101,17 @@
     return choice;
 }
 
+void applyHolds(std::vector<PlacementCandidate> &endpoints)
+{
+    const bool othersHaveRoom =
+        std::any_of(endpoints.begin(), endpoints.end(), [](const PlacementCandidate &it) {
+            return it.usable && !it.held && !it.probe && !it.isPrefillEngine
+                && it.running < it.slots;
+        });
+    if (!othersHaveRoom)
+        return;
+    for (PlacementCandidate &it : endpoints)
+        it.usable = it.usable && !it.held;
+}
+
 } // namespace jujube::policy
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -30,6 +30,7 @@
     bool isPrefillEngine = false;
     bool usable = true; ///< Accepts new requests.
     bool probe = false; ///< Ejected and due for a probe request.
+    bool held = false;  ///< Has just registered and may be assigned another stage shortly.
 };
 
 /** Properties of a prompt that its placement depends on. */
@@ -96,4 +97,7 @@
                                                 const PlacementSettings &settings,
                                                 std::mt19937_64 &random);
 
+/** Marks the held endpoints as unusable, unless no other decode engine has a free slot. */
+void applyHolds(std::vector<PlacementCandidate> &endpoints);
+
 } // namespace jujube::policy
--- a/src/policy/stageplanner.cpp
+++ b/src/policy/stageplanner.cpp
@@ -11,6 +11,8 @@
 
 // Longer than the time for which a stage change or a crash of some engines distorts the split.
 constexpr std::chrono::duration<double> ObservedShareTimeConstant{5};
+// Longer than the time from the end of an engine until its successor has changed its stage.
+constexpr core::Milliseconds ReplacementTime{10'000};
 
 double prefillShare(const std::vector<StageView> &engines)
 {
@@ -159,7 +161,7 @@
     if (m_trafficSeen)
         observe(demand, now);
     const auto passed = std::exchange(m_shareObservedAt, now);
-    if (engines.empty())
+    if (engines.empty() || observeReplacements(engines, now))
         return;
     const double share = prefillShare(engines);
     const double weight =
@@ -168,6 +170,20 @@
         m_observedShare ? *m_observedShare + weight * (share - *m_observedShare) : share;
 }
 
+// Returns whether engines were replaced a short time ago. The present share is then not the one
+// that the leader aims at.
+bool StagePlanner::observeReplacements(const std::vector<StageView> &engines, core::TimePoint now)
+{
+    std::set<std::pair<std::string, int64_t>> present;
+    for (const StageView &it : engines)
+        present.emplace(it.id, it.bornMs);
+    const bool changed = present != m_observedEngines;
+    if (changed && m_trafficSeen && m_observedShare)
+        m_replacedAt = now;
+    m_observedEngines = std::move(present);
+    return m_replacedAt != core::TimePoint{} && now - m_replacedAt < ReplacementTime;
+}
+
 // Adopts the split of the previous leader, because changing it would make engines unavailable for
 // seconds.
 void StagePlanner::becomeLeader(const std::vector<StageView> &engines, core::TimePoint now)
@@ -181,6 +197,19 @@
 
 std::vector<StageChange> StagePlanner::plan(const std::vector<StageView> &engines,
                                             const StageDemand &demand, core::TimePoint now)
+{
+    forgetOldAssignments(engines, now);
+    std::vector<StageChange> changes;
+    // Before traffic the initial split covers all engines.
+    if (m_trafficSeen)
+        changes = assignNewEngines(engines, demand.slots, now);
+    const auto round = planRound(withAssignments(engines), demand, now);
+    changes.insert(changes.end(), round.begin(), round.end());
+    return changes;
+}
+
+std::vector<StageChange> StagePlanner::planRound(const std::vector<StageView> &engines,
+                                                 const StageDemand &demand, core::TimePoint now)
 {
     size_t available = 0;
     size_t prefill = 0;
@@ -219,6 +248,63 @@
     return round;
 }
 
+// An order without a known answer counts until the engine's entry would show the stage, and no
+// engine is ordered again before that.
+void StagePlanner::forgetOldAssignments(const std::vector<StageView> &engines, core::TimePoint now)
+{
+    std::erase_if(m_assignments, [&](const auto &entry) {
+        const auto engine = std::find_if(engines.begin(), engines.end(),
+                                         [&](const StageView &it) { return it.id == entry.first; });
+        return engine == engines.end() || engine->bornMs != entry.second.bornMs
+            || now - entry.second.at >= m_settings.retryInterval;
+    });
+}
+
+void StagePlanner::recordRefusedAssignment(const std::string &id)
+{
+    if (const auto it = m_assignments.find(id); it != m_assignments.end())
+        it->second.refused = true;
+}
+
+// Returns the engines with the new ones in the stage that they were assigned, as if the change were
+// complete: it is not a loss that would justify moving an engine in use.
+std::vector<StageView> StagePlanner::withAssignments(std::vector<StageView> engines) const
+{
+    for (StageView &it : engines) {
+        const auto assignment = m_assignments.find(it.id);
+        if (it.lost || assignment == m_assignments.end() || assignment->second.refused)
+            continue;
+        it.prefill = true;
+        it.available = true;
+    }
+    return engines;
+}
+
+// Counts engines that are paused for a moment, as an assignment lasts longer than such a pause.
+std::vector<StageChange> StagePlanner::assignNewEngines(const std::vector<StageView> &engines,
+                                                        uint32_t slots, core::TimePoint now)
+{
+    std::vector<StageView> present = withAssignments(engines);
+    std::erase_if(present, [](const StageView &it) { return it.lost; });
+    if (present.size() < 2)
+        return {};
+    for (StageView &it : present)
+        it.available = it.prefill || it.unused;
+    const size_t target = targetPrefillCount(present.size(), slots);
+    const auto prefill = static_cast<size_t>(std::count_if(
+        present.begin(), present.end(), [](const StageView &it) { return it.prefill; }));
+    if (prefill >= target)
+        return {};
+    std::vector<StageChange> changes = planChanges(present, target, present.size());
+    for (StageChange &it : changes) {
+        it.newEngine = true;
+        const auto engine = std::find_if(present.begin(), present.end(),
+                                         [&](const StageView &view) { return view.id == it.id; });
+        m_assignments.insert_or_assign(it.id, Assignment{engine->bornMs, now});
+    }
+    return changes;
+}
+
 std::vector<StageChange> StagePlanner::planChanges(const std::vector<StageView> &engines,
                                                    size_t target, size_t maxChanges) const
 {
@@ -236,7 +322,7 @@
     const size_t difference = morePrefill ? target - present : present - target;
     std::vector<const StageView *> movable;
     for (const StageView &it : engines) {
-        if (it.available && it.prefill != morePrefill)
+        if (it.available && it.prefill != morePrefill && !m_assignments.contains(it.id))
             movable.push_back(&it);
     }
     std::vector<StageChange> result;
--- a/src/policy/stageplanner.h
+++ b/src/policy/stageplanner.h
@@ -7,8 +7,11 @@
 #include "core/clock.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace jujube::policy {
@@ -21,6 +24,10 @@
     bool prefill = false;  ///< Whether its present stage is prefill, else decode.
     bool available = true; ///< Not draining, not suspected and not changing its stage.
     double running = 0;    ///< Active requests of all gateways.
+    int64_t bornMs = 0;    ///< Start time; tells incarnations under one id apart.
+    bool lost = false;     ///< Draining, leaving or ejected: counts for neither stage.
+    /** Has just registered, has its initial stage and, as far as is known, got no request. */
+    bool unused = false;
 };
 
 /** Load of a service over all gateways. */
@@ -74,6 +81,7 @@
 {
     std::string id;
     bool prefill = false;
+    bool newEngine = false; ///< Only to be ordered if the engine is still unused.
 };
 
 /** Tracks for how long a change in one direction has been wanted. */
@@ -100,6 +108,9 @@
  * load mix has been shifted for long. Shorter swings are absorbed by colocated prefill on decode
  * engines. A stage that has lost all its engines gets one at once.
  *
+ * An engine that has just registered and got no request can change its stage at no cost. While the
+ * prefill stage is below its target, such an engine is assigned to it at once.
+ *
  * Only the leader plans; the other gateways observe the split, so that a new leader continues with
  * the present one.
  */
@@ -114,11 +125,28 @@
     /** Returns the changes that the leader has to order now. */
     std::vector<StageChange> plan(const std::vector<StageView> &engines, const StageDemand &demand,
                                   core::TimePoint now);
+    /** Records that an engine has certainly not accepted its order as a new engine. */
+    void recordRefusedAssignment(const std::string &id);
 
 private:
+    /** Order to a new engine, which its entry in the store may not show yet. */
+    struct Assignment
+    {
+        int64_t bornMs = 0;
+        core::TimePoint at{};
+        bool refused = false; ///< Certainly not accepted.
+    };
+
+    void forgetOldAssignments(const std::vector<StageView> &engines, core::TimePoint now);
+    std::vector<StageChange> assignNewEngines(const std::vector<StageView> &engines, uint32_t slots,
+                                              core::TimePoint now);
+    std::vector<StageView> withAssignments(std::vector<StageView> engines) const;
+    std::vector<StageChange> planRound(const std::vector<StageView> &engines,
+                                       const StageDemand &demand, core::TimePoint now);
     double bottleneckUse(size_t prefill, size_t decode, const StageDemand &demand) const;
     size_t initialPrefillCount(size_t engines, uint32_t slots) const;
     size_t targetPrefillCount(size_t engines, uint32_t slots) const;
+    bool observeReplacements(const std::vector<StageView> &engines, core::TimePoint now);
     void becomeLeader(const std::vector<StageView> &engines, core::TimePoint now);
     void observe(const StageDemand &demand, core::TimePoint now);
     std::optional<size_t> fitToTraffic(size_t prefill, size_t available, core::TimePoint now);
@@ -130,6 +158,7 @@
                                          size_t maxChanges) const;
 
     StagePlannerSettings m_settings;
+    std::map<std::string, Assignment> m_assignments; ///< Of the last retryInterval, by engine.
     SustainedCondition m_loss;
     SustainedCondition m_shift;
     core::TimePoint m_lastRound{};
@@ -141,6 +170,8 @@
     /** Mean share of prefill engines while another gateway is leader. */
     std::optional<double> m_observedShare;
     core::TimePoint m_shareObservedAt{};
+    std::set<std::pair<std::string, int64_t>> m_observedEngines; ///< Ids and start times.
+    core::TimePoint m_replacedAt{}; ///< Last time that an engine came or went during traffic.
     bool m_trafficSeen = false;
     bool m_fitted = false;
     bool m_isLeader = false;
--- a/src/serving/endpoints.cpp
+++ b/src/serving/endpoints.cpp
@@ -31,6 +31,12 @@
 // An entry expires when its owner has missed three reports, which are more than a second apart.
 constexpr core::Milliseconds HoldBackTime{6'000};
 
+// Covers the leader's tick (200 ms), two exchanges with the engine and one round of gossip (100
+// ms).
+constexpr core::Milliseconds NewEngineHold{400};
+// Long enough for one repeated order (StagePlannerSettings::retryInterval).
+constexpr core::Milliseconds NewEngineTime{10'000};
+
 // Logs a limit that has changed; a negative one has ended.
 void logLimit(const Endpoint &endpoint, std::string_view source)
 {
@@ -57,6 +63,11 @@
     pausedUntil = std::max(pausedUntil, now + time);
 }
 
+bool Endpoint::isUnused(core::TimePoint now) const
+{
+    return registeredAt != core::TimePoint{} && now - registeredAt < NewEngineTime && !hadRequests;
+}
+
 // The copy has one record of each endpoint, so a second record was written in the new era. A record
 // of a draining endpoint is applied at once.
 bool EndpointTable::mayPredateRestore(const EndpointRecord &record) const
@@ -76,7 +87,8 @@
     return past && record.version.era > past->era && record.sequence <= past->sequence;
 }
 
-void EndpointTable::update(const EndpointRecord &record, uint64_t cacheTokens)
+void EndpointTable::update(const EndpointRecord &record, uint64_t cacheTokens,
+                           RecordArrival arrival)
 {
     if (mayPredateRestore(record)) {
         core::Event("endpoint.doubted")
@@ -87,7 +99,7 @@
         return;
     }
     m_heldBack.erase(record.id);
-    apply(record, cacheTokens);
+    apply(record, cacheTokens, arrival);
 }
 
 void EndpointTable::applyHeldBack(core::TimePoint now)
@@ -101,11 +113,11 @@
     }
     for (const HeldBackRecord &it : due) {
         m_heldBack.erase(it.record.id);
-        apply(it.record, it.cacheTokens);
+        apply(it.record, it.cacheTokens, {});
     }
 }
 
-void EndpointTable::apply(const EndpointRecord &record, uint64_t cacheTokens)
+void EndpointTable::apply(const EndpointRecord &record, uint64_t cacheTokens, RecordArrival arrival)
 {
     const auto it = m_byId.find(record.id);
     if (it != m_byId.end()) {
@@ -123,7 +135,7 @@
                     .with("revision", record.version.revision);
             }
             if (known->record.stage != record.stage)
-                known->pausedUntil = {};
+                known->pausedUntil = known->registeredAt = {};
             known->record = record;
             return;
         }
@@ -133,6 +145,10 @@
     if (const PastIncarnation *past = findPastIncarnation(record)) {
         endpoint->leaving = past->leaving;
         endpoint->backoffUntil = past->backoffUntil;
+    } else if (record.stage != Stage::None) {
+        endpoint->registeredAt = arrival.at;
+        if (arrival.leaderKnown && !endpoint->prefills())
+            endpoint->heldUntil = arrival.at + NewEngineHold;
     }
     m_byId.emplace(record.id, endpoint);
     m_byHash.insert_or_assign(endpoint->hash, endpoint);
@@ -242,8 +258,11 @@
     for (const auto &[id, endpoint] : m_byId)
         endpoint->peerLoad = {};
     for (const GossipLoadShare &share : shares) {
-        if (const auto it = m_byHash.find(share.endpoint); it != m_byHash.end())
-            it->second->peerLoad = share.load;
+        const auto it = m_byHash.find(share.endpoint);
+        if (it == m_byHash.end())
+            continue;
+        it->second->peerLoad = share.load;
+        it->second->hadRequests = it->second->hadRequests || share.load.running > 0;
     }
 }
 
@@ -295,6 +314,7 @@
     view.cachedTokens = endpoint.prefixCache.cachedTokens(prompt);
     view.slowness = endpoint.slowness;
     view.isPrefillEngine = endpoint.prefills();
+    view.held = endpoint.isHeld(now);
     const auto state = endpoint.health.state(now);
     view.probe = state == policy::OutlierDetector::State::ProbeDue;
     view.usable = endpoint.acceptsWork() && now >= endpoint.pausedUntil && !endpoint.inBackoff(now)
--- a/src/serving/endpoints.h
+++ b/src/serving/endpoints.h
@@ -63,6 +63,11 @@
      * stage. A longer pause stays. */
     void pauseFor(core::TimePoint now, core::Milliseconds time);
     bool prefills() const { return record.stage == Stage::Prefill; }
+    /** Whether it has registered while this gateway followed the store, has its initial stage and,
+     * as far as is known, got no request. */
+    bool isUnused(core::TimePoint now) const;
+    /** Whether new work is held back from it, so that the leader can assign its stage. */
+    bool isHeld(core::TimePoint now) const { return now < heldUntil && isUnused(now); }
 
     EndpointRecord record;
     uint64_t hash = 0;        ///< Hash of the id, for gossip messages.
@@ -81,10 +86,21 @@
     core::TimePoint backoffUntil{};     ///< End of the back-off that the endpoint asked for.
     /** No new work until then: its stage changes, it has refused a request, or it is suspected. */
     core::TimePoint pausedUntil{};
+    core::TimePoint registeredAt{}; ///< Not set if its registration was not observed.
+    core::TimePoint heldUntil{};
+    bool hadRequests = false; ///< Of any gateway, as far as is known.
 };
 
 using EndpointPtr = std::shared_ptr<Endpoint>;
 
+/** How an endpoint record was received. */
+struct RecordArrival
+{
+    /** Time at which it arrived as a change; not set if it was listed. */
+    core::TimePoint at{};
+    bool leaderKnown = false; ///< The store names a leader, which may assign a stage.
+};
+
 /** All known endpoints, by id and by service. */
 class EndpointTable
 {
@@ -95,7 +111,7 @@
      * A record that is not newer than the one known of its incarnation is held back until its owner
      * has written again, or until the entry of an owner that is gone would have expired
      * (applyHeldBack). */
-    void update(const EndpointRecord &record, uint64_t cacheTokens);
+    void update(const EndpointRecord &record, uint64_t cacheTokens, RecordArrival arrival = {});
     /** Applies records that were held back for long enough. Call several times a second. */
     void applyHeldBack(core::TimePoint now);
     /** Removes an endpoint. \param era of the store in which its entry was removed. */
@@ -139,7 +155,7 @@
     };
 
     bool mayPredateRestore(const EndpointRecord &record) const;
-    void apply(const EndpointRecord &record, uint64_t cacheTokens);
+    void apply(const EndpointRecord &record, uint64_t cacheTokens, RecordArrival arrival);
     void removeFromService(const Endpoint &endpoint);
     void rememberIncarnation(const Endpoint &endpoint, uint64_t era);
     const PastIncarnation *findPastIncarnation(const EndpointRecord &record) const;
--- a/src/serving/gatewaygossip.cpp
+++ b/src/serving/gatewaygossip.cpp
@@ -39,6 +39,12 @@
 
 } // namespace
 
+RecordArrival Gateway::recordArrival() const
+{
+    return {m_mirror->complete() ? core::BootClock::now() : TimePoint{},
+            m_mirror->items().contains(Leadership::Key)};
+}
+
 GossipMessage Gateway::composeGossip()
 {
     const TimePoint now = core::BootClock::now();
@@ -116,8 +122,10 @@
             m_usage.merge(it.run, it.window, it.counts);
     }
     for (const GossipPrefixBlock &it : gossip.prefixBlocks) {
-        if (const EndpointPtr endpoint = m_endpoints.findByHash(it.endpoint))
+        if (const EndpointPtr endpoint = m_endpoints.findByHash(it.endpoint)) {
             endpoint->prefixCache.record({it.link});
+            endpoint->hadRequests = true;
+        }
     }
     const TimePoint now = core::BootClock::now();
     for (const GossipLimit &it : gossip.limits)
--- a/src/serving/leaderduties.cpp
+++ b/src/serving/leaderduties.cpp
@@ -247,7 +247,7 @@
     for (const auto &[name, service] : config->services) {
         if (!service.engine)
             continue;
-        std::vector<policy::StageView> views;
+        const std::vector<policy::StageView> views = viewsOf(name, now);
         policy::StageDemand demand;
         const policy::DecodeStepEstimator &decodeSteps = m_services.decodeSteps(name);
         demand.slots = std::max(1U, service.engine->slots);
@@ -256,20 +256,8 @@
         demand.promptTokensPerSecond = rates.promptPerSecond;
         if (const double prefillRate = m_services.prefillTokensPerSecond(); prefillRate > 0)
             demand.prefillTokensPerSecond = prefillRate;
-        for (const EndpointPtr &it : m_services.endpoints.ofService(name)) {
-            if (it->record.stage == Stage::None)
-                continue;
-            policy::StageView view;
-            view.id = it->record.id;
-            view.domain = it->record.domain;
-            view.prefill = it->prefills();
-            view.running = it->ownLoad.running + it->peerLoad.running;
-            view.available = it->acceptsWork() && now >= it->pausedUntil && !it->inBackoff(now)
-                && it->health.state(now) == policy::OutlierDetector::State::Healthy;
-            if (!view.prefill)
-                demand.busyDecodeSlots += view.running;
-            views.push_back(std::move(view));
-        }
+        for (const policy::StageView &it : views)
+            demand.busyDecodeSlots += it.prefill ? 0 : it.running;
         if (demand.decodeStepsKnown)
             demand.busyDecodeSlots = decodeSteps.slotsNeeded(rates.outputPerSecond, demand.slots);
         policy::StagePlanner &planner =
@@ -283,6 +271,7 @@
             core::Event("stage.planned")
                 .with("endpoint", change.id)
                 .with("prefill", change.prefill)
+                .with("new", change.newEngine)
                 .with("prompt_tokens_per_s", demand.promptTokensPerSecond)
                 .with("prefill_tokens_per_s", demand.prefillTokensPerSecond)
                 .with("output_tokens_per_s", rates.outputPerSecond)
@@ -290,22 +279,44 @@
                 .with("step_ms", decodeSteps.stepMs(1))
                 .with("full_step_ms", decodeSteps.stepMs(demand.slots));
             if (const EndpointPtr engine = m_services.endpoints.find(change.id))
-                order(engine, change.prefill);
+                order(engine, change);
         }
     }
 }
 
+std::vector<policy::StageView> StageDuty::viewsOf(const std::string &service, TimePoint now) const
+{
+    std::vector<policy::StageView> views;
+    for (const EndpointPtr &it : m_services.endpoints.ofService(service)) {
+        if (it->record.stage == Stage::None)
+            continue;
+        const bool healthy = it->health.state(now) == policy::OutlierDetector::State::Healthy;
+        policy::StageView view;
+        view.id = it->record.id;
+        view.domain = it->record.domain;
+        view.bornMs = it->record.bornMs;
+        view.prefill = it->prefills();
+        view.running = it->ownLoad.running + it->peerLoad.running;
+        view.lost = !it->acceptsWork() || !healthy;
+        view.available = !view.lost && now >= it->pausedUntil && !it->inBackoff(now);
+        view.unused = !view.lost && !it->inBackoff(now) && it->isUnused(now);
+        views.push_back(std::move(view));
+    }
+    return views;
+}
+
 // The order contains the number of orders that the engine has accepted, so that the engine refuses
 // an order that arrives late, after newer ones.
-void StageDuty::order(const EndpointPtr &engine, bool prefill)
+void StageDuty::order(const EndpointPtr &engine, const policy::StageChange &change)
 {
     m_services.httpClient.call(
         engine->record.address, platform::encodeReportQuery(engine->record.id), OrderTimeout,
-        [this, engine, prefill](const http::CallResult &result) {
+        [this, engine, change](const http::CallResult &result) {
             if (!result.response.ok()) {
                 core::Event("stage.report.failed")
                     .with("endpoint", engine->record.id)
                     .with("why", result.response.status().message());
+                recordRefusal(*engine, change);
                 return;
             }
             applyAnswerNotices(*engine, platform::decodeResponseHead(result.response->head),
@@ -315,21 +326,44 @@
                 core::Event("stage.report.unusable")
                     .with("endpoint", engine->record.id)
                     .with("changing", report.ok());
+                if (!report.ok())
+                    recordRefusal(*engine, change);
+                return;
+            }
+            const bool used = engine->hadRequests
+                || report->running + report->waiting + report->ordersAccepted > 0;
+            if (change.newEngine && used) {
+                core::Event("stage.order.omitted")
+                    .with("endpoint", engine->record.id)
+                    .with("running", report->running)
+                    .with("waiting", report->waiting)
+                    .with("orders", report->ordersAccepted);
+                recordRefusal(*engine, change);
                 return;
             }
-            send(engine, prefill, report->ordersAccepted);
+            send(engine, change, report->ordersAccepted);
         },
         http::ConnectionMode::Dedicated);
 }
 
-void StageDuty::send(const EndpointPtr &engine, bool prefill, uint64_t ordersBefore)
+void StageDuty::recordRefusal(const Endpoint &engine, const policy::StageChange &change)
+{
+    const auto planner = m_planners.find(engine.record.service);
+    if (change.newEngine && planner != m_planners.end())
+        planner->second.recordRefusedAssignment(engine.record.id);
+}
+
+void StageDuty::send(const EndpointPtr &engine, const policy::StageChange &change,
+                     uint64_t ordersBefore)
 {
     if (!m_services.leadership.held() || !engine->acceptsWork()
-        || engine->inBackoff(core::BootClock::now()))
+        || engine->inBackoff(core::BootClock::now())) {
+        recordRefusal(*engine, change);
         return;
+    }
     platform::StageOrder order;
     order.endpointId = engine->record.id;
-    order.stage = prefill ? Stage::Prefill : Stage::Decode;
+    order.stage = change.prefill ? Stage::Prefill : Stage::Decode;
     order.holder = m_settings.name;
     order.fencingToken = m_services.leadership.fencingToken();
     order.expectedOrderCount = ordersBefore;
@@ -337,24 +371,28 @@
     const ServiceConfig *service = nullptr;
     if (const auto it = config->services.find(engine->record.service); it != config->services.end())
         service = &it->second;
-    const Milliseconds change =
+    const Milliseconds changeTime =
         service && service->engine ? service->engine->stageChangeTime : Milliseconds(0);
     m_services.httpClient.call(
         engine->record.address, platform::encodeStageOrder(order), OrderTimeout,
-        [engine, prefill, change, token = order.fencingToken](const http::CallResult &result) {
+        [this, engine, change, changeTime,
+         token = order.fencingToken](const http::CallResult &result) {
             const uint32_t status = result.response.ok() ? result.response->head.status : 0;
             if (result.response.ok())
                 applyAnswerNotices(*engine, platform::decodeResponseHead(result.response->head),
                                    core::BootClock::now());
             core::Event("stage.ordered")
                 .with("endpoint", engine->record.id)
-                .with("prefill", prefill)
+                .with("prefill", change.prefill)
+                .with("new", change.newEngine)
                 .with("token", token)
                 .with("status", status);
             core::incrementCounter("jujube_stage_orders_total",
                                    core::concat("status=\"", status, "\""));
             if (status == http::status::Accepted)
-                engine->pausedUntil = core::BootClock::now() + change + StageChangeMargin;
+                engine->pausedUntil = core::BootClock::now() + changeTime + StageChangeMargin;
+            else if (status != 0)
+                recordRefusal(*engine, change);
         },
         http::ConnectionMode::Dedicated);
 }
--- a/src/serving/leaderduties.h
+++ b/src/serving/leaderduties.h
@@ -92,8 +92,12 @@
     void tick();
 
 private:
-    void order(const EndpointPtr &engine, bool prefill);
-    void send(const EndpointPtr &engine, bool prefill, uint64_t ordersBefore);
+    /** Returns the engines of a service as the planner sees them. */
+    std::vector<policy::StageView> viewsOf(const std::string &service, core::TimePoint now) const;
+    void order(const EndpointPtr &engine, const policy::StageChange &change);
+    void send(const EndpointPtr &engine, const policy::StageChange &change, uint64_t ordersBefore);
+    /** Records that an order to a new engine has certainly not been accepted. */
+    void recordRefusal(const Endpoint &engine, const policy::StageChange &change);
 
     DutyServices &m_services;
     const NodeSettings &m_settings;
--- a/src/serving/promptscheduler.cpp
+++ b/src/serving/promptscheduler.cpp
@@ -108,6 +108,7 @@
     views.reserve(engines.size());
     for (const EndpointPtr &it : engines)
         views.push_back(placementViewOf(*it, {}, now));
+    policy::applyHolds(views);
     const bool noneUsable =
         std::none_of(views.begin(), views.end(), [](const auto &it) { return it.usable; });
     const bool limited = std::any_of(engines.begin(), engines.end(), [now](const EndpointPtr &it) {
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -230,6 +230,7 @@
         endpoints.push_back(it);
         views.push_back(placementViewOf(*it, m_chain, now));
     }
+    policy::applyHolds(views);
     const std::string &domain =
         m_prefillEngine ? m_prefillEngine->record.domain : m_services.domain;
     const auto index =
@@ -305,6 +306,7 @@
     m_answer = {};
     endpoint->limit.take(m_sentAt);
     ++endpoint->ownLoad.running;
+    endpoint->hadRequests = true;
     endpoint->ownLoad.backlogTokens += m_sentBacklogTokens;
     m_services.onLoadChanged();
     metadata.endpointId = endpoint->record.id;
