--- a/src/policy/stageplanner.cpp
+++ b/src/policy/stageplanner.cpp
@@ -21,6 +21,21 @@
     return static_cast<double>(prefill) / static_cast<double>(engines.size());
 }
 
+double prefillSpeed(const StageView &engine)
+{
+    constexpr double minSlowdown = 0.2;
+    constexpr double maxSlowdown = 5;
+    return 1 / std::clamp(engine.slowdown, minSlowdown, maxSlowdown);
+}
+
+// Speeds within about a quarter of each other are in one class, so that the error of the estimates
+// does not decide which engine is moved.
+int speedClass(const StageView &engine)
+{
+    constexpr double classWidth = 1.25;
+    return static_cast<int>(std::lround(std::log(prefillSpeed(engine)) / std::log(classWidth)));
+}
+
 } // namespace
 
 // Returns the use of the bottleneck stage relative to its target use.
@@ -280,6 +295,39 @@
     return engines;
 }
 
+// Returns how many of the possible changes to prefill the stage needs. The target is a capacity;
+// the number of engines stays close to it as well, because speeds are estimates and those of new
+// engines are not known.
+size_t StagePlanner::newEnginesNeeded(const std::vector<StageView> &engines,
+                                      const std::vector<StageChange> &possible, size_t target)
+{
+    constexpr double maxCountDeviation = 0.1;
+    const double minCount = static_cast<double>(target) * (1 - maxCountDeviation);
+    const double maxCount = static_cast<double>(target) * (1 + maxCountDeviation);
+    double total = 0;
+    double capacity = 0;
+    double count = 0;
+    for (const StageView &it : engines) {
+        total += prefillSpeed(it);
+        capacity += it.prefill ? prefillSpeed(it) : 0;
+        count += it.prefill ? 1 : 0;
+    }
+    const double wanted = static_cast<double>(target) * total / static_cast<double>(engines.size());
+    size_t needed = 0;
+    for (const StageChange &change : possible) {
+        const auto engine = std::find_if(engines.begin(), engines.end(),
+                                         [&](const StageView &it) { return it.id == change.id; });
+        const double speed = prefillSpeed(*engine);
+        const bool below = wanted - capacity >= speed / 2 && count + 1 <= maxCount;
+        if (count >= minCount && !below)
+            break;
+        ++needed;
+        ++count;
+        capacity += speed;
+    }
+    return needed;
+}
+
 // Counts engines that are paused for a moment, as an assignment lasts longer than such a pause.
 std::vector<StageChange> StagePlanner::assignNewEngines(const std::vector<StageView> &engines,
                                                         uint32_t slots, core::TimePoint now)
@@ -290,12 +338,8 @@
         return {};
     for (StageView &it : present)
         it.available = it.prefill || it.unused;
-    const size_t target = targetPrefillCount(present.size(), slots);
-    const auto prefill = static_cast<size_t>(std::count_if(
-        present.begin(), present.end(), [](const StageView &it) { return it.prefill; }));
-    if (prefill >= target)
-        return {};
-    std::vector<StageChange> changes = planChanges(present, target, present.size());
+    std::vector<StageChange> changes = planChanges(present, present.size(), present.size());
+    changes.resize(newEnginesNeeded(present, changes, targetPrefillCount(present.size(), slots)));
     for (StageChange &it : changes) {
         it.newEngine = true;
         const auto engine = std::find_if(present.begin(), present.end(),
@@ -328,12 +372,15 @@
     std::vector<StageChange> result;
     while (result.size() < std::min<size_t>(difference, maxChanges) && !movable.empty()) {
         // Prefer the domain with the fewest prefill engines if more are wanted, else the one with
-        // the most; then the engine with the fewest requests.
+        // the most; then a fast engine for prefill or a slow one for decode, which depends less on
+        // the speed of prefill; then the engine with the fewest requests.
         const auto better = [&](const StageView *a, const StageView *b) {
             const int x = prefillByDomain[a->domain];
             const int y = prefillByDomain[b->domain];
             if (x != y)
                 return morePrefill ? x < y : x > y;
+            if (const int v = speedClass(*a), w = speedClass(*b); v != w)
+                return morePrefill ? v > w : v < w;
             return a->running != b->running ? a->running < b->running : a->id < b->id;
         };
         const auto it = std::min_element(movable.begin(), movable.end(), better);
--- a/src/policy/stageplanner.h
+++ b/src/policy/stageplanner.h
@@ -28,6 +28,7 @@
     bool lost = false;     ///< Draining, leaving or ejected: counts for neither stage.
     /** Has just registered, has its initial stage and, as far as is known, got no request. */
     bool unused = false;
+    double slowdown = 1; ///< Its prefill time relative to the usual one; 1 if unknown.
 };
 
 /** Load of a service over all gateways. */
@@ -140,6 +141,8 @@
     void forgetOldAssignments(const std::vector<StageView> &engines, core::TimePoint now);
     std::vector<StageChange> assignNewEngines(const std::vector<StageView> &engines, uint32_t slots,
                                               core::TimePoint now);
+    static size_t newEnginesNeeded(const std::vector<StageView> &engines,
+                                   const std::vector<StageChange> &possible, size_t target);
     std::vector<StageView> withAssignments(std::vector<StageView> engines) const;
     std::vector<StageChange> planRound(const std::vector<StageView> &engines,
                                        const StageDemand &demand, core::TimePoint now);
--- a/test/correctness/stagereplacements.cpp
+++ b/test/correctness/stagereplacements.cpp
@@ -16,6 +16,7 @@
 
 namespace {
 
+const core::TimePoint Start{1h};
 constexpr core::Milliseconds Tick{200};
 constexpr core::Milliseconds ChangeTime{3'000};
 // After this, gateways send requests to a new engine.
@@ -113,7 +114,7 @@
     }
 
     size_t lastId = 0;
-    core::TimePoint now{1h};
+    core::TimePoint now = Start;
     policy::StageDemand demand = steadyDemand();
     policy::StagePlanner planner{{}};
     std::vector<policy::StageView> views;
@@ -277,3 +278,48 @@
     policy::applyHolds(engines);
     cr_assert(engines[2].usable, "the prefill engine is no decode engine");
 }
+
+// Guards against an order of engines by age or load alone on a service with two kinds of machines:
+// prefill takes the fast ones, decode gets the slow ones back.
+Test(stagereplacements, fast_engines_are_preferred_for_prefill)
+{
+    for (const bool towardsPrefill : {true, false}) {
+        policy::StagePlanner planner({});
+        std::vector<policy::StageView> engines(12);
+        for (size_t i = 0; i < engines.size(); ++i) {
+            engines[i].id = "e" + std::to_string(10 + i);
+            engines[i].slowdown = i % 2 == 0 ? 1.6 : 0.6;
+            engines[i].prefill = !towardsPrefill;
+        }
+        const auto changes = planner.plan(engines, policy::StageDemand{.slots = 64}, Start);
+        cr_assert_eq(changes.size(), towardsPrefill ? 7U : 5U);
+        for (size_t i = 0; i < 5; ++i) {
+            const bool fast = (std::stoi(changes[i].id.substr(1)) - 10) % 2 == 1;
+            cr_assert_eq(fast, towardsPrefill);
+        }
+    }
+}
+
+// Guards against a target that ignores speeds: nine new engines of usual speed are enough besides
+// slow ones. Guards also against a decode stage that is emptied for the sake of an estimate.
+Test(stagereplacements, the_target_is_a_capacity_within_a_tenth_of_the_count)
+{
+    Fleet it(43, 23);
+    for (size_t i = 0; i < it.views.size(); ++i)
+        it.views[i].slowdown = i < 10 ? 0.6 : 1.4;
+    for (int i = 0; i < 10; ++i)
+        it.remove(it.views.front().id);
+    for (int i = 0; i < 10; ++i)
+        it.add();
+    it.run(10s);
+    cr_assert_eq(it.prefillCount(), 22U, "9.3 of 18.0 units of capacity are left");
+    for (int i = 0; i < 12; ++i)
+        it.at("e" + std::to_string(11 + i)).slowdown = 5;
+    for (int i = 0; i < 8; ++i) {
+        it.remove("e" + std::to_string(35 + i));
+        it.add();
+        it.run(400ms);
+    }
+    it.run(10s);
+    cr_assert_eq(it.prefillCount(), 25U);
+}
--- a/test/fakes/fakeendpoint.cpp
+++ b/test/fakes/fakeendpoint.cpp
@@ -131,7 +131,10 @@
                                {"Running", static_cast<qint64>(m_runningRequests.size())}};
         http::Head head;
         head.status = 200;
-        responder.send(head, wire::toJsonText(body));
+        const auto timer = std::make_shared<boost::asio::steady_timer>(m_io, m_reportDelay);
+        timer->async_wait([timer, responder, head, text = wire::toJsonText(body)](const auto &) {
+            responder.send(head, text);
+        });
         return;
     }
     if (request.head.target.starts_with("/api/kv-handle/")) {
@@ -395,6 +398,7 @@
 
 void FakeEndpoint::handleOrder(const http::Request &request, const http::Responder &responder)
 {
+    ++m_receivedOrderCount;
     const auto body = wire::parseObject(request.body);
     http::Head head;
     const uint64_t fence = body.ok() ? wire::uintMember(*body, "Fence") : 0;
@@ -415,7 +419,10 @@
         m_stage = wire::stringMember(*body, "Stage") == "prefill" ? serving::Stage::Prefill
                                                                   : serving::Stage::Decode;
     }
-    responder.send(head, {});
+    if (m_losesOrderAnswers)
+        responder.abort();
+    else
+        responder.send(head, {});
 }
 
 } // namespace jujube::test
--- a/test/fakes/fakeendpoint.h
+++ b/test/fakes/fakeendpoint.h
@@ -115,6 +115,12 @@
     }
     serving::Stage stage() const { return m_stage; }
     uint64_t orderCount() const { return m_orderCount; }
+    /** Number of orders that arrived, whether or not they were accepted. */
+    uint64_t receivedOrderCount() const { return m_receivedOrderCount; }
+    /** Sets how long the answers to queries of the report are on their way. */
+    void setReportDelay(core::Milliseconds delay) { m_reportDelay = delay; }
+    /** Sets whether orders are accepted, but their answers are lost. */
+    void setLosesOrderAnswers(bool loses) { m_losesOrderAnswers = loses; }
 
 private:
     void handle(const http::Request &request, const http::Responder &responder);
@@ -159,6 +165,9 @@
     size_t m_bodySize = 0; ///< In bytes; 0: a short text with the request id.
     size_t m_endlessBytes = 0;
     uint64_t m_orderCount = 0;
+    uint64_t m_receivedOrderCount = 0;
+    core::Milliseconds m_reportDelay{};
+    bool m_losesOrderAnswers = false;
     uint64_t m_highestFence = 0;
     uint64_t m_lastHandle = 0;
 };
