--- a/src/policy/stageplanner.cpp
+++ b/src/policy/stageplanner.cpp
@@ -213,16 +213,23 @@
 std::vector<StageChange> StagePlanner::plan(const std::vector<StageView> &engines,
                                             const StageDemand &demand, core::TimePoint now)
 {
-    forgetOldAssignments(engines, now);
-    std::vector<StageChange> changes;
-    // Before traffic the initial split covers all engines.
-    if (m_trafficSeen)
-        changes = assignNewEngines(engines, demand.slots, now);
+    std::vector<StageChange> changes = planNewEngines(engines, demand, now);
     const auto round = planRound(withAssignments(engines), demand, now);
     changes.insert(changes.end(), round.begin(), round.end());
     return changes;
 }
 
+// Before traffic the initial split covers all engines.
+std::vector<StageChange> StagePlanner::planNewEngines(const std::vector<StageView> &engines,
+                                                      const StageDemand &demand,
+                                                      core::TimePoint now)
+{
+    if (!m_isLeader || !m_trafficSeen)
+        return {};
+    forgetOldAssignments(engines, now);
+    return assignNewEngines(engines, demand.slots, now);
+}
+
 std::vector<StageChange> StagePlanner::planRound(const std::vector<StageView> &engines,
                                                  const StageDemand &demand, core::TimePoint now)
 {
--- a/src/policy/stageplanner.h
+++ b/src/policy/stageplanner.h
@@ -126,6 +126,9 @@
     /** Returns the changes that the leader has to order now. */
     std::vector<StageChange> plan(const std::vector<StageView> &engines, const StageDemand &demand,
                                   core::TimePoint now);
+    /** Returns only the changes of plan() to new engines. */
+    std::vector<StageChange> planNewEngines(const std::vector<StageView> &engines,
+                                            const StageDemand &demand, core::TimePoint now);
     /** Records that an engine has certainly not accepted its order as a new engine. */
     void recordRefusedAssignment(const std::string &id);
 
--- a/src/serving/endpoints.cpp
+++ b/src/serving/endpoints.cpp
@@ -87,7 +87,7 @@
     return past && record.version.era > past->era && record.sequence <= past->sequence;
 }
 
-void EndpointTable::update(const EndpointRecord &record, uint64_t cacheTokens,
+bool EndpointTable::update(const EndpointRecord &record, uint64_t cacheTokens,
                            RecordArrival arrival)
 {
     if (mayPredateRestore(record)) {
@@ -96,10 +96,10 @@
             .with("era", record.version.era)
             .with("sequence", record.sequence);
         m_heldBack.insert_or_assign(record.id, HeldBackRecord{record, cacheTokens, {}});
-        return;
+        return false;
     }
     m_heldBack.erase(record.id);
-    apply(record, cacheTokens, arrival);
+    return apply(record, cacheTokens, arrival);
 }
 
 void EndpointTable::applyHeldBack(core::TimePoint now)
@@ -117,13 +117,13 @@
     }
 }
 
-void EndpointTable::apply(const EndpointRecord &record, uint64_t cacheTokens, RecordArrival arrival)
+bool EndpointTable::apply(const EndpointRecord &record, uint64_t cacheTokens, RecordArrival arrival)
 {
     const auto it = m_byId.find(record.id);
     if (it != m_byId.end()) {
         const EndpointPtr &known = it->second;
         if (known->record.version >= record.version)
-            return;
+            return false;
         const bool same = known->record.bornMs == record.bornMs
             && known->record.address == record.address && known->record.service == record.service;
         if (same) {
@@ -137,7 +137,7 @@
             if (known->record.stage != record.stage)
                 known->pausedUntil = known->registeredAt = {};
             known->record = record;
-            return;
+            return false;
         }
         remove(record.id, record.version.era);
     }
@@ -159,6 +159,7 @@
         .with("address", record.address)
         .with("stage", stageName(record.stage))
         .with("revision", record.version.revision);
+    return endpoint->registeredAt != core::TimePoint{};
 }
 
 void EndpointTable::remove(const std::string &id, uint64_t era)
--- a/src/serving/endpoints.h
+++ b/src/serving/endpoints.h
@@ -110,8 +110,9 @@
      * The first records of a new era of the store may come from the copy that it was restored from.
      * A record that is not newer than the one known of its incarnation is held back until its owner
      * has written again, or until the entry of an owner that is gone would have expired
-     * (applyHeldBack). */
-    void update(const EndpointRecord &record, uint64_t cacheTokens, RecordArrival arrival = {});
+     * (applyHeldBack).
+     * \return whether a new engine has registered whose stage may be assigned. */
+    bool update(const EndpointRecord &record, uint64_t cacheTokens, RecordArrival arrival = {});
     /** Applies records that were held back for long enough. Call several times a second. */
     void applyHeldBack(core::TimePoint now);
     /** Removes an endpoint. \param era of the store in which its entry was removed. */
@@ -155,7 +156,7 @@
     };
 
     bool mayPredateRestore(const EndpointRecord &record) const;
-    void apply(const EndpointRecord &record, uint64_t cacheTokens, RecordArrival arrival);
+    bool apply(const EndpointRecord &record, uint64_t cacheTokens, RecordArrival arrival);
     void removeFromService(const Endpoint &endpoint);
     void rememberIncarnation(const Endpoint &endpoint, uint64_t era);
     const PastIncarnation *findPastIncarnation(const EndpointRecord &record) const;
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -279,7 +279,7 @@
         m_endpoints.remove(id, item.version.era);
         return;
     }
-    m_endpoints.update(*record, cacheTokens(record->service), recordArrival());
+    updateEndpoint(*record);
 }
 
 void Gateway::onPeer(const StoreItem &item)
--- a/src/serving/gateway.h
+++ b/src/serving/gateway.h
@@ -58,7 +58,7 @@
     void answerOpenRequests();
     bool ready() const;
     uint64_t cacheTokens(const std::string &service) const;
-    RecordArrival recordArrival() const;
+    void updateEndpoint(const EndpointRecord &record);
 
     boost::asio::io_context &m_io;
     NodeSettings m_settings;
--- a/src/serving/gatewaygossip.cpp
+++ b/src/serving/gatewaygossip.cpp
@@ -39,10 +39,12 @@
 
 } // namespace
 
-RecordArrival Gateway::recordArrival() const
+void Gateway::updateEndpoint(const EndpointRecord &record)
 {
-    return {m_mirror->complete() ? core::BootClock::now() : TimePoint{},
-            m_mirror->items().contains(Leadership::Key)};
+    const RecordArrival arrival{m_mirror->complete() ? core::BootClock::now() : TimePoint{},
+                                m_mirror->items().contains(Leadership::Key)};
+    if (m_endpoints.update(record, cacheTokens(record.service), arrival))
+        m_stageDuty.planSoon();
 }
 
 GossipMessage Gateway::composeGossip()
--- a/src/serving/leaderduties.cpp
+++ b/src/serving/leaderduties.cpp
@@ -23,6 +23,8 @@
 constexpr uint64_t RetainedWindows = 8;
 constexpr Milliseconds ReportTimeout{1'500};
 constexpr Milliseconds OrderTimeout{1'000};
+// Engines that register at almost the same time are planned together.
+constexpr Milliseconds NewEngineDelay{20};
 // An engine that accepted a stage order gets no work until its entry shows the new stage, or until
 // the configured change time plus this margin has passed.
 constexpr Milliseconds StageChangeMargin{1'500};
@@ -233,11 +235,30 @@
 }
 
 StageDuty::StageDuty(DutyServices &services, const NodeSettings &settings)
-    : m_services(services), m_settings(settings)
+    : m_services(services), m_settings(settings), m_planTimer(services.io)
 {
 }
 
+void StageDuty::planSoon()
+{
+    if (!m_services.leadership.held() || std::exchange(m_planTimerRuns, true))
+        return;
+    m_planTimer.expires_after(NewEngineDelay);
+    m_planTimer.async_wait([this](const boost::system::error_code &ec) {
+        if (ec)
+            return;
+        m_planTimerRuns = false;
+        if (m_services.leadership.held())
+            plan(true);
+    });
+}
+
 void StageDuty::tick()
+{
+    plan(false);
+}
+
+void StageDuty::plan(bool onlyNewEngines)
 {
     const auto config = m_services.config();
     if (!config)
@@ -266,21 +287,29 @@
             planner.observeAsFollower(views, demand, now);
             continue;
         }
-        const auto changes = planner.plan(views, demand, now);
-        for (const policy::StageChange &change : changes) {
-            core::Event("stage.planned")
-                .with("endpoint", change.id)
-                .with("prefill", change.prefill)
-                .with("new", change.newEngine)
-                .with("prompt_tokens_per_s", demand.promptTokensPerSecond)
-                .with("prefill_tokens_per_s", demand.prefillTokensPerSecond)
-                .with("output_tokens_per_s", rates.outputPerSecond)
-                .with("streams", demand.busyDecodeSlots)
-                .with("step_ms", decodeSteps.stepMs(1))
-                .with("full_step_ms", decodeSteps.stepMs(demand.slots));
-            if (const EndpointPtr engine = m_services.endpoints.find(change.id))
-                order(engine, change);
-        }
+        orderChanges(onlyNewEngines ? planner.planNewEngines(views, demand, now)
+                                    : planner.plan(views, demand, now),
+                     demand, rates, decodeSteps);
+    }
+}
+
+void StageDuty::orderChanges(const std::vector<policy::StageChange> &changes,
+                             const policy::StageDemand &demand, const TokenRates &rates,
+                             const policy::DecodeStepEstimator &decodeSteps)
+{
+    for (const policy::StageChange &change : changes) {
+        core::Event("stage.planned")
+            .with("endpoint", change.id)
+            .with("prefill", change.prefill)
+            .with("new", change.newEngine)
+            .with("prompt_tokens_per_s", demand.promptTokensPerSecond)
+            .with("prefill_tokens_per_s", demand.prefillTokensPerSecond)
+            .with("output_tokens_per_s", rates.outputPerSecond)
+            .with("streams", demand.busyDecodeSlots)
+            .with("step_ms", decodeSteps.stepMs(1))
+            .with("full_step_ms", decodeSteps.stepMs(demand.slots));
+        if (const EndpointPtr engine = m_services.endpoints.find(change.id))
+            order(engine, change);
     }
 }
 
--- a/src/serving/leaderduties.h
+++ b/src/serving/leaderduties.h
@@ -15,6 +15,8 @@
 #include "serving/usagecounts.h"
 #include "serving/usageseals.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <functional>
 #include <memory>
 #include <set>
@@ -90,8 +92,14 @@
 
     /** Plans the stages and orders changes; to be called several times per second. */
     void tick();
+    /** Plans the stages of new engines shortly, as one has registered. */
+    void planSoon();
 
 private:
+    void plan(bool onlyNewEngines);
+    void orderChanges(const std::vector<policy::StageChange> &changes,
+                      const policy::StageDemand &demand, const TokenRates &rates,
+                      const policy::DecodeStepEstimator &decodeSteps);
     /** Returns the engines of a service as the planner sees them. */
     std::vector<policy::StageView> viewsOf(const std::string &service, core::TimePoint now) const;
     void order(const EndpointPtr &engine, const policy::StageChange &change);
@@ -102,6 +110,8 @@
     DutyServices &m_services;
     const NodeSettings &m_settings;
     std::map<std::string, policy::StagePlanner> m_planners; ///< By name of the service.
+    boost::asio::steady_timer m_planTimer;
+    bool m_planTimerRuns = false;
 };
 
 /** Serializes usage counts as a JSON object for the store. */
--- a/test/correctness/stagereplacements.cpp
+++ b/test/correctness/stagereplacements.cpp
@@ -142,7 +142,7 @@
             it.run(gap / 2);
         }
         it.run(20s);
-        cr_assert_geq(it.prefillCount() * 10, 23U * 9, "%zu of 23", it.prefillCount());
+        cr_assert_geq(it.prefillCount() * 10, 207U, "%zu of 23", it.prefillCount());
         cr_assert_leq(it.prefillCount(), 25U);
         cr_assert_leq(it.orders.size(), 26U, "%zu orders", it.orders.size());
     }
