--- a/src/serving/endpoints.cpp
+++ b/src/serving/endpoints.cpp
@@ -31,6 +31,12 @@
 // An entry expires when its owner has missed three reports, which are more than a second apart.
 constexpr core::Milliseconds HoldBackTime{6'000};
 
+// Covers the leader's tick (200 ms), two exchanges with the engine and one round of gossip (100
+// ms).
+constexpr core::Milliseconds NewEngineHold{400};
+// Long enough for one repeated order (StagePlannerSettings::retryInterval).
+constexpr core::Milliseconds NewEngineTime{10'000};
+
 // Logs a limit that has changed; a negative one has ended.
 void logLimit(const Endpoint &endpoint, std::string_view source)
 {
@@ -89,6 +95,11 @@
     return shared;
 }
 
+bool Endpoint::isUnused(core::TimePoint now) const
+{
+    return registeredAt != core::TimePoint{} && now - registeredAt < NewEngineTime && !hadRequests;
+}
+
 // The copy has one record of each endpoint, so a second record was written in the new era. A record
 // of a draining endpoint is applied at once.
 bool EndpointTable::mayPredateRestore(const EndpointRecord &record) const
@@ -108,7 +119,8 @@
     return past && record.version.era > past->era && record.sequence <= past->sequence;
 }
 
-void EndpointTable::update(const EndpointRecord &record, uint64_t cacheTokens)
+bool EndpointTable::update(const EndpointRecord &record, uint64_t cacheTokens,
+                           RecordArrival arrival)
 {
     if (mayPredateRestore(record)) {
         core::Event("endpoint.doubted")
@@ -116,10 +128,10 @@
             .with("era", record.version.era)
             .with("sequence", record.sequence);
         m_heldBack.insert_or_assign(record.id, HeldBackRecord{record, cacheTokens, {}});
-        return;
+        return false;
     }
     m_heldBack.erase(record.id);
-    apply(record, cacheTokens);
+    return apply(record, cacheTokens, arrival);
 }
 
 void EndpointTable::applyHeldBack(core::TimePoint now)
@@ -133,17 +145,17 @@
     }
     for (const HeldBackRecord &it : due) {
         m_heldBack.erase(it.record.id);
-        apply(it.record, it.cacheTokens);
+        apply(it.record, it.cacheTokens, {});
     }
 }
 
-void EndpointTable::apply(const EndpointRecord &record, uint64_t cacheTokens)
+bool EndpointTable::apply(const EndpointRecord &record, uint64_t cacheTokens, RecordArrival arrival)
 {
     const auto it = m_byId.find(record.id);
     if (it != m_byId.end()) {
         const EndpointPtr &known = it->second;
         if (known->record.version >= record.version)
-            return;
+            return false;
         const bool same = known->record.bornMs == record.bornMs
             && known->record.address == record.address && known->record.service == record.service;
         if (same) {
@@ -155,9 +167,9 @@
                     .with("revision", record.version.revision);
             }
             if (known->record.stage != record.stage)
-                known->pausedUntil = {};
+                known->pausedUntil = known->registeredAt = {};
             known->record = record;
-            return;
+            return false;
         }
         remove(record.id, record.version.era);
     }
@@ -165,6 +177,10 @@
     if (const PastIncarnation *past = findPastIncarnation(record)) {
         endpoint->leaving = past->leaving;
         endpoint->backoffUntil = past->backoffUntil;
+    } else if (record.stage != Stage::None) {
+        endpoint->registeredAt = arrival.at;
+        if (arrival.leaderKnown && !endpoint->prefills())
+            endpoint->heldUntil = arrival.at + NewEngineHold;
     }
     m_byId.emplace(record.id, endpoint);
     m_byHash.insert_or_assign(endpoint->hash, endpoint);
@@ -175,6 +191,7 @@
         .with("address", record.address)
         .with("stage", stageName(record.stage))
         .with("revision", record.version.revision);
+    return endpoint->registeredAt != core::TimePoint{};
 }
 
 void EndpointTable::remove(const std::string &id, uint64_t era)
@@ -274,8 +291,11 @@
     for (const auto &[id, endpoint] : m_byId)
         endpoint->peerLoad = {};
     for (const GossipLoadShare &share : shares) {
-        if (const auto it = m_byHash.find(share.endpoint); it != m_byHash.end())
-            it->second->peerLoad = share.load;
+        const auto it = m_byHash.find(share.endpoint);
+        if (it == m_byHash.end())
+            continue;
+        it->second->peerLoad = share.load;
+        it->second->hadRequests = it->second->hadRequests || share.load.running > 0;
     }
 }
 
@@ -343,6 +363,7 @@
     view.pace = endpoint.pace.factor(now);
     view.usualPace = endpoint.pace.usual(now);
     view.isPrefillEngine = endpoint.prefills();
+    view.held = endpoint.isHeld(now);
     const auto state = endpoint.health.state(now);
     view.probe = state == policy::OutlierDetector::State::ProbeDue;
     view.usable = endpoint.acceptsWork() && now >= endpoint.pausedUntil && !endpoint.inBackoff(now)
--- a/src/serving/gateway.h
+++ b/src/serving/gateway.h
@@ -65,6 +65,7 @@
     void answerOpenRequests();
     bool ready() const;
     uint64_t cacheTokens(const std::string &service) const;
+    void updateEndpoint(const EndpointRecord &record);
 
     boost::asio::io_context &m_io;
     NodeSettings m_settings;
--- a/src/serving/leaderduties.h
+++ b/src/serving/leaderduties.h
@@ -15,6 +15,8 @@
 #include "serving/usagecounts.h"
 #include "serving/usageseals.h"
 
+#include <boost/asio/steady_timer.hpp>
+
 #include <functional>
 #include <memory>
 #include <set>
@@ -90,14 +92,26 @@
 
     /** Plans the stages and orders changes; to be called several times per second. */
     void tick();
+    /** Plans the stages of new engines shortly, as one has registered. */
+    void planSoon();
 
 private:
-    void order(const EndpointPtr &engine, bool prefill);
-    void send(const EndpointPtr &engine, bool prefill, uint64_t ordersBefore);
+    void plan(bool onlyNewEngines);
+    void orderChanges(const std::vector<policy::StageChange> &changes,
+                      const policy::StageDemand &demand, const TokenRates &rates,
+                      const policy::DecodeStepEstimator &decodeSteps);
+    /** Returns the engines of a service as the planner sees them. */
+    std::vector<policy::StageView> viewsOf(const std::string &service, core::TimePoint now) const;
+    void order(const EndpointPtr &engine, const policy::StageChange &change);
+    void send(const EndpointPtr &engine, const policy::StageChange &change, uint64_t ordersBefore);
+    /** Records that an order to a new engine has certainly not been accepted. */
+    void recordRefusal(const Endpoint &engine, const policy::StageChange &change);
 
     DutyServices &m_services;
     const NodeSettings &m_settings;
     std::map<std::string, policy::StagePlanner> m_planners; ///< By name of the service.
+    boost::asio::steady_timer m_planTimer;
+    bool m_planTimerRuns = false;
 };
 
 /** Serializes usage counts as a JSON object for the store. */
