--- a/src/serving/leaderduties.cpp
+++ b/src/serving/leaderduties.cpp
@@ -44,6 +44,11 @@
     return window;
 }
 
+// Before traffic the initial split waits for the paces of the engines, as slow ones should decode.
+// The probes that tell them take about a second; without a first one after a second there are none.
+constexpr Milliseconds FirstPaceTime{1'000};
+constexpr Milliseconds AllPacesTime{2'500};
+
 } // namespace
 
 std::string encodeCounts(const TeamCounts &counts)
@@ -265,6 +270,10 @@
         return;
     const bool leads = m_services.leadership.held();
     const TimePoint now = core::BootClock::now();
+    if (!leads)
+        m_leadsSince = {};
+    else if (m_leadsSince == TimePoint{})
+        m_leadsSince = now;
     for (const auto &[name, service] : config->services) {
         if (!service.engine)
             continue;
@@ -287,6 +296,9 @@
             planner.observeAsFollower(views, demand, now);
             continue;
         }
+        const bool traffic = demand.promptTokensPerSecond > 0 || demand.busyDecodeSlots > 0;
+        if (!traffic && awaitsPaces(name, now))
+            continue;
         orderChanges(onlyNewEngines ? planner.planNewEngines(views, demand, now)
                                     : planner.plan(views, demand, now),
                      demand, rates, decodeSteps);
@@ -326,6 +338,7 @@
         view.bornMs = it->record.bornMs;
         view.prefill = it->prefills();
         view.running = it->ownLoad.running + it->peerLoad.running;
+        view.slowdown = it->pace.usual(now) * it->slowdown.factor().value_or(1);
         view.lost = !it->acceptsWork() || !healthy;
         view.available = !view.lost && now >= it->pausedUntil && !it->inBackoff(now);
         view.unused = !view.lost && !it->inBackoff(now) && it->isUnused(now);
@@ -334,6 +347,19 @@
     return views;
 }
 
+bool StageDuty::awaitsPaces(const std::string &service, TimePoint now) const
+{
+    bool anyKnown = false;
+    bool allKnown = true;
+    for (const EndpointPtr &it : m_services.endpoints.ofService(service)) {
+        if (!it->acceptsWork())
+            continue;
+        anyKnown = anyKnown || it->pace.known();
+        allKnown = allKnown && it->pace.known();
+    }
+    return !allKnown && now - m_leadsSince < (anyKnown ? AllPacesTime : FirstPaceTime);
+}
+
 // The order contains the number of orders that the engine has accepted, so that the engine refuses
 // an order that arrives late, after newer ones.
 void StageDuty::order(const EndpointPtr &engine, const policy::StageChange &change)
--- a/src/serving/leaderduties.h
+++ b/src/serving/leaderduties.h
@@ -102,6 +102,8 @@
                       const policy::DecodeStepEstimator &decodeSteps);
     /** Returns the engines of a service as the planner sees them. */
     std::vector<policy::StageView> viewsOf(const std::string &service, core::TimePoint now) const;
+    /** Whether the initial split waits for the paces of the engines. */
+    bool awaitsPaces(const std::string &service, core::TimePoint now) const;
     void order(const EndpointPtr &engine, const policy::StageChange &change);
     void send(const EndpointPtr &engine, const policy::StageChange &change, uint64_t ordersBefore);
     /** Records that an order to a new engine has certainly not been accepted. */
@@ -110,6 +112,7 @@
     DutyServices &m_services;
     const NodeSettings &m_settings;
     std::map<std::string, policy::StagePlanner> m_planners; ///< By name of the service.
+    core::TimePoint m_leadsSince{};                         ///< Not set while another one leads.
     boost::asio::steady_timer m_planTimer;
     bool m_planTimerRuns = false;
 };
