--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -45,7 +45,6 @@
 {
     double prefillMs = 0; ///< Until the engine has prefilled the prompt.
     double restMs = 0;    ///< From then to the first token.
-    double usualPrefillMs = 0;
 };
 
 PredictedTimes predictTimes(const PlacementCandidate &engine, double tokens, bool fetch,
@@ -53,16 +52,15 @@
 {
     PredictedTimes times;
     if (engine.isPrefillEngine) {
-        times.usualPrefillMs =
-            settings.prefill.predictMs({tokens, engine.backlogTokens, prompt.priority, fetch});
-        times.prefillMs = times.usualPrefillMs * prefillFactor(engine);
+        times.prefillMs = settings.prefill.predictMs(
+            {tokens, engine.backlogTokens, prompt.priority, fetch}, prefillFactor(engine));
         times.restMs = settings.handOver.fixedMs + prompt.tokens / settings.handOver.tokensPerMs;
         return times;
     }
     // The smoothed slowness contains the usual pace already.
     const PrefillTimeModel &model = settings.colocatedPrefill;
-    times.usualPrefillMs = (engine.backlogTokens + tokens) / model.tokensPerMs;
-    times.prefillMs = times.usualPrefillMs * engine.slowness * engine.pace / engine.usualPace;
+    times.prefillMs = (engine.backlogTokens + tokens) / model.tokensPerMs * engine.slowness
+        * engine.pace / engine.usualPace;
     times.restMs = model.fixedMs + (fetch ? settings.prefixFetchMs : 0);
     return times;
 }
@@ -115,7 +113,6 @@
             choice->fetch = fetch;
             choice->predictedFirstToken = wholeMs(ms);
             choice->predictedPrefill = wholeMs(times.prefillMs);
-            choice->usualPrefillMs = times.usualPrefillMs;
             choice->slowdown = engine.slowdown.value_or(engine.slowness);
             choice->pace = engine.pace;
         }
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -91,8 +91,6 @@
     bool fetch = false;        ///< Whether to fetch cached prefix blocks from another endpoint.
     core::Milliseconds predictedFirstToken{}; ///< Time from sending the prompt.
     core::Milliseconds predictedPrefill{};    ///< Time to the answer of a prefill engine.
-    /** The part of predictedPrefill that an engine of usual speed and pace would take. */
-    double usualPrefillMs = 0;
     double slowdown = 1; ///< Factor by which this engine takes longer, without its pace.
     double pace = 1;     ///< Factor of its reported pace.
 };
--- a/src/policy/prefilldurationestimator.cpp
+++ b/src/policy/prefilldurationestimator.cpp
@@ -20,17 +20,18 @@
 
 } // namespace
 
-void PrefillDurationEstimator::note(const PrefillWork &work, double ms)
+void PrefillDurationEstimator::note(const PrefillWork &work, double ms, double factor)
 {
-    if (!(ms > 0) || !std::isfinite(ms))
+    if (!(ms > 0) || !std::isfinite(ms) || !(factor > 0) || !std::isfinite(factor))
         return;
-    const double predicted = m_model.predictMs(work);
+    const double predicted = m_model.predictMs(work, factor);
     const double error = std::clamp(std::log(ms / predicted), -MaxLogError, MaxLogError);
     const double step =
         std::clamp(FirstStep / static_cast<double>(++m_count), MinStep, MaxFirstStep) * error;
     double &ahead = m_model.aheadShare[std::min(work.priority, LowestEnginePriority)];
-    const double aheadPart = ahead * work.aheadTokens / m_model.tokensPerMs / predicted;
-    const double tokenPart = work.tokens / m_model.tokensPerMs / predicted + aheadPart;
+    const double aheadPart =
+        factor * ahead * work.aheadTokens / m_model.tokensPerMs / predicted;
+    const double tokenPart = factor * work.tokens / m_model.tokensPerMs / predicted + aheadPart;
     const double fixedPart = m_model.fixedMs / predicted;
     const double fetchPart = work.fetches ? m_model.fetchMs / predicted : 0;
     m_model.tokensPerMs = std::clamp(m_model.tokensPerMs * std::exp(-step * tokenPart),
--- a/src/policy/prefilldurationestimator.h
+++ b/src/policy/prefilldurationestimator.h
@@ -21,7 +21,11 @@
     bool fetches = false;   ///< The engine fetches cached prefix blocks first.
 };
 
-/** Time from sending a prefill to its answer, at an engine of usual speed. */
+/** Time from sending a prefill to its answer: fixed + factor x work.
+ *
+ * The factor of an engine's slowdown and pace applies to the prefill of the tokens only. On engines
+ * that differ by 2.4 in it, a prompt without uncached tokens takes equally long.
+ */
 struct PrefillDurationModel
 {
     double tokensPerMs = 60;
@@ -35,10 +39,20 @@
     {
         return aheadShare[priority < aheadShare.size() ? priority : LowestEnginePriority];
     }
-    double predictMs(const PrefillWork &work) const
+    /** Part that does not depend on the speed of the engine. */
+    double fixedPartMs(const PrefillWork &work) const
+    {
+        return fixedMs + (work.fetches ? fetchMs : 0);
+    }
+    /** Time in which an engine of usual speed prefills the tokens ahead and those of the prompt. */
+    double workMs(const PrefillWork &work) const
+    {
+        return (work.tokens + shareAhead(work.priority) * work.aheadTokens) / tokensPerMs;
+    }
+    /** \param factor by which the engine takes longer than usual. */
+    double predictMs(const PrefillWork &work, double factor = 1) const
     {
-        return fixedMs + (work.fetches ? fetchMs : 0)
-            + (work.tokens + shareAhead(work.priority) * work.aheadTokens) / tokensPerMs;
+        return fixedPartMs(work) + factor * workMs(work);
     }
 };
 
@@ -51,8 +65,9 @@
 class PrefillDurationEstimator
 {
 public:
-    /** \param ms time taken, divided by the slowdown of the engine. */
-    void note(const PrefillWork &work, double ms);
+    /** \param ms time taken.
+     * \param factor by which the engine takes longer than usual. */
+    void note(const PrefillWork &work, double ms, double factor = 1);
     const PrefillDurationModel &model() const { return m_model; }
 
 private:
--- a/src/serving/leaderduties.cpp
+++ b/src/serving/leaderduties.cpp
@@ -354,7 +354,7 @@
     for (const EndpointPtr &it : m_services.endpoints.ofService(service)) {
         if (!it->acceptsWork())
             continue;
-        anyKnown = anyKnown || it->pace.known();
+        anyKnown = anyKnown || it->pace.reportedAt() != TimePoint{};
         allKnown = allKnown && it->pace.known();
     }
     return !allKnown && now - m_leadsSince < (anyKnown ? AllPacesTime : FirstPaceTime);
--- a/src/serving/sessionevidence.cpp
+++ b/src/serving/sessionevidence.cpp
@@ -72,8 +72,7 @@
     // prefix blocks were fetched.
     if (m_prefillPlan.aheadTokens == 0 && m_prefillPlan.fetchAddress.empty())
         m_services.prefillRate.note(choice.uncachedTokens, ms);
-    m_services.prefillDuration.note(prefillWork(m_prefillPlan),
-                                    ms / (choice.slowdown * choice.pace));
+    m_services.prefillDuration.note(prefillWork(m_prefillPlan), ms, choice.slowdown * choice.pace);
     recordEngineSpeed(ms);
     core::Event("prefill.done")
         .with("request", m_request.metadata.id)
@@ -86,7 +85,8 @@
         .with("ahead", std::llround(m_prefillPlan.aheadTokens));
 }
 
-// A prefill that waited for others says little about the speed of its engine.
+// A prefill that waited for others, or whose time is mostly the fixed part, says little about the
+// speed of its engine.
 void Session::recordEngineSpeed(double takenMs)
 {
     const policy::PrefillChoice &choice = m_prefillPlan.choice;
@@ -94,8 +94,10 @@
     policy::PrefillWork alone = work;
     alone.aheadTokens = 0;
     const policy::PrefillDurationModel &model = m_services.prefillDuration.model();
-    const double ownShare = model.predictMs(alone) / model.predictMs(work);
-    m_endpoint->slowdown.note(takenMs, choice.usualPrefillMs * choice.pace, ownShare,
+    const double expectedMs = model.workMs(work) * choice.pace;
+    const double ownShare = model.workMs(alone) * choice.pace
+        / model.predictMs(work, choice.slowdown * choice.pace);
+    m_endpoint->slowdown.note(takenMs - model.fixedPartMs(work), expectedMs, ownShare,
                               core::BootClock::now());
 }
 
--- a/test/correctness/engineslowdown.cpp
+++ b/test/correctness/engineslowdown.cpp
@@ -54,14 +54,15 @@
         const double ownMs = 15 + tokens / rates[engine] * noise(random);
         const double taken = waitMs + ownMs;
         freeAt[engine] = now + std::chrono::microseconds(std::llround(taken * 1'000));
-        const double usual = gateway.duration.model().predictMs(work);
+        const policy::PrefillDurationModel &model = gateway.duration.model();
         const double factor = gateway.slowdowns[engine].factor().value_or(1);
-        ratios[engine].push_back(taken / (usual * factor));
+        const double predicted = model.predictMs(work, factor);
+        ratios[engine].push_back(taken / predicted);
         policy::PrefillWork alone = work;
         alone.aheadTokens = 0;
-        const double weight = gateway.duration.model().predictMs(alone) / usual;
-        gateway.slowdowns[engine].note(taken, usual, weight, now);
-        gateway.duration.note(work, taken / factor);
+        gateway.slowdowns[engine].note(taken - model.fixedPartMs(work), model.workMs(work),
+                                       model.workMs(alone) / predicted, now);
+        gateway.duration.note(work, taken, factor);
     }
 
     void exchange(core::TimePoint now)
