--- a/src/serving/peermeshstatus.cpp
+++ b/src/serving/peermeshstatus.cpp
@@ -144,7 +144,7 @@
 // A gateway that hears less than half of the others may be the one that is cut off.
 bool PeerMesh::isCoordinator() const
 {
-    const bool cutOff = aliveCount() * 2 <= m_peers.size();
+    const bool cutOff = size_t(aliveCount()) * 2 <= m_peers.size();
     if (cutOff || core::BootClock::now() - m_startedAt < CoordinatorDelay)
         return false;
     return isLarge() ? m_hub == m_name : isBestEquipped(m_name, "", candidates(), 1);
--- a/test/correctness/probeschedule.cpp
+++ b/test/correctness/probeschedule.cpp
@@ -128,7 +128,7 @@
         cr_assert_eq(engine.reported.usual(it.now()) > 1.2, (engine.hash - 1) % 3 == 0);
     }
     it.runFor(10min);
-    cr_assert_eq(it.probeCount(), 4U * 38);
+    cr_assert_eq(it.probeCount(), 4UL * 38);
     const auto discovered = it.schedule().takeDiscovered();
     cr_assert(discovered.size() == 1 && discovered.front().statesPace);
 }
@@ -187,7 +187,7 @@
     for (SimulatedEngine &engine : it.engines())
         engine.pace = [](core::TimePoint) { return 70U; };
     it.runFor(3s);
-    cr_assert_geq(it.probeCount(), 4U * 53);
+    cr_assert_geq(it.probeCount(), 4UL * 53);
 }
 
 // Guards against a bound that holds on average only, and engines that never have their turn.
@@ -207,7 +207,7 @@
             lastSecond.pop_front();
         cr_assert_leq(lastSecond.size(), 250U);
     });
-    cr_assert_gt(it.probeCount(), 200U * 20);
+    cr_assert_gt(it.probeCount(), 200UL * 20);
     for (const SimulatedEngine &engine : it.engines()) {
         for (size_t i = 1; i < engine.probes.size(); ++i)
             cr_assert_leq(engine.probes[i] - engine.probes[i - 1], 1'100ms);
@@ -225,7 +225,7 @@
     busy.busy = true;
     it.changeCoordinator();
     it.runFor(2s);
-    cr_assert_eq(it.probeCount() - busy.probes.size(), 4U * 37);
+    cr_assert_eq(it.probeCount() - busy.probes.size(), 4UL * 37);
     cr_assert_geq(busy.probes.size(), 4U + 12);
 }
 
