--- a/test/correctness/loadprober.cpp
+++ b/test/correctness/loadprober.cpp
@@ -35,20 +35,32 @@
 
 } // namespace
 
-// Guards against every gateway probing for itself.
+// Guards against every gateway probing for itself, and against a pace that the others do not hear
+// of: the first prompt of each goes to the fast engine.
 Test(loadprober, one_of_three_gateways_learns_the_usual_pace_for_all)
 {
     Deployment it;
     FakeEndpoint &slow = addEngine(it, "0,0,64,170");
     FakeEndpoint &fast = addEngine(it, "0,0,64,70");
+    const FakeEndpoint &decodeEngine = addEngine(it, "0,0,64,100", serving::Stage::Decode);
     it.publishConfigWithHealthPath(1, HealthPath);
     for (int i = 0; i < 3; ++i)
         it.startGateway();
     it.runFor(DiscoveryTime + 2s);
     cr_assert_eq(slow.healthChecks(), 4U);
     cr_assert_eq(fast.healthChecks(), 4U);
-    cr_assert(hasMetric(R"(jujube_load_probes_total{result="pace"} 8)"));
+    cr_assert_eq(decodeEngine.healthChecks(), 4U);
+    cr_assert(hasMetric(R"(jujube_load_probes_total{result="pace"} 12)"));
+    for (size_t i = 0; i < 3; ++i) {
+        const std::string id = "r" + std::to_string(i);
+        const auto answer = it.sendRequest(
+            "POST", "/stream/prompt/1", id,
+            {{"Token-Count", "9000,50"}, {"Prompt-Prefix", "a" + std::to_string(i) + ":9000"}}, {},
+            i);
+        cr_assert_eq(answer.status(), 200U);
+    }
     cr_assert(slow.receivedRequests().empty());
+    cr_assert_eq(fast.receivedRequests().size(), 3U);
 }
 
 // Guards against charges on deployments whose engines state no pace.
