--- a/src/policy/stageplanner.cpp
+++ b/src/policy/stageplanner.cpp
@@ -235,7 +235,7 @@
     if (!m_isLeader || !m_trafficSeen)
         return {};
     forgetOldAssignments(engines, now);
-    return assignNewEngines(engines, demand.slots, now);
+    return assignNewEngines(engines, demand, now);
 }
 
 std::vector<StageChange> StagePlanner::planRound(const std::vector<StageView> &engines,
@@ -343,18 +343,35 @@
     return needed;
 }
 
+// Returns whether decode is above its target use and the bottleneck. A new engine is then of more
+// use as it is: during a burst of long outputs, prompts wait for slots and not for prefill.
+bool StagePlanner::decodeIsShort(const std::vector<StageView> &engines,
+                                 const StageDemand &demand) const
+{
+    const auto prefill = static_cast<double>(std::count_if(
+        engines.begin(), engines.end(), [](const StageView &it) { return it.prefill; }));
+    const double decode = static_cast<double>(engines.size()) - prefill;
+    const double decodeUse = demand.busyDecodeSlots / (std::max(1.0, decode) * demand.slots);
+    const double prefillUse =
+        demand.promptTokensPerSecond / (std::max(1.0, prefill) * demand.prefillTokensPerSecond);
+    return decodeUse > m_settings.targetDecodeUse
+        && decodeUse / m_settings.targetDecodeUse > prefillUse / m_settings.targetPrefillUse;
+}
+
 // Counts engines that are paused for a moment, as an assignment lasts longer than such a pause.
 std::vector<StageChange> StagePlanner::assignNewEngines(const std::vector<StageView> &engines,
-                                                        uint32_t slots, core::TimePoint now)
+                                                        const StageDemand &demand,
+                                                        core::TimePoint now)
 {
     std::vector<StageView> present = withAssignments(engines);
     std::erase_if(present, [](const StageView &it) { return it.lost; });
-    if (present.size() < 2)
+    if (present.size() < 2 || decodeIsShort(present, demand))
         return {};
     for (StageView &it : present)
         it.available = it.prefill || it.unused;
     std::vector<StageChange> changes = planChanges(present, present.size(), present.size());
-    changes.resize(newEnginesNeeded(present, changes, targetPrefillCount(present.size(), slots)));
+    changes.resize(
+        newEnginesNeeded(present, changes, targetPrefillCount(present.size(), demand.slots)));
     for (StageChange &it : changes) {
         it.newEngine = true;
         const auto engine = std::find_if(present.begin(), present.end(),
--- a/src/policy/stageplanner.h
+++ b/src/policy/stageplanner.h
@@ -142,8 +142,9 @@
     };
 
     void forgetOldAssignments(const std::vector<StageView> &engines, core::TimePoint now);
-    std::vector<StageChange> assignNewEngines(const std::vector<StageView> &engines, uint32_t slots,
-                                              core::TimePoint now);
+    std::vector<StageChange> assignNewEngines(const std::vector<StageView> &engines,
+                                              const StageDemand &demand, core::TimePoint now);
+    bool decodeIsShort(const std::vector<StageView> &engines, const StageDemand &demand) const;
     static size_t newEnginesNeeded(const std::vector<StageView> &engines,
                                    const std::vector<StageChange> &possible, size_t target);
     std::vector<StageView> withAssignments(std::vector<StageView> engines) const;
