--- a/src/serving/endpoints.cpp
+++ b/src/serving/endpoints.cpp
@@ -356,7 +356,7 @@
     view.domain = endpoint.record.domain;
     view.slots = endpoint.record.slots;
     view.running = endpoint.ownLoad.running + endpoint.peerLoad.running;
-    view.backlogTokens = endpoint.ownLoad.backlogTokens + endpoint.peerLoad.backlogTokens;
+    view.backlogTokens = endpoint.backlog.tokens(now) + endpoint.peerLoad.backlogTokens;
     view.cachedTokens = endpoint.prefixCache.cachedTokens(prompt);
     view.slowness = endpoint.slowness;
     view.slowdown = endpoint.slowdown.factor();
--- a/src/serving/endpoints.h
+++ b/src/serving/endpoints.h
@@ -7,6 +7,7 @@
 #include "policy/engineslowdown.h"
 #include "policy/outlierdetector.h"
 #include "policy/placement.h"
+#include "policy/prefillbacklog.h"
 #include "policy/prefixcachemodel.h"
 #include "policy/reportedpace.h"
 #include "policy/requestlimit.h"
@@ -87,9 +88,10 @@
     bool isHeld(core::TimePoint now) const { return now < heldUntil && isUnused(now); }
 
     EndpointRecord record;
-    uint64_t hash = 0;        ///< Hash of the id, for gossip messages.
-    OutstandingLoad ownLoad;  ///< Of this gateway.
-    OutstandingLoad peerLoad; ///< Sum over the other gateways.
+    uint64_t hash = 0;              ///< Hash of the id, for gossip messages.
+    OutstandingLoad ownLoad;        ///< Of this gateway; prompts count until their answer.
+    policy::PrefillBacklog backlog; ///< Of this gateway; what is left to prefill.
+    OutstandingLoad peerLoad;       ///< Sum over the other gateways.
     policy::OutlierDetector health{EndpointHealthSettings};
     policy::ErrorRateTest errors;
     policy::PrefixCacheModel prefixCache;
--- a/src/serving/gatewaygossip.cpp
+++ b/src/serving/gatewaygossip.cpp
@@ -59,9 +59,11 @@
         const bool changing = now < endpoint->pausedUntil && m_leadership.held();
         const bool failing = endpoint->health.state(now) != policy::OutlierDetector::State::Healthy;
         const auto report = endpoint->reportToShare(now);
-        if (endpoint->ownLoad.running > 0 || changing || failing || endpoint->leaving || report)
+        OutstandingLoad load = endpoint->ownLoad;
+        load.backlogTokens = static_cast<uint32_t>(endpoint->backlog.tokens(now));
+        if (load.running > 0 || changing || failing || endpoint->leaving || report)
             gossip.shares.push_back(
-                {endpoint->hash, endpoint->ownLoad, changing, failing, endpoint->leaving, report});
+                {endpoint->hash, load, changing, failing, endpoint->leaving, report});
     }
     addUsageWindows(gossip);
     gossip.prefixBlocks = m_sentBlocks.blocksToSend(now);
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -320,6 +320,7 @@
     ++endpoint->ownLoad.running;
     endpoint->hadRequests = true;
     endpoint->ownLoad.backlogTokens += m_sentBacklogTokens;
+    addToBacklog();
     m_services.onLoadChanged();
     metadata.endpointId = endpoint->record.id;
     metadata.timeLeft = timeLeft();
@@ -358,7 +359,7 @@
         m_services.promptScheduler.scheduleDispatch();
         m_services.onLoadChanged();
         --m_endpoint->ownLoad.running;
-        m_endpoint->ownLoad.backlogTokens -= std::exchange(m_sentBacklogTokens, 0);
+        removeFromBacklog();
         m_endpoint = nullptr;
     }
     if (const auto connection = std::exchange(m_connection, nullptr)) {
--- a/src/serving/sessionanswer.cpp
+++ b/src/serving/sessionanswer.cpp
@@ -159,8 +159,7 @@
 
 void Session::relayEvents(std::string &body)
 {
-    if (m_sentBacklogTokens > 0)
-        m_endpoint->ownLoad.backlogTokens -= std::exchange(m_sentBacklogTokens, 0);
+    removeFromBacklog();
     countForUsage();
     m_mayHaveRun = true;
     recordStepTime(body);
--- a/src/serving/sessionevidence.cpp
+++ b/src/serving/sessionevidence.cpp
@@ -64,6 +64,27 @@
                    m_prefillPlan.choice.predictedFirstToken);
 }
 
+void Session::addToBacklog()
+{
+    if (m_sentBacklogTokens == 0)
+        return;
+    const TimePoint now = m_sentAt;
+    const policy::PlacementSettings &settings = m_services.placement;
+    const double ahead = m_endpoint->backlog.tokens(now) + m_endpoint->peerLoad.backlogTokens;
+    const policy::PlacementCandidate view = placementViewOf(*m_endpoint, {}, now);
+    const double msPerToken = m_purpose == Purpose::Prefill
+        ? policy::prefillFactor(view) / settings.prefill.tokensPerMs
+        : m_endpoint->slowness / settings.colocatedPrefill.tokensPerMs;
+    m_backlogId = m_endpoint->backlog.add(m_sentBacklogTokens, ahead * msPerToken,
+                                          m_sentBacklogTokens * msPerToken, now);
+}
+
+void Session::removeFromBacklog()
+{
+    m_endpoint->backlog.remove(std::exchange(m_backlogId, 0));
+    m_endpoint->ownLoad.backlogTokens -= std::exchange(m_sentBacklogTokens, 0);
+}
+
 void Session::recordPrefill()
 {
     const double ms = msBetween(m_sentAt, m_prefilledAt);
@@ -95,8 +116,8 @@
     alone.aheadTokens = 0;
     const policy::PrefillDurationModel &model = m_services.prefillDuration.model();
     const double expectedMs = model.workMs(work) * choice.pace;
-    const double ownShare = model.workMs(alone) * choice.pace
-        / model.predictMs(work, choice.slowdown * choice.pace);
+    const double ownShare =
+        model.workMs(alone) * choice.pace / model.predictMs(work, choice.slowdown * choice.pace);
     m_endpoint->slowdown.note(takenMs - model.fixedPartMs(work), expectedMs, ownShare,
                               core::BootClock::now());
 }
