Quotas: fixes from simulated failures; refunds while alone, baselines, lost contact

Change: a waiting request is known by the time of a report that the hub has counted; peers mark reports with all counts; unknown charges count against the bucket at the loss of contact; the lower bound applies to first counts only.

--- a/src/policy/quotagate.cpp
+++ b/src/policy/quotagate.cpp
@@ -12,6 +12,8 @@
 using core::TimePoint;
 
 constexpr Milliseconds ContactTimeout{500};
+// A gateway that hears nothing for longer has perhaps lost contact, and spends less.
+constexpr Milliseconds FreshTime{150};
 // The ledger of a gateway that is not the hub hears each peer only once per second.
 constexpr Milliseconds StandbyConnectionTimeout{2'500};
 // The others count a silent gateway for 20 s.
@@ -19,9 +21,11 @@
 // Datagrams that arrived while the process was suspended are read within this time.
 constexpr Milliseconds DistrustTime{300};
 constexpr Milliseconds MaxTouchInterval{500};
+constexpr Milliseconds ReconnectTime{300};
 // Three times the delay of a message in a mesh.
 constexpr Milliseconds MeshDelay{30};
 constexpr Milliseconds ActiveTime{20'000};
+constexpr size_t MaxReported = 64; ///< Those of the last second or two.
 // A peer that starts hears every other one within about three seconds.
 constexpr Milliseconds NewPeerTime{6'000};
 // Longer than the hub takes to count a charge that was reported to it.
@@ -121,19 +125,32 @@
     return m_ledger.hasPeers() && now - m_listedAt > ContactTimeout;
 }
 
+TimePoint QuotaGate::lastContact(TimePoint now) const
+{
+    switch (m_role) {
+    case QuotaRole::Member:
+        return m_statedAt;
+    case QuotaRole::Mesh:
+        return m_listedAt;
+    case QuotaRole::Hub:
+        break;
+    }
+    return now;
+}
+
 // Starts the buckets with this gateway's part of the levels at the loss of contact.
 void QuotaGate::enterAlone(TimePoint now)
 {
-    const TimePoint contact = m_role == QuotaRole::Member ? m_statedAt
-        : m_role == QuotaRole::Mesh                       ? m_listedAt
-                                                          : now;
+    const TimePoint contact = lastContact(now);
     m_aloneGateways = m_ledger.memberCount(contact);
+    m_aloneSince = now;
     m_aloneEnd = contact + ContactTimeout + MaxTimeAlone;
     for (const QuotaLevel &it : m_ledger.allLevels(now)) {
         Team &own = m_teams[it.team];
         const double level =
             view(it.team, own, *m_ledger.quota(it.team), std::min(now, contact + ContactTimeout));
-        own.aloneLevel = level / m_aloneGateways;
+        const double unknown = unacknowledged(own);
+        own.aloneLevel = (level + unknown) / m_aloneGateways - unknown;
         own.aloneFilledTo = m_activeSeconds;
     }
 }
@@ -153,6 +170,7 @@
         own.stated = static_cast<double>(it.level);
         own.round = m_round;
         own.included = static_cast<double>(it.includedTokens);
+        noteIncluded(own, own.included);
         // The hub has started since, and has not heard the counts of idle teams yet.
         if (it.includedTokens == 0 && now - own.chargedAt > CountDelay)
             own.included = own.count;
@@ -169,6 +187,18 @@
     m_ledger.adopt(first, now);
 }
 
+// A refund may bring the count back to an earlier value, so the earliest report that matches
+// counts.
+void QuotaGate::noteIncluded(Team &own, double tokens)
+{
+    const auto match = std::find_if(own.reported.begin(), own.reported.end(),
+                                    [tokens](const auto &it) { return it.second == tokens; });
+    if (match == own.reported.end())
+        return;
+    own.knownUntil = match->first;
+    own.reported.erase(own.reported.begin(), match);
+}
+
 void QuotaGate::noteListed(TimePoint now)
 {
     touch(now);
@@ -180,7 +210,10 @@
 {
     if (m_role != QuotaRole::Mesh || now - m_markedAt < MeshDelay)
         return;
-    m_markedAt = now;
+    // Without contact the peers have probably not received the last messages either.
+    if (m_ledger.hasPeers() && m_listedAt < m_markedAt)
+        return;
+    m_knownUntil = std::exchange(m_markedAt, now);
     ++m_round;
     for (auto &[name, team] : m_teams)
         team.known = std::exchange(team.marked, team.count);
@@ -256,8 +289,9 @@
     }
     const double members = m_ledger.memberCount(now);
     const double known = decision.level + decision.unacknowledged;
+    const double levelShare = now - lastContact(now) <= FreshTime ? UnknownLevelShare : 1;
     const double most =
-        std::max(UnknownLevelShare * known, UnknownMarginShare * quota->margin(m_ledger.terms()))
+        std::max(levelShare * known, UnknownMarginShare * quota->margin(m_ledger.terms()))
         / members;
     const bool little = decision.unacknowledged + tokens <= most;
     const bool plenty = decision.unacknowledged <= 0 && decision.level >= PlentyRequests * tokens;
@@ -287,22 +321,27 @@
         UnknownLevelShare * UnknownMarginShare * quota.margin(m_ledger.terms()) / m_aloneGateways;
     if (now < m_aloneEnd && decision.level + overdraft >= tokens)
         return decision;
-    // Contact is probably regained within the time that a request may wait.
-    decision.verdict = now < m_distrustUntil ? QuotaVerdict::Wait : QuotaVerdict::Refuse;
+    // Contact is usually regained soon, such as when the hub changes.
+    const bool recent = now < m_distrustUntil || now - m_aloneSince < ReconnectTime;
+    const bool covered = view(team, own, quota, now)
+        >= std::min(tokens, QuotaLedger::UnstatedShare * quota.capacity(m_ledger.terms()));
+    decision.verdict =
+        recent && covered && now < m_aloneEnd ? QuotaVerdict::Wait : QuotaVerdict::Refuse;
     decision.retryIn = timeToFill(tokens - decision.level, quota.perSecond / m_aloneGateways);
     return decision;
 }
 
-QuotaHold QuotaGate::charge(uint64_t team, double tokens, TimePoint now)
+QuotaHold QuotaGate::charge(uint64_t team, double tokens, const QuotaDecision &decision,
+                            TimePoint now)
 {
     Team &own = m_teams[team];
-    if (m_alone)
-        if (const QuotaRate *quota = m_ledger.quota(team))
-            own.aloneLevel = aloneLevel(own, *quota) - tokens;
+    // A refund does not raise this level: it may be of a request that was charged before.
+    if (decision.mode == QuotaMode::Alone && decision.verdict == QuotaVerdict::Admit)
+        own.aloneLevel -= tokens;
     own.count += tokens;
     own.chargedAt = now;
     m_ledger.charge(team, tokens, now);
-    return {team, tokens, own.count, now, m_round};
+    return {team, tokens, now, m_round};
 }
 
 void QuotaGate::refund(uint64_t team, double tokens, TimePoint now)
@@ -310,11 +349,24 @@
     Team &own = m_teams[team];
     own.count -= tokens;
     own.chargedAt = now;
-    if (m_alone)
-        own.aloneLevel += tokens;
     m_ledger.charge(team, -tokens, now);
 }
 
+bool QuotaGate::isKnown(const QuotaHold &hold, QuotaMode mode) const
+{
+    switch (mode) {
+    case QuotaMode::Hub:
+        return true;
+    case QuotaMode::Member:
+        return hold.since < m_teams.at(hold.team).knownUntil;
+    case QuotaMode::Mesh:
+        return hold.since < m_knownUntil;
+    case QuotaMode::Alone:
+        break;
+    }
+    return false;
+}
+
 QuotaVerdict QuotaGate::settle(QuotaHold &hold, std::mt19937_64 &random, TimePoint now)
 {
     const QuotaRate *quota = m_ledger.quota(hold.team);
@@ -324,10 +376,7 @@
     const QuotaVerdict otherwise = late ? QuotaVerdict::Refuse : QuotaVerdict::Wait;
     const QuotaMode by = mode(now);
     const Team &own = m_teams[hold.team];
-    const bool isKnown = by == QuotaMode::Hub
-        || (by == QuotaMode::Member && own.included >= hold.count)
-        || (by == QuotaMode::Mesh && own.known >= hold.count);
-    if (by == QuotaMode::Alone || !isKnown || m_ledger.awaitsLevel(hold.team, now))
+    if (!isKnown(hold, by) || m_ledger.awaitsLevel(hold.team, now))
         return otherwise;
     const double overdraft = OverdraftShare * quota->margin(m_ledger.terms());
     const double excess =
@@ -342,14 +391,21 @@
     return otherwise;
 }
 
-std::vector<QuotaCount> QuotaGate::counts(TimePoint now) const
+std::vector<QuotaCount> QuotaGate::counts(TimePoint now)
 {
     const bool all =
         m_ledger.newPeerAt() != TimePoint{} && now - m_ledger.newPeerAt() < NewPeerTime;
     std::vector<QuotaCount> counts;
-    for (const auto &[name, team] : m_teams) {
-        if (team.chargedAt != TimePoint{} && (all || now - team.chargedAt < ActiveTime))
-            counts.push_back({name, std::llround(team.count)});
+    for (auto &[name, team] : m_teams) {
+        if (team.chargedAt == TimePoint{} || (!all && now - team.chargedAt >= ActiveTime))
+            continue;
+        counts.push_back({name, std::llround(team.count)});
+        if (m_role != QuotaRole::Member)
+            continue;
+        if (team.reported.empty() || team.reported.back().second != team.count)
+            team.reported.emplace_back(now, team.count);
+        if (team.reported.size() > MaxReported)
+            team.reported.pop_front();
     }
     return counts;
 }
--- a/src/policy/quotagate.h
+++ b/src/policy/quotagate.h
@@ -6,8 +6,10 @@
 
 #include "policy/quotaledger.h"
 
+#include <deque>
 #include <random>
 #include <string_view>
+#include <utility>
 
 namespace jujube::policy {
 
@@ -55,7 +57,6 @@
 {
     uint64_t team = 0;
     double tokens = 0;
-    double count = 0; ///< Own count of the team that includes this request.
     core::TimePoint since{};
     uint64_t round = 0; ///< Of the last statement that was examined.
 };
@@ -81,13 +82,14 @@
     QuotaMode mode(core::TimePoint now);
     QuotaDecision decide(uint64_t team, double tokens, core::TimePoint now);
     /** Charges a request that is admitted or waits. */
-    QuotaHold charge(uint64_t team, double tokens, core::TimePoint now);
+    QuotaHold charge(uint64_t team, double tokens, const QuotaDecision &decision,
+                     core::TimePoint now);
     void refund(uint64_t team, double tokens, core::TimePoint now);
     /** Decides on a request that waits. */
     QuotaVerdict settle(QuotaHold &hold, std::mt19937_64 &random, core::TimePoint now);
 
     /** Counts of teams that were charged recently, and of all after a peer has started. */
-    std::vector<QuotaCount> counts(core::TimePoint now) const;
+    std::vector<QuotaCount> counts(core::TimePoint now);
     /** Levels for a peer that has started recently; empty if there is none. */
     std::vector<QuotaLevel> levelsForNewPeers(core::TimePoint now);
 
@@ -96,19 +98,24 @@
     {
         double count = 0; ///< Charged by this process, less refunds.
         core::TimePoint chargedAt{};
-        double included = 0; ///< Part of the count that the hub's statements include.
-        double stated = 0;   ///< Level that the hub has stated.
-        uint64_t round = 0;  ///< Statement that states this level.
-        double marked = 0;   ///< Without a hub: count at the last mark.
-        double known = 0;    ///< Without a hub: count that all peers have probably received.
+        double included = 0;          ///< Part of the count that the hub's statements include.
+        double stated = 0;            ///< Level that the hub has stated.
+        uint64_t round = 0;           ///< Statement that states this level.
+        core::TimePoint knownUntil{}; ///< The hub has counted all charges before this time.
+        std::deque<std::pair<core::TimePoint, double>> reported; ///< Counts that were sent.
+        double marked = 0; ///< Without a hub: count at the last mark.
+        double known = 0;  ///< Without a hub: count that all peers have probably received.
         double aloneLevel = 0;
         double aloneFilledTo = 0; ///< Value of m_activeSeconds that aloneLevel includes.
     };
 
     bool lostContact(core::TimePoint now) const;
+    core::TimePoint lastContact(core::TimePoint now) const;
     void enterAlone(core::TimePoint now);
     double view(uint64_t team, const Team &own, const QuotaRate &quota, core::TimePoint now);
     double unacknowledged(const Team &own) const;
+    bool isKnown(const QuotaHold &hold, QuotaMode mode) const;
+    static void noteIncluded(Team &own, double tokens);
     double aloneLevel(Team &own, const QuotaRate &quota) const;
     QuotaDecision decideAlone(Team &own, uint64_t team, double tokens, core::TimePoint now);
 
@@ -120,11 +127,13 @@
     core::TimePoint m_statedAt{};
     core::TimePoint m_listedAt{};
     core::TimePoint m_markedAt{};
+    core::TimePoint m_knownUntil{}; ///< Without a hub: peers have counted charges before this time.
     core::TimePoint m_touchedAt{};
     core::TimePoint m_distrustUntil{};
     double m_activeSeconds = 0; ///< Time without suspensions.
     bool m_alone = false;
     double m_aloneGateways = 1; ///< Gateways at the loss of contact.
+    core::TimePoint m_aloneSince{};
     core::TimePoint m_aloneEnd{};
 };
 
--- a/src/policy/quotaledger.cpp
+++ b/src/policy/quotaledger.cpp
@@ -23,6 +23,8 @@
 constexpr Milliseconds BaselineTime{4'000};
 // Peers known at this age of the ledger may be older than it.
 constexpr Milliseconds StartTime{20'000};
+// A process that starts may read an outdated configuration first.
+constexpr Milliseconds ConfigurationTime{3'000};
 // Within this time a process that has just started usually hears the levels from a peer.
 constexpr Milliseconds AdoptionTime{1'000};
 // Repeats a count that the receiver may have missed.
@@ -67,7 +69,8 @@
     bucket.margin = quota->margin(m_terms);
     bucket.capacity = quota->capacity(m_terms);
     if (isNew) {
-        bucket.mayAdopt = !m_configured && !m_full;
+        const bool starts = !m_configured || now - m_startedAt < ConfigurationTime;
+        bucket.mayAdopt = starts && !m_full;
         bucket.level = bucket.mayAdopt ? 0 : bucket.capacity;
         bucket.createdAt = now;
     }
@@ -119,6 +122,7 @@
         peer.run = run;
         peer.sequence = 0;
         peer.runKnownAt = m_newPeerAt = now;
+        peer.complete = false;
         peer.counts.clear();
     }
     if (peer.filledUntil == TimePoint{}) {
@@ -143,6 +147,8 @@
     const double allowance = std::exchange(from.allowance, 0);
     for (const QuotaCount &it : report.counts)
         applyCount(from, it, allowance, now);
+    from.complete = from.complete || !report.levels.empty();
+    adopt(report.levels, now);
 }
 
 void QuotaLedger::applyCount(Gateway &from, const QuotaCount &count, double allowance,
@@ -151,7 +157,7 @@
     const auto bucket = m_buckets.find(count.team);
     const auto [known, isFirst] = from.counts.try_emplace(count.team, Count{0, now});
     // What a peer has charged before this ledger was created is in the levels it starts with.
-    if (isFirst && from.mayBeOlder && now - from.runKnownAt < BaselineTime) {
+    if (isFirst && from.mayBeOlder && !from.complete && now - from.runKnownAt < BaselineTime) {
         known->second.tokens = count.tokens;
         return;
     }
--- a/src/policy/quotaledger.h
+++ b/src/policy/quotaledger.h
@@ -57,6 +57,8 @@
     uint64_t run = 0;
     uint64_t sequence = 0; ///< Reports of one run with lower numbers are older.
     std::span<const QuotaCount> counts;
+    /** Stated for peers that have just started; then the counts of all teams are included. */
+    std::span<const QuotaLevel> levels;
 };
 
 /** Token buckets of all teams with a quota, lowered by the counts that gateways report.
@@ -92,7 +94,7 @@
     void noteHeard(uint64_t gateway, uint64_t run, core::TimePoint now);
     /** Applies the counts of a peer; ignores a report that is out of order. */
     void apply(const QuotaReport &report, core::TimePoint now);
-    /** Sets the levels that are not known yet to those that a peer states. */
+    /** Sets the levels that are not known yet to those that another gateway states. */
     void adopt(std::span<const QuotaLevel> levels, core::TimePoint now);
     /** Lowers the level by tokens that this gateway has charged; negative for a refund. */
     void charge(uint64_t team, double tokens, core::TimePoint now);
@@ -142,6 +144,7 @@
         uint64_t previousRun = 0; ///< Its late messages are ignored.
         uint64_t sequence = 0;
         bool mayBeOlder = false; ///< May have charged tokens before this ledger was created.
+        bool complete = false;   ///< It has stated the counts of all teams.
         bool removed = false;
         core::TimePoint knownAt{};
         core::TimePoint runKnownAt{};
--- a/src/serving/teamquotas.cpp
+++ b/src/serving/teamquotas.cpp
@@ -22,9 +22,10 @@
 constexpr Milliseconds SettleInterval{10};
 // Bounds of the random part of Retry-After. The larger the share of the team's requests that is
 // refused, the longer: otherwise the refused clients of all gateways return at the same time.
-constexpr double MinRetrySpread = 0.5; // Seconds.
-constexpr double MaxRetrySpread = 8;   // Seconds.
-constexpr double DemandTime = 2;       // Seconds; time constant of the refused tokens.
+constexpr double MinRetrySpread = 0.5;  // Seconds.
+constexpr double MaxRetrySpread = 8;    // Seconds.
+constexpr double SpreadPerExcess = 0.5; // Seconds, if as many tokens are refused as admitted.
+constexpr Milliseconds DemandTime{5'000};
 
 uint64_t hashOf(std::string_view text)
 {
@@ -132,8 +133,8 @@
             m_gate.applyStatement({sender, gossip.run, gossip.sequence, gossip.quotaLevels}, now);
         return;
     }
-    m_ledger.apply({sender, gossip.run, gossip.sequence, gossip.quotaCounts}, now);
-    m_ledger.adopt(gossip.quotaLevels, now);
+    m_ledger.apply({sender, gossip.run, gossip.sequence, gossip.quotaCounts, gossip.quotaLevels},
+                   now);
     if (std::find(gossip.heardPeers.begin(), gossip.heardPeers.end(), m_self)
         != gossip.heardPeers.end())
         m_gate.noteListed(now);
@@ -164,7 +165,7 @@
         onAnswer(refusal(hash, tokens, team.name, request.id, decision));
         return;
     }
-    const policy::QuotaHold hold = m_gate.charge(hash, tokens, now);
+    const policy::QuotaHold hold = m_gate.charge(hash, tokens, decision, now);
     m_onCharged();
     core::incrementCounter("jujube_quota_tokens_total", labelOf(team.name),
                            static_cast<uint64_t>(tokens));
@@ -217,10 +218,6 @@
     if (charge.tokens <= 0)
         return;
     m_gate.refund(charge.team, charge.tokens, core::BootClock::now());
-    for (Waiting &it : m_waiting) {
-        if (it.hold.team == charge.team)
-            it.hold.count -= charge.tokens;
-    }
 }
 
 TeamQuotas::Answer TeamQuotas::refusal(uint64_t team, double tokens, const std::string &name,
@@ -243,14 +240,12 @@
 Milliseconds TeamQuotas::retryDelay(uint64_t team, double tokens, const QuotaDecision &decision)
 {
     const TimePoint now = core::BootClock::now();
-    Demand &refused = m_refused[team];
-    const double elapsed = std::chrono::duration<double>(now - refused.at).count();
-    refused.tokens = refused.tokens * std::exp(-elapsed / DemandTime) + tokens;
-    refused.at = now;
+    policy::RateMeter &refused = m_refused.try_emplace(team, DemandTime).first->second;
+    refused.note(tokens, now);
     const policy::QuotaRate *quota = m_ledger.quota(team);
-    const double fleet = refused.tokens * m_ledger.memberCount(now);
-    const double spread = std::clamp(quota ? fleet / quota->perSecond : MinRetrySpread,
-                                     MinRetrySpread, MaxRetrySpread);
+    const double excess =
+        quota ? refused.rate(now) * m_ledger.memberCount(now) / quota->perSecond : 0;
+    const double spread = std::clamp(excess * SpreadPerExcess, MinRetrySpread, MaxRetrySpread);
     std::uniform_real_distribution<double> random(0, spread);
     return decision.retryIn
         + std::chrono::ceil<Milliseconds>(std::chrono::duration<double>(random(m_random)));
--- a/src/serving/teamquotas.h
+++ b/src/serving/teamquotas.h
@@ -5,6 +5,7 @@
  */
 
 #include "policy/quotagate.h"
+#include "policy/ratemeter.h"
 #include "serving/fleetconfig.h"
 #include "serving/gossip.h"
 #include "serving/nodesettings.h"
@@ -17,14 +18,15 @@
 #include <random>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace jujube::serving {
 
 /** Place of this gateway in the exchange of load. */
 struct MeshPosition
 {
-    bool large = false; ///< Load goes through a hub.
-    std::string hub;    ///< Name of the hub, if there is one.
+    bool large = false;   ///< Load goes through a hub.
+    std::string_view hub; ///< Name of the hub, if there is one.
 };
 
 /** Applies configuration and gossip to the ledger, and charges requests to their teams.
@@ -82,12 +84,6 @@
                                   const policy::QuotaDecision &decision);
     std::string labelOf(const std::string &team);
 
-    struct Demand
-    {
-        double tokens = 0; ///< Refused recently, exponentially smoothed.
-        core::TimePoint at{};
-    };
-
     std::string m_name;
     uint64_t m_self = 0; ///< Hash of the name.
     std::mt19937_64 &m_random;
@@ -96,9 +92,9 @@
     policy::QuotaGate m_gate;
     bool m_active = false; ///< A team has a quota.
     policy::QuotaMode m_mode = policy::QuotaMode::Mesh;
-    std::set<std::string> m_configured; ///< Teams that have a quota.
-    std::set<std::string> m_labels;     ///< Teams with metrics of their own.
-    std::unordered_map<uint64_t, Demand> m_refused;
+    std::set<std::string> m_configured;                        ///< Teams that have a quota.
+    std::set<std::string> m_labels;                            ///< Teams with metrics of their own.
+    std::unordered_map<uint64_t, policy::RateMeter> m_refused; ///< Tokens per second by team.
     std::vector<Waiting> m_waiting;
     boost::asio::steady_timer m_timer;
     bool m_settling = false; ///< The timer runs.
--- a/test/correctness/quotas.cpp
+++ b/test/correctness/quotas.cpp
@@ -211,7 +211,7 @@
     policy::QuotaLedger &ledger = fleet.ledgerOf(0);
     policy::QuotaGate gate(ledger, fleet.now());
     const double before = ledger.level(7, fleet.now());
-    gate.charge(7, 500, fleet.now());
+    gate.charge(7, 500, {}, fleet.now());
     cr_expect_float_eq(ledger.level(7, fleet.now()), before - 500, 1);
     gate.refund(7, 500, fleet.now());
     cr_expect_float_eq(ledger.level(7, fleet.now()), before, 1);
--- a/test/support/quotafleet.cpp
+++ b/test/support/quotafleet.cpp
@@ -27,7 +27,8 @@
 
 } // namespace
 
-QuotaFleet::QuotaFleet(Settings settings) : m_settings(settings), m_quota(settings.quota)
+QuotaFleet::QuotaFleet(Settings settings)
+    : m_settings(settings), m_quota(settings.quota), m_random(settings.seed)
 {
     m_gateways.resize(settings.gateways);
     m_cut.assign(settings.gateways, std::vector<bool>(settings.gateways, false));
@@ -219,8 +220,8 @@
             it.gate->applyStatement({sender, message.run, message.sequence, message.levels}, m_now);
         return;
     }
-    it.ledger->apply({sender, message.run, message.sequence, message.counts}, m_now);
-    it.ledger->adopt(message.levels, m_now);
+    it.ledger->apply({sender, message.run, message.sequence, message.counts, message.levels},
+                     m_now);
     if (std::find(message.heard.begin(), message.heard.end(), nameOf(message.to))
         != message.heard.end())
         it.gate->noteListed(m_now);
@@ -239,7 +240,7 @@
         refuse(tokens, bornAt, decision.retryIn);
         return;
     }
-    const policy::QuotaHold hold = it.gate->charge(Team, tokens, m_now);
+    const policy::QuotaHold hold = it.gate->charge(Team, tokens, decision, m_now);
     if (decision.verdict == QuotaVerdict::Wait)
         it.waiting.emplace_back(hold, bornAt);
     else
@@ -263,8 +264,6 @@
             continue;
         }
         gateway.gate->refund(Team, tokens, m_now);
-        for (auto &[other, at] : gateway.waiting)
-            other.count -= tokens;
         refuse(tokens, born, gateway.gate->decide(Team, tokens, m_now).retryIn);
     }
 }
--- a/test/support/quotafleet.h
+++ b/test/support/quotafleet.h
@@ -31,6 +31,7 @@
         double requestTokens = 12'000;
         double loss = 0.02; ///< Share of datagrams that are lost.
         core::Milliseconds patience{10'000};
+        uint64_t seed = 41;
     };
 
     explicit QuotaFleet(Settings settings);
@@ -115,7 +116,7 @@
     Settings m_settings;
     std::optional<policy::QuotaRate> m_quota;
     core::TimePoint m_now{std::chrono::hours(1)};
-    std::mt19937_64 m_random{41};
+    std::mt19937_64 m_random;
     std::vector<Gateway> m_gateways;
     std::vector<std::vector<bool>> m_cut;
     std::priority_queue<Message, std::vector<Message>, std::greater<>> m_messages;
