--- a/test/correctness/quotas.cpp
+++ b/test/correctness/quotas.cpp
@@ -163,6 +163,42 @@
     }
 }
 
+// Guards against a quota that is exceeded when a team's load rises at the moment of a failure: all
+// buckets are full, and each gateway without contact takes its part for unused.
+Test(quotas, a_rise_of_load_during_a_failure_does_not_exceed_a_quota)
+{
+    struct Case
+    {
+        double perSecond;
+        double tokens;
+    };
+    for (const Case &it : {Case{36'000, 2'000}, Case{36'000, 60'000}, Case{660'000, 12'000}}) {
+        const double nineTimes = 9 * it.perSecond / it.tokens;
+        for (const bool hub : {true, false}) {
+            const size_t n = hub ? 29 : 9;
+            const QuotaFleet::Settings settings{.gateways = n,
+                                                .hub = hub,
+                                                .quota = {it.perSecond, it.perSecond},
+                                                .requestTokens = it.tokens,
+                                                .patience = 3s};
+            QuotaFleet parted(settings);
+            parted.run(5s, 0.03 * nineTimes);
+            for (size_t i = 1; i <= n / 3; ++i)
+                parted.isolate(i, true);
+            parted.run(17s, nineTimes);
+            for (size_t i = 1; i <= n / 3; ++i)
+                parted.isolate(i, false);
+            parted.run(8s, nineTimes);
+            assertKept(parted, TimePoint{}, "a third cut off");
+            QuotaFleet restarted(settings);
+            restarted.run(5s, 0.03 * nineTimes);
+            restarted.restart(0);
+            restarted.run(9s, nineTimes);
+            assertKept(restarted, TimePoint{}, "restart of the hub");
+        }
+    }
+}
+
 // Guards against a paused gateway that spends the time of its suspension at once.
 Test(quotas, a_paused_gateway_does_not_use_the_time_of_its_pause)
 {
