Tests: late reports, returning gateways and suspensions of the quotas

Cause: mutants without the order of reports, the previous incarnation, the reset of counts, the bound of made-up gaps and the distrust after a suspension passed all tests.

--- a/test/correctness/quotas.cpp
+++ b/test/correctness/quotas.cpp
@@ -252,3 +252,64 @@
     gate.refund(7, 500, fleet.now());
     cr_expect_float_eq(ledger.level(7, fleet.now()), before, 1);
 }
+
+// Guards against counts that are applied twice or taken back: by datagrams that overtake each
+// other, and by those of a previous incarnation.
+Test(quotas, late_reports_and_those_of_a_previous_incarnation_change_nothing)
+{
+    const TimePoint now{1h};
+    policy::QuotaLedger ledger({8s, 0, 0}, true, now);
+    ledger.setQuota(7, policy::QuotaRate{1, 10'000}, now);
+    const auto levelAfter = [&](uint64_t run, uint64_t sequence, int64_t tokens) {
+        const policy::QuotaCount count{7, tokens};
+        ledger.apply({1, run, sequence, {&count, 1}, {}}, now);
+        return ledger.level(7, now);
+    };
+    cr_expect_float_eq(levelAfter(5, 2, 3'000), 7'000, 1);
+    cr_expect_float_eq(levelAfter(5, 1, 1'000), 7'000, 1);
+    cr_expect_float_eq(levelAfter(6, 1, 500), 6'500, 1);
+    cr_expect_float_eq(levelAfter(5, 3, 3'200), 6'500, 1);
+    cr_expect_float_eq(levelAfter(6, 2, 500), 6'500, 1);
+    cr_expect_float_eq(levelAfter(6, 3, 400), 6'600, 1, "a refund");
+}
+
+// Guards against unused parts of silent gateways that are added at once when they return, and
+// against their use in that time being charged again.
+Test(quotas, a_gateway_that_returns_adds_no_more_than_it_has_used)
+{
+    TimePoint now{1h};
+    policy::QuotaLedger ledger({8s, 0, 0}, true, now);
+    ledger.setQuota(7, policy::QuotaRate{1'000, 10'000}, now);
+    ledger.noteHeard(1, 5, now);
+    ledger.charge(7, 10'000, now);
+    for (int i = 0; i < 100; ++i)
+        ledger.advance(now += 100ms);
+    cr_expect_float_eq(ledger.level(7, now), 5'250, 10, "half of the rate, and 0.5 s of the other");
+    const policy::QuotaCount count{7, 2'000};
+    ledger.apply({1, 5, 2, {&count, 1}, {}}, now);
+    cr_expect_float_eq(ledger.level(7, now), 5'250, 10);
+}
+
+// Guards against old datagrams, which a process reads first after a suspension, being taken for
+// new.
+Test(quotas, a_statement_read_right_after_a_suspension_is_not_believed)
+{
+    TimePoint now{1h};
+    policy::QuotaLedger ledger({8s, 0.1, 1'000}, true, now);
+    ledger.setQuota(7, policy::QuotaRate{1'000, 10'000}, now);
+    policy::QuotaGate gate(ledger, now);
+    gate.setRole(policy::QuotaRole::Member, now);
+    uint64_t sequence = 0;
+    const auto hear = [&]() {
+        ledger.noteHeard(1, 5, now);
+        gate.applyStatement({1, 5, ++sequence, {}}, now);
+        return gate.mode(now);
+    };
+    cr_expect(hear() == policy::QuotaMode::Member);
+    now += 10s;
+    cr_expect(hear() == policy::QuotaMode::Alone);
+    cr_expect(gate.decide(7, 8'000, now).verdict != policy::QuotaVerdict::Admit);
+    now += 400ms;
+    cr_expect(hear() == policy::QuotaMode::Member);
+    cr_expect(gate.decide(7, 3'000, now).verdict == policy::QuotaVerdict::Admit);
+}
