Slow clients: bound the output of each client connection by what is free

Cause: unsent output and buffered answers shared one bound, which slow clients could use up; then answers to prefills and events in parts of other clients failed. Output of finished answers was not counted, and the kernel held up to 4 MB a client. Change: output has its own bound, each connection may hold an eighth of what is free of it (16 to 256 KB), paused streams continue when half of that is sent, complete answers beyond the bound disconnect the client that has been stalled longest, and the kernel's send buffer is fixed. Not run: the new test on the earlier code, and any deployment.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,12 +1,12 @@
 #include "http/server.h"
 
 #include "core/eventlog.h"
+#include "core/metrics.h"
 #include "core/socketaddress.h"
 #include "http/clientconnection.h"
 #include "http/transferrate.h"
 
 #include <boost/asio/ip/address_v4.hpp>
-#include <boost/asio/write.hpp>
 
 #include <algorithm>
 #include <poll.h>
@@ -21,9 +21,9 @@
 
 // Limit of pipelined input that is buffered while a request is being served.
 constexpr size_t MaxReadAheadBytes = 64UL * 1024;
-// A client that leaves more than this unread is too slow and is disconnected.
-constexpr size_t MaxUnsentBytes = 4UL << 20U;
-constexpr size_t MaxIdleCapacity = 16UL * 1024;
+// The kernel doubles it, and would otherwise hold up to 4 MB of output for each slow client. 256 KB
+// allow 200 Mbit/s at a round trip of 10 ms.
+constexpr int SendBufferBytes = 128 * 1024;
 constexpr core::Milliseconds TimeoutCheckInterval{500};
 constexpr core::Milliseconds AcceptRetryDelay{50}; // Lets descriptors close if the process ran out.
 constexpr int Backlog = 1024;
@@ -123,7 +123,7 @@
 size_t Responder::unsentBytes() const
 {
     const ServerConnection *connection = activeConnection();
-    return connection ? connection->m_pendingOutput.size() + connection->m_activeOutput.size() : 0;
+    return connection ? connection->m_outputShare.bytes() : 0;
 }
 
 void Responder::onFlushed(std::function<void()> callback) const
@@ -132,6 +132,18 @@
         connection->m_onFlushed = std::move(callback);
 }
 
+bool Responder::outputFull() const
+{
+    const ServerConnection *connection = activeConnection();
+    return connection && connection->m_outputShare.full();
+}
+
+void Responder::onDrained(std::function<void()> callback) const
+{
+    if (ServerConnection *connection = activeConnection())
+        connection->m_onDrained = std::move(callback);
+}
+
 bool Responder::connectionReused() const
 {
     return m_exchangeId > 1;
@@ -194,7 +206,10 @@
             });
             return;
         }
+        ErrorCode ignored;
         setTcpOptions(socket);
+        if (m_outputBudget)
+            socket.set_option(asio::socket_base::send_buffer_size(SendBufferBytes), ignored);
         const auto connection = std::make_shared<ServerConnection>(*this, std::move(socket));
         m_connections.insert(connection);
         connection->start();
@@ -216,6 +231,29 @@
     });
 }
 
+// The connection is closed from the event loop, as a response may be written to it at the moment.
+void Server::closeSlowestClient()
+{
+    std::shared_ptr<ServerConnection> slowest;
+    for (const auto &it : m_connections) {
+        if (it->isStalled() && (!slowest || it->m_writeStartedAt < slowest->m_writeStartedAt))
+            slowest = it;
+    }
+    if (!slowest)
+        return;
+    asio::post(m_io, [slowest]() {
+        const OutputShare &share = slowest->m_outputShare;
+        if (slowest->m_closed || !slowest->m_server.m_outputBudget->exceeded())
+            return;
+        core::incrementCounter("jujube_slow_clients_closed_total");
+        core::Event("client.slow.closed")
+            .with("unsent_bytes", share.bytes())
+            .with("used_bytes", slowest->m_server.m_outputBudget->usedBytes())
+            .with("max_bytes", slowest->m_server.m_outputBudget->maxBytes());
+        slowest->handleDisconnect();
+    });
+}
+
 void Server::closeIdleConnections()
 {
     const auto connections = m_connections;
@@ -233,7 +271,10 @@
 }
 
 ServerConnection::ServerConnection(Server &server, tcp::socket socket)
-    : m_server(server), m_socket(std::move(socket)), m_phaseStart(core::BootClock::now())
+    : m_server(server),
+      m_socket(std::move(socket)),
+      m_outputShare(server.m_outputBudget),
+      m_phaseStart(core::BootClock::now())
 {
 }
 
@@ -345,55 +386,12 @@
     finishResponse();
 }
 
-void ServerConnection::respond(const Head &head, Framing framing, uint64_t length)
-{
-    m_framing = framing;
-    m_keepAlive = m_keepAlive && !m_server.m_closeAfterResponses;
-    enqueue(renderResponseHead(head, framing, length, m_keepAlive));
-}
-
-void ServerConnection::enqueue(std::string_view data)
-{
-    m_pendingOutput += data;
-    if (m_pendingOutput.size() <= MaxUnsentBytes)
-        return;
-    // The callback is posted to the event loop, so that it does not run inside the handler's write.
-    asio::post(m_socket.get_executor(), [disconnected = std::exchange(m_onDisconnect, {})]() {
-        if (disconnected)
-            disconnected();
-    });
-    close();
-}
-
-void ServerConnection::flush()
-{
-    if (!m_activeOutput.empty() || m_pendingOutput.empty() || m_closed)
-        return;
-    m_activeOutput.swap(m_pendingOutput);
-    const auto self = shared_from_this();
-    asio::async_write(m_socket, asio::buffer(m_activeOutput), [self](const ErrorCode &ec, size_t) {
-        self->m_activeOutput.clear();
-        // An idle connection would keep the memory of a large response.
-        if (self->m_activeOutput.capacity() > MaxIdleCapacity)
-            self->m_activeOutput.shrink_to_fit();
-        if (self->m_closed)
-            return;
-        if (ec)
-            self->handleDisconnect();
-        else if (!self->m_pendingOutput.empty())
-            self->flush();
-        else if (self->m_closeWhenFlushed)
-            self->close();
-        else if (const auto flushed = self->m_onFlushed)
-            flushed();
-    });
-}
-
 void ServerConnection::finishResponse()
 {
     m_requestActive = false;
     m_onDisconnect = {};
     m_onFlushed = {};
+    m_onDrained = {};
     m_phaseStart = core::BootClock::now();
     // The server may have begun to stop after the head announced a persistent connection.
     m_closeWhenFlushed = !m_keepAlive || m_server.m_closeAfterResponses;
@@ -463,6 +461,11 @@
     m_requestActive = false;
     m_onDisconnect = {};
     m_onFlushed = {};
+    m_onDrained = {};
+    // A session may keep the connection for some time. Output in progress is still referred to.
+    m_pendingOutput = {};
+    m_takenOutput = 0;
+    m_outputShare.set(0);
     ErrorCode ec;
     m_socket.close(ec);
     m_server.m_connections.erase(self);
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -6,6 +6,7 @@
 
 #include "core/clock.h"
 #include "http/message.h"
+#include "http/outputbudget.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -62,6 +63,10 @@
     size_t unsentBytes() const;
     /** Sets a callback that is invoked each time the output buffer becomes empty. */
     void onFlushed(std::function<void()> callback) const;
+    /** Whether the connection holds so much unsent output that the source has to pause. */
+    bool outputFull() const;
+    /** Sets a callback that is invoked once, when a source that has paused may continue. */
+    void onDrained(std::function<void()> callback) const;
     /** Whether the connection carried another request before this one. */
     bool connectionReused() const;
 
@@ -91,9 +96,14 @@
     /** Closes connections without an active or partly received request. */
     void closeIdleConnections();
     void setLimits(ServerLimits limits) { m_limits = limits; }
-    /** Bounds the bodies of all requests that are received or being handled. A request that exceeds
-     * it is refused with 503. */
-    void setBodyBudget(std::shared_ptr<BufferBudget> budget) { m_bodyBudget = std::move(budget); }
+    /** Bounds what all later connections hold together: the bodies of requests that are received or
+     * being handled, and output. A request that exceeds its bound is refused with 503. If complete
+     * answers exceed theirs, the clients that have been stalled longest are disconnected. */
+    void setMemory(size_t bodyBytes, size_t outputBytes)
+    {
+        m_bodyBudget = std::make_shared<BufferBudget>(bodyBytes);
+        m_outputBudget = std::make_shared<OutputBudget>(outputBytes);
+    }
     size_t connectionCount() const { return m_connections.size(); }
     size_t activeRequestCount() const;
 
@@ -101,6 +111,7 @@
     friend class ServerConnection;
     void accept();
     void scheduleTimeoutCheck();
+    void closeSlowestClient();
 
     boost::asio::io_context &m_io;
     boost::asio::ip::tcp::acceptor m_acceptor;
@@ -109,6 +120,7 @@
     Handler m_handler;
     ServerLimits m_limits;
     std::shared_ptr<BufferBudget> m_bodyBudget;
+    std::shared_ptr<OutputBudget> m_outputBudget;
     std::unordered_set<std::shared_ptr<ServerConnection>> m_connections;
     bool m_closeAfterResponses = false;
 };
@@ -129,6 +141,7 @@
 
 private:
     friend class Responder;
+    friend class Server;
 
     void read();
     void processInput();
@@ -138,19 +151,28 @@
     void respond(const Head &head, Framing framing, uint64_t length);
     void enqueue(std::string_view data);
     void flush();
+    void handleWritten();
     void finishResponse();
     void handleDisconnect();
+    /** Whether a write has begun, and the client leaves more than the connection's reserve unread.
+     */
+    bool isStalled() const;
+    void updateOutputShare();
 
     Server &m_server;
     boost::asio::ip::tcp::socket m_socket;
     std::string m_input;
     std::string m_pendingOutput; ///< Output that waits for the write in progress.
     std::string m_activeOutput;  ///< Output that is being written.
+    OutputShare m_outputShare;   ///< Of both.
+    size_t m_takenOutput = 0;    ///< Bytes of m_pendingOutput that were sent or are being written.
+    core::TimePoint m_writeStartedAt{};
     std::array<char, 8192> m_readBuffer{};
     std::unique_ptr<RequestParser> m_parser;
     std::shared_ptr<BufferShare> m_bodyShare; ///< Of the request that is being received.
     std::function<void()> m_onDisconnect;
     std::function<void()> m_onFlushed;
+    std::function<void()> m_onDrained;
     core::TimePoint m_phaseStart{}; ///< Start of the current head, body or idle period.
     uint64_t m_exchangeId =
         0; ///< Counts requests, so that calls of earlier responders are ignored.
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -46,10 +46,10 @@
 constexpr Milliseconds LargeUsageCountsDelay{3'200};
 constexpr Milliseconds PredictionLogInterval{5'000};
 constexpr uint64_t DefaultKvCacheTokens = 500'000; ///< For engines without a configured size.
-// Parts of the process's memory that the bodies of requests and buffered answers may take. A body
-// is held twice while it is sent.
+// Parts of the memory for request bodies, buffered answers and output. A body is held twice.
 constexpr uint64_t RequestMemoryDivisor = 4;
 constexpr uint64_t AnswerMemoryDivisor = 8;
+constexpr uint64_t OutputMemoryDivisor = 16;
 constexpr double PrefixCacheShare = 0.7; ///< Of the KV cache; running requests use the rest.
 
 } // namespace
@@ -169,8 +169,8 @@
     withoutBody.maxBodyBytes = 0;
     m_readyServer.setLimits(withoutBody);
     m_metricsServer.setLimits(withoutBody);
-    m_clientServer.setBodyBudget(
-        std::make_shared<http::BufferBudget>(m_settings.memoryBytes / RequestMemoryDivisor));
+    m_clientServer.setMemory(m_settings.memoryBytes / RequestMemoryDivisor,
+                             m_settings.memoryBytes / OutputMemoryDivisor);
     m_mirror = StoreMirror::create(io, m_store, "",
                                    {[this](const StoreItem &item) { onItem(item); }, []() {}});
     m_store.onEra([this](uint64_t era) {
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -51,8 +51,7 @@
       m_deadlineTimer(services.io),
       m_prefillTimer(services.io),
       m_arrivedAt(core::BootClock::now()),
-      m_answerShare(services.answerBudget),
-      m_unsentShare(services.answerBudget)
+      m_answerShare(services.answerBudget)
 {
     const Route &route = *m_request.route;
     Milliseconds limit = route.timeout.count() > 0 ? route.timeout : Milliseconds(60'000);
--- a/src/serving/session.h
+++ b/src/serving/session.h
@@ -194,7 +194,6 @@
     AnswerMetadata m_answer;
     std::string m_body;
     http::BufferShare m_answerShare; ///< Of the part of this send's answer that is buffered.
-    http::BufferShare m_unsentShare; ///< Of what the client has not taken yet.
 
     CacheHandle m_cacheHandle;
     EndpointPtr m_prefillEngine; ///< Prefill engine that keeps the prompt's cache, if any.
--- a/src/serving/sessionanswer.cpp
+++ b/src/serving/sessionanswer.cpp
@@ -30,8 +30,6 @@
 // An event of a resumable stream is buffered until it is complete; typical events have a few
 // hundred bytes.
 constexpr size_t MaxPartialEventBytes = 256UL << 10U;
-// Reading from the endpoint pauses while more than this is still to be sent to the client.
-constexpr size_t MaxUnsentBytes = 256UL << 10U;
 
 // Statuses by which a client assumes that its request has not run. Without the endpoint's explicit
 // statement (notRun) they are not trusted.
@@ -135,17 +133,13 @@
 // Stops reading from the endpoint while the client reads slowly.
 void Session::applyBackPressure()
 {
-    const size_t unsent = m_responder.unsentBytes();
-    if (!m_connection || (unsent <= MaxUnsentBytes && m_unsentShare.resize(unsent)))
+    if (!m_connection || !m_responder.outputFull())
         return;
     m_connection->pauseReading();
     const auto weak = weak_from_this();
-    m_responder.onFlushed([weak]() {
+    m_responder.onDrained([weak]() {
         const auto self = weak.lock();
-        if (!self)
-            return;
-        self->m_unsentShare.release();
-        if (self->m_connection)
+        if (self && self->m_connection)
             self->m_connection->resumeReading();
     });
 }
--- a/test/correctness/server.cpp
+++ b/test/correctness/server.cpp
@@ -4,6 +4,7 @@
 
 #include "http/server.h"
 #include "support/loopback.h"
+#include "support/residentbytes.h"
 
 #include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
@@ -132,19 +133,6 @@
     cr_assert_not(uploadArrives(30, 1, 50ms));
 }
 
-namespace {
-
-size_t residentBytes()
-{
-    std::ifstream file("/proc/self/statm");
-    size_t total = 0;
-    size_t resident = 0;
-    file >> total >> resident;
-    return resident * static_cast<size_t>(sysconf(_SC_PAGESIZE));
-}
-
-} // namespace
-
 // Guards against unbounded memory: a client that is refused, does not read its earlier response and
 // goes on sending, while the server waits to write the refusal.
 Test(server, input_after_a_last_response_is_not_kept)
@@ -170,7 +158,7 @@
     }
     cr_assert_geq(response->unsentBytes(), part.size());
     response->finish();
-    const size_t before = residentBytes();
+    const size_t before = test::residentBytes();
     const std::string piece(64UL << 10U, 'y');
     size_t sent = 0;
     constexpr size_t enough = 64UL << 20U;
@@ -182,5 +170,5 @@
         io.poll();
     }
     cr_assert_geq(sent, enough);
-    cr_assert_leq(residentBytes() - std::min(before, residentBytes()), 16UL << 20U);
+    cr_assert_leq(test::residentBytes() - std::min(before, test::residentBytes()), 16UL << 20U);
 }
