--- a/src/http/outputbudget.cpp
+++ b/src/http/outputbudget.cpp
@@ -9,6 +9,9 @@
 // With n connections at their limits, 1 of FreeDivisor + n parts of the bound stays free. One slow
 // client gets a ninth of it, 100 get 92 percent together.
 constexpr size_t FreeDivisor = 8;
+// A source continues when this much was sent: a client of 10 KB/s then leaves its endpoint unread
+// for 3 s, and for 25 s if all of the largest limit had to be sent, for which endpoints give up.
+constexpr size_t RefillBytes = 32UL << 10U;
 
 } // namespace
 
@@ -37,11 +40,10 @@
     return m_budget ? m_budget->connectionLimit() : OutputBudget::MaxConnectionBytes;
 }
 
-// A source that continues only when all is sent would leave its endpoint unread for as long as a
-// slow client takes for the whole limit, and the endpoint would give up.
 bool OutputShare::drained() const
 {
-    return m_bytes <= std::max(OutputBudget::MinConnectionBytes, limit() / 2);
+    const size_t most = limit();
+    return m_bytes + std::min(RefillBytes, most / 2) <= most;
 }
 
 } // namespace jujube::http
--- a/src/http/serveroutput.cpp
+++ b/src/http/serveroutput.cpp
@@ -16,7 +16,7 @@
 // A client that leaves more than this unread is too slow and is disconnected.
 constexpr size_t MaxUnsentBytes = 4UL << 20U;
 // Output is written in pieces, so that it is known while a slow client takes it that some was sent.
-constexpr size_t MaxWriteBytes = 32UL << 10U;
+constexpr size_t MaxWriteBytes = 16UL << 10U;
 constexpr size_t MaxIdleCapacity = 16UL * 1024;
 
 } // namespace
@@ -101,7 +101,7 @@
 
 void ServerConnection::updateOutputShare()
 {
-    m_outputShare.set(m_pendingOutput.size() + m_activeOutput.size());
+    m_outputShare.set(m_pendingOutput.size() - m_takenOutput + m_activeOutput.size());
 }
 
 } // namespace jujube::http
--- a/test/correctness/slowclients.cpp
+++ b/test/correctness/slowclients.cpp
@@ -16,6 +16,8 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <functional>
+#include <optional>
 
 using namespace jujube;
 using namespace std::chrono_literals;
@@ -29,6 +31,7 @@
 constexpr uint64_t MiB = 1UL << 20U;
 
 constexpr int SmallReceiveBuffer = 4'096;
+constexpr int ModerateReceiveBuffer = 32 * 1'024;
 constexpr int LargeReceiveBuffer = 256 * 1'024;
 
 /** Sends a request on a connection that takes little unread data, unless stated otherwise. */
@@ -97,7 +100,7 @@
 }
 
 // Guards against a gateway that is killed for its memory, and against quick clients that wait for
-// memory which slow ones hold: prefills failed while slow clients held all that answers may take.
+// memory which slow ones hold.
 Test(slowclients, delay_no_quick_ones_and_hold_bounded_memory)
 {
     constexpr size_t slowCount = 120;
@@ -158,6 +161,53 @@
     cr_assert_eq(closedSlowClients(), 0U);
 }
 
+// Guards against answers that an endpoint cuts off, as they stay unread for some seconds: a paused
+// stream continued only when its client had taken all of the 256 KB that are held, beside what the
+// kernel holds.
+Test(slowclients, let_their_source_continue_in_small_steps)
+{
+    constexpr uint16_t port = 7042;
+    constexpr size_t step = 2'048;
+    constexpr size_t total = 4 * MiB;
+    boost::asio::io_context io;
+    boost::asio::io_context blocking;
+    std::optional<http::Responder> responder;
+    size_t clientBytes = 0;
+    size_t atLastWrite = 0;
+    std::function<void()> produce = [&]() {
+        while (!responder->outputFull())
+            responder->write(std::string(http::OutputBudget::MinConnectionBytes, 'x'));
+        atLastWrite = clientBytes;
+        responder->onDrained(produce);
+    };
+    http::Server server(io, [&](const http::Request &, const http::Responder &it) {
+        responder = it;
+        http::Head head;
+        head.status = http::status::Ok;
+        it.begin(head, http::Framing::Chunked, 0);
+        produce();
+    });
+    server.setMemory(MiB, 8 * MiB);
+    cr_assert(server.listen(test::loopbackAddress(port)).ok());
+    tcp::socket client = sendUnread(blocking, test::loopbackAddress(port),
+                                    "GET / HTTP/1.1\r\nHost: h\r\n\r\n", ModerateReceiveBuffer);
+    io.run_for(50ms);
+    size_t longest = 0;
+    std::string buffer(step, 0);
+    const core::TimePoint end = core::BootClock::now() + 10s;
+    while (clientBytes < total && core::BootClock::now() < end) {
+        boost::system::error_code ec;
+        clientBytes += client.read_some(boost::asio::buffer(buffer), ec);
+        io.restart();
+        io.poll();
+        if (clientBytes > MiB) // The kernel's buffers are full.
+            longest = std::max(longest, clientBytes - atLastWrite);
+    }
+    cr_assert_geq(clientBytes, total);
+    // The kernel reports free room in its send buffer of 256 KB in steps of a third.
+    cr_assert_lt(longest, 200U << 10U, "%zu bytes", longest);
+}
+
 // Guards against unbounded memory for complete answers, whose source cannot pause, and against the
 // disconnection of a quick client in place of the slow ones.
 Test(slowclients, are_disconnected_if_complete_answers_exceed_the_bound)
