Soak: the check for needless refusals counts only what it has judged

Change: publishing the same quota is no change, the history is one window, and exempted refusals do not count as examined.

--- a/test/soak/quotaschedule.cpp
+++ b/test/soak/quotaschedule.cpp
@@ -27,7 +27,7 @@
 constexpr Milliseconds ShortestSurge{1'500};
 constexpr Milliseconds LongestSurge{4'000};
 // A bucket that was overdrawn by the whole margin has filled up after this multiple of the window.
-constexpr int HistoryWindows = 2;
+constexpr int HistoryWindows = 1;
 
 Milliseconds drawTime(std::mt19937_64 &random, Milliseconds shortest, Milliseconds longest)
 {
@@ -129,7 +129,9 @@
 
 void QuotaSchedule::set(Team &team, std::optional<Quota> quota)
 {
-    team.changes.push_back({core::BootClock::now(), quota});
+    const bool same = !team.changes.empty() && team.changes.back().quota == quota;
+    if (!same)
+        team.changes.push_back({core::BootClock::now(), quota});
 }
 
 void QuotaSchedule::publish()
@@ -265,8 +267,9 @@
         for (const RequestRecord &it : load.records()) {
             if (it.team != team.name || it.status != http::status::TooManyRequests)
                 continue;
-            ++result.examinedCount;
-            if (!refusalMayBeDue(team, sent, it))
+            const auto due = refusalMayBeDue(team, sent, it);
+            result.examinedCount += due ? 1 : 0;
+            if (due == false)
                 result.breaches.push_back(
                     core::concat(it.id, " of ", team.name, " at gateway-", it.gateway));
         }
@@ -283,19 +286,19 @@
 }
 
 // Whether the team may have sent more than its rate and burst in some span that ends with the
-// request. While a gateway is disturbed or a change is recent, a refusal may have other causes.
-bool QuotaSchedule::refusalMayBeDue(const Team &team, const Usage &sent,
-                                    const RequestRecord &request) const
+// request. Nothing while a gateway is disturbed or a change is recent: other causes are possible.
+std::optional<bool> QuotaSchedule::refusalMayBeDue(const Team &team, const Usage &sent,
+                                                   const RequestRecord &request) const
 {
     const TimePoint from = request.sentAt - HistoryWindows * Rule.window;
     const auto &disturbances = m_deployment.disturbances();
     for (size_t i = 0; i < m_deployment.gateways().size(); ++i) {
         if (!disturbances.undisturbed(i, from, request.endedAt))
-            return true;
+            return std::nullopt;
     }
     for (const Change &it : team.changes) {
         if (it.at <= request.endedAt && disturbances.settledAfter(StorePath, it.at) >= from)
-            return true;
+            return std::nullopt;
     }
     const auto quota = highestQuota(team, from, request.endedAt);
     if (!quota)
--- a/test/soak/quotaschedule.h
+++ b/test/soak/quotaschedule.h
@@ -39,6 +39,7 @@
     struct Quota
     {
         uint32_t rate = 0; ///< Per second; the burst is one second of the rate.
+        bool operator==(const Quota &) const = default;
     };
     struct Change
     {
@@ -74,7 +75,8 @@
     InvariantResult checkSums(const LoadGenerator &load) const;
     InvariantResult checkRefusals(const LoadGenerator &load) const;
     InvariantResult checkNeedlessRefusals(const LoadGenerator &load) const;
-    bool refusalMayBeDue(const Team &team, const Usage &sent, const RequestRecord &request) const;
+    std::optional<bool> refusalMayBeDue(const Team &team, const Usage &sent,
+                                        const RequestRecord &request) const;
 
     SoakDeployment &m_deployment;
     boost::asio::steady_timer m_changeTimer;
