--- a/src/serving/session.h
+++ b/src/serving/session.h
@@ -211,7 +211,6 @@
     double m_outputTokens = 0; ///< Of a stream that ended whole after one run.
     std::string m_body;
     http::BufferShare m_answerShare; ///< Of the part of this send's answer that is buffered.
-    http::BufferShare m_unsentShare; ///< Of what the client has not taken yet.
 
     CacheHandle m_cacheHandle;
     EndpointPtr m_prefillEngine; ///< Prefill engine that keeps the prompt's cache, if any.
