--- a/test/correctness/engineslowdown.cpp
+++ b/test/correctness/engineslowdown.cpp
@@ -122,6 +122,7 @@
 std::vector<policy::EngineSlowdown *> pointersTo(std::vector<policy::EngineSlowdown> &engines)
 {
     std::vector<policy::EngineSlowdown *> pointers;
+    pointers.reserve(engines.size());
     for (policy::EngineSlowdown &it : engines)
         pointers.push_back(&it);
     return pointers;
