--- a/test/correctness/engineslowdown.cpp
+++ b/test/correctness/engineslowdown.cpp
@@ -8,7 +8,9 @@
 #include "policy/reportedpace.h"
 #include "serving/gossip.h"
 #include "serving/loadexchange.h"
+#include "serving/promptscheduler.h"
 
+#include <boost/asio/io_context.hpp>
 #include <criterion/criterion.h>
 
 #include <algorithm>
@@ -356,6 +358,66 @@
     }
 }
 
+// A gateway must use the freshest of the reports that it and its peers have received, and pass on
+// only its own: reports that go round would never become stale.
+Test(loadreports, the_freshest_report_counts_and_only_own_ones_are_shared)
+{
+    serving::EndpointRecord record;
+    record.id = "a";
+    serving::Endpoint endpoint(record, 1'000);
+    endpoint.noteReport({2, 0, 300, 20ms}, Start, false);
+    cr_assert_not(endpoint.reportToShare(Start));
+    cr_assert_gt(serving::placementViewOf(endpoint, {}, Start).pace, 2.8);
+    serving::AnswerMetadata answer;
+    answer.load = serving::EndpointLoad{2, 0, 8, 50};
+    serving::applyAnswerNotices(endpoint, answer, Start + 50ms);
+    endpoint.noteReport({2, 0, 400, 60ms}, Start + 60ms, false); // Older.
+    cr_assert_lt(serving::placementViewOf(endpoint, {}, Start + 50ms).pace, 0.6);
+    const auto shared = endpoint.reportToShare(Start + 150ms);
+    cr_assert(shared);
+    cr_assert_eq(shared->pacePercent, 50U);
+    cr_assert_eq(shared->age.count(), 100);
+    cr_assert_not(endpoint.reportToShare(Start + 450ms));
+    // Without a pace, only requests of other clients are news.
+    answer.load = serving::EndpointLoad{2, 1, 8, {}};
+    endpoint.ownLoad.running = 3;
+    serving::applyAnswerNotices(endpoint, answer, Start + 500ms);
+    cr_assert_not(endpoint.reportToShare(Start + 500ms));
+    endpoint.ownLoad.running = 1;
+    cr_assert(endpoint.reportToShare(Start + 500ms));
+}
+
+// Prompts are refused by the expected wait: with fast engines it is shorter, with slow ones longer.
+Test(promptscheduler, the_expected_wait_follows_the_speed_of_the_engines)
+{
+    boost::asio::io_context io;
+    serving::EndpointTable endpoints;
+    for (const char *id : {"a", "b"}) {
+        serving::EndpointRecord record;
+        record.id = id;
+        record.service = "model";
+        record.stage = serving::Stage::Prefill;
+        record.version.revision = 1;
+        endpoints.update(record, 1'000);
+        endpoints.find(id)->ownLoad.backlogTokens = 60'000;
+    }
+    const policy::PlacementSettings placement;
+    std::mt19937_64 random(1);
+    serving::PromptScheduler scheduler(io, endpoints, placement, random, []() { return 1U; });
+    policy::WaitingPrompt prompt;
+    prompt.info.tokens = 60'000;
+    prompt.firstTokenDueAt = prompt.deadlineAt = core::BootClock::now() + 60s;
+    scheduler.add("model", prompt, {}, {});
+    const double usual = static_cast<double>(scheduler.expectedWait("model", prompt).count());
+    for (int i = 0; i < 50; ++i) {
+        endpoints.find("a")->slowdown.note(400, 100, 1, Start);
+        endpoints.find("b")->slowdown.note(25, 100, 1, Start);
+    }
+    endpoints.updateSlowdowns(Start);
+    // Engines of speeds 1/4 and 4 have 2.1 times the rate of two usual ones.
+    cr_assert_float_eq(scheduler.expectedWait("model", prompt).count() / usual, 0.48, 0.05);
+}
+
 // Without this, the hub would pass on reports that are older than those that other gateways have.
 Test(loadexchange, the_freshest_report_of_an_endpoint_is_forwarded)
 {
