--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -51,6 +51,13 @@
                             const PromptInfo &prompt, const PlacementSettings &settings)
 {
     PredictedTimes times;
+    if (!settings.predictsByPace) {
+        const PrefillTimeModel &model =
+            engine.isPrefillEngine ? settings.disaggregatedPrefill : settings.colocatedPrefill;
+        times.prefillMs = (engine.backlogTokens + tokens) * engine.slowness / model.tokensPerMs;
+        times.restMs = model.fixedMs + (fetch ? settings.prefixFetchMs : 0);
+        return times;
+    }
     if (engine.isPrefillEngine) {
         times.prefillMs = settings.prefill.predictMs(
             {tokens, engine.backlogTokens, prompt.priority, fetch}, prefillFactor(engine));
@@ -103,7 +110,8 @@
             engine.domain == settings.domain ? 0 : settings.crossDomainPrefillMs;
         const PredictedTimes times = predictTimes(engine, expectedTokens, fetch, prompt, settings);
         const double ms = times.prefillMs + times.restMs + crossDomainMs;
-        const double score = ms + times.prefillMs * PrefillTieShare * tie(random);
+        const double spread = settings.predictsByPace ? times.prefillMs * PrefillTieShare : 1;
+        const double score = ms + spread * tie(random);
         if (score < best) {
             best = score;
             choice.emplace();
@@ -112,7 +120,8 @@
             choice->expectedTokens = expectedTokens;
             choice->fetch = fetch;
             choice->predictedFirstToken = wholeMs(ms);
-            choice->predictedPrefill = wholeMs(times.prefillMs);
+            choice->predictedPrefill = wholeMs(settings.predictsByPace ? times.prefillMs : ms);
+            choice->byPace = settings.predictsByPace;
             choice->slowdown = engine.slowdown.value_or(engine.slowness);
             choice->pace = engine.pace;
         }
@@ -134,7 +143,8 @@
         const PlacementCandidate &endpoint = endpoints[i];
         if (!endpoint.usable)
             continue;
-        double share = (endpoint.running + 1) * endpoint.slowness / std::max(1U, endpoint.slots);
+        double share = (endpoint.running + 1) * endpoint.slowness * endpoint.pace
+            / std::max(1U, endpoint.slots);
         if (endpoint.domain != domain)
             share += settings.crossDomainSlotPenalty;
         share += tie(random);
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -57,7 +57,13 @@
 
 struct PlacementSettings
 {
+    /** Whether prefills are predicted by the slowdown and pace of each engine. A gateway sets it
+     * once an endpoint has stated a pace. Without paces, learned slowdowns alone measured slightly
+     * worse than one smoothed ratio (docs/POLICY.md). */
+    bool predictsByPace = true;
     // Initial values, which are updated from observed requests.
+    /** Time to the first token through a prefill engine, if predictsByPace is not set. */
+    PrefillTimeModel disaggregatedPrefill{60, 75};
     PrefillDurationModel prefill; ///< On a prefill engine of usual speed.
     /** From the end of a prefill on a prefill engine to the first token of the decode engine. */
     PrefillTimeModel handOver{500, 50};
@@ -91,6 +97,7 @@
     bool fetch = false;        ///< Whether to fetch cached prefix blocks from another endpoint.
     core::Milliseconds predictedFirstToken{}; ///< Time from sending the prompt.
     core::Milliseconds predictedPrefill{};    ///< Time to the answer of a prefill engine.
+    bool byPace = true;                       ///< PlacementSettings::predictsByPace of the choice.
     double slowdown = 1; ///< Factor by which this engine takes longer, without its pace.
     double pace = 1;     ///< Factor of its reported pace.
 };
--- a/src/policy/promptqueue.cpp
+++ b/src/policy/promptqueue.cpp
@@ -144,7 +144,7 @@
             // Of the prompts that other gateways have in the same place, half go first.
             const double waitMs = (tokensAhead + choice->expectedTokens / 2) * msPerToken;
             tokensAhead += choice->expectedTokens;
-            choice = i < MaxSecondChoices && it->failedEngines.empty()
+            choice = placement.predictsByPace && i < MaxSecondChoices && it->failedEngines.empty()
                 ? chooseInstead(*choice, waitMs, engines, info, placement, random)
                 : std::nullopt;
         }
--- a/src/policy/stageplanner.cpp
+++ b/src/policy/stageplanner.cpp
@@ -36,12 +36,13 @@
     return static_cast<int>(std::lround(std::log(prefillSpeed(engine)) / std::log(classWidth)));
 }
 
-// Prefill on a slow engine costs more than prefill in another failure domain: each doubling of the
-// prefill time outweighs this many engines of imbalance between the domains.
-int slownessInEngines(const StageView &engine)
+// Fast engines decode: each token of a stream takes longer on a slow one, while a large part of a
+// prefill does not depend on the speed, and long prompts go to those prefill engines that are fast.
+// Each doubling of the speed outweighs this many engines of imbalance between failure domains.
+int speedInEngines(const StageView &engine)
 {
     constexpr double enginesPerDoubling = 2;
-    return static_cast<int>(std::lround(-enginesPerDoubling * std::log2(prefillSpeed(engine))));
+    return static_cast<int>(std::lround(enginesPerDoubling * std::log2(prefillSpeed(engine))));
 }
 
 } // namespace
@@ -404,16 +405,15 @@
     std::vector<StageChange> result;
     while (result.size() < std::min<size_t>(difference, maxChanges) && !movable.empty()) {
         // Prefer the domain with the fewest prefill engines if more are wanted, else the one with
-        // the most, where a much slower engine counts as a difference of some engines; then a fast
-        // engine for prefill or a slow one for decode, which depends less on the speed of prefill;
-        // then the engine with the fewest requests.
+        // the most, where a much faster engine counts as a difference of some engines; then a slow
+        // engine for prefill or a fast one for decode; then the engine with the fewest requests.
         const auto better = [&](const StageView *a, const StageView *b) {
-            const int x = prefillByDomain[a->domain] + slownessInEngines(*a);
-            const int y = prefillByDomain[b->domain] + slownessInEngines(*b);
+            const int x = prefillByDomain[a->domain] + speedInEngines(*a);
+            const int y = prefillByDomain[b->domain] + speedInEngines(*b);
             if (x != y)
                 return morePrefill ? x < y : x > y;
             if (const int v = speedClass(*a), w = speedClass(*b); v != w)
-                return morePrefill ? v > w : v < w;
+                return morePrefill ? v < w : v > w;
             return a->running != b->running ? a->running < b->running : a->id < b->id;
         };
         const auto it = std::min_element(movable.begin(), movable.end(), better);
--- a/src/serving/endpoints.cpp
+++ b/src/serving/endpoints.cpp
@@ -312,6 +312,13 @@
     }
 }
 
+bool EndpointTable::statesPace() const
+{
+    return std::any_of(m_byId.begin(), m_byId.end(), [](const auto &it) {
+        return it.second->pace.reportedAt() != core::TimePoint{};
+    });
+}
+
 const std::vector<EndpointPtr> &EndpointTable::ofService(const std::string &service) const
 {
     static const std::vector<EndpointPtr> none;
@@ -356,7 +363,7 @@
     view.domain = endpoint.record.domain;
     view.slots = endpoint.record.slots;
     view.running = endpoint.ownLoad.running + endpoint.peerLoad.running;
-    view.backlogTokens = endpoint.backlog.tokens(now) + endpoint.peerLoad.backlogTokens;
+    view.backlogTokens = endpoint.ownLoad.backlogTokens + endpoint.peerLoad.backlogTokens;
     view.cachedTokens = endpoint.prefixCache.cachedTokens(prompt);
     view.slowness = endpoint.slowness;
     view.slowdown = endpoint.slowdown.factor();
--- a/src/serving/endpoints.h
+++ b/src/serving/endpoints.h
@@ -7,7 +7,6 @@
 #include "policy/engineslowdown.h"
 #include "policy/outlierdetector.h"
 #include "policy/placement.h"
-#include "policy/prefillbacklog.h"
 #include "policy/prefixcachemodel.h"
 #include "policy/reportedpace.h"
 #include "policy/requestlimit.h"
@@ -88,10 +87,9 @@
     bool isHeld(core::TimePoint now) const { return now < heldUntil && isUnused(now); }
 
     EndpointRecord record;
-    uint64_t hash = 0;              ///< Hash of the id, for gossip messages.
-    OutstandingLoad ownLoad;        ///< Of this gateway; prompts count until their answer.
-    policy::PrefillBacklog backlog; ///< Of this gateway; what is left to prefill.
-    OutstandingLoad peerLoad;       ///< Sum over the other gateways.
+    uint64_t hash = 0;        ///< Hash of the id, for gossip messages.
+    OutstandingLoad ownLoad;  ///< Of this gateway.
+    OutstandingLoad peerLoad; ///< Sum over the other gateways.
     policy::OutlierDetector health{EndpointHealthSettings};
     policy::ErrorRateTest errors;
     policy::PrefixCacheModel prefixCache;
@@ -160,6 +158,8 @@
     void setPeerLoads(const std::vector<GossipLoadShare> &shares);
     /** Updates the slowdowns of all prefill engines. Call several times a second. */
     void updateSlowdowns(core::TimePoint now);
+    /** Whether an endpoint has stated its pace. */
+    bool statesPace() const;
     const std::map<std::string, EndpointPtr> &all() const { return m_byId; }
 
 private:
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -56,6 +56,7 @@
       m_quarantine(m_store, m_settings.name),
       m_usage(m_settings.usageWindow),
       m_quotas(io, m_settings, m_random, [this]() { m_peers.loadChanged(); }),
+      m_disaggregatedPrefill(m_placement.disaggregatedPrefill),
       m_handOver(m_placement.handOver),
       m_colocatedPrefill(m_placement.colocatedPrefill),
       m_promptTokens(TokenRateWindow),
@@ -111,6 +112,7 @@
           m_random,
           m_placement,
           m_prefillDuration,
+          m_disaggregatedPrefill,
           m_handOver,
           m_colocatedPrefill,
           m_prefillRate,
@@ -164,6 +166,7 @@
       m_drainTimer(io)
 {
     m_placement.domain = m_settings.domain;
+    m_placement.predictsByPace = false;
     http::ServerLimits withoutBody;
     withoutBody.maxBodyBytes = 0;
     m_readyServer.setLimits(withoutBody);
@@ -342,9 +345,12 @@
                                                  SmallestMinWatchInterval,
                                                  LargestMinWatchInterval));
         m_leadership.setContenders(static_cast<uint32_t>(gateways));
-        m_endpoints.updateSlowdowns(now);
         m_placement.prefill = m_prefillDuration.model();
         m_placement.handOver = m_handOver.model();
+        m_placement.disaggregatedPrefill = m_disaggregatedPrefill.model();
+        m_placement.predictsByPace = m_endpoints.statesPace();
+        if (m_placement.predictsByPace)
+            m_endpoints.updateSlowdowns(now);
         m_placement.gateways = m_peers.aliveCount();
         m_placement.colocatedPrefill = m_colocatedPrefill.model();
         logPredictions(now);
--- a/src/serving/gateway.h
+++ b/src/serving/gateway.h
@@ -83,6 +83,7 @@
     PrefixBlockGossip m_sentBlocks;
     policy::PlacementSettings m_placement;
     policy::PrefillDurationEstimator m_prefillDuration;
+    policy::PrefillTimeEstimator m_disaggregatedPrefill;
     policy::PrefillTimeEstimator m_handOver;
     policy::PrefillTimeEstimator m_colocatedPrefill;
     policy::PrefillRateEstimator m_prefillRate;
--- a/src/serving/gatewaygossip.cpp
+++ b/src/serving/gatewaygossip.cpp
@@ -59,11 +59,9 @@
         const bool changing = now < endpoint->pausedUntil && m_leadership.held();
         const bool failing = endpoint->health.state(now) != policy::OutlierDetector::State::Healthy;
         const auto report = endpoint->reportToShare(now);
-        OutstandingLoad load = endpoint->ownLoad;
-        load.backlogTokens = static_cast<uint32_t>(endpoint->backlog.tokens(now));
-        if (load.running > 0 || changing || failing || endpoint->leaving || report)
+        if (endpoint->ownLoad.running > 0 || changing || failing || endpoint->leaving || report)
             gossip.shares.push_back(
-                {endpoint->hash, load, changing, failing, endpoint->leaving, report});
+                {endpoint->hash, endpoint->ownLoad, changing, failing, endpoint->leaving, report});
     }
     addUsageWindows(gossip);
     gossip.prefixBlocks = m_sentBlocks.blocksToSend(now);
@@ -94,6 +92,8 @@
 {
     const TimePoint now = core::BootClock::now();
     std::vector<GossipEngineSpeed> speeds;
+    if (!m_placement.predictsByPace)
+        return speeds;
     for (const auto &[id, endpoint] : m_endpoints.all()) {
         if (const auto evidence = endpoint->slowdown.own(now); evidence && endpoint->prefills())
             speeds.push_back({endpoint->hash, *evidence});
--- a/src/serving/gatewaystatus.cpp
+++ b/src/serving/gatewaystatus.cpp
@@ -26,9 +26,12 @@
     if (now - m_predictionsLoggedAt < PredictionLogInterval)
         return;
     m_predictionsLoggedAt = now;
+    const bool byPace = m_placement.predictsByPace;
+    const policy::PrefillTimeModel &apart = m_placement.disaggregatedPrefill;
     core::Event("predictions")
-        .with("apart_tokens_per_ms", m_placement.prefill.tokensPerMs)
-        .with("apart_fixed_ms", m_placement.prefill.fixedMs)
+        .with("by_pace", byPace)
+        .with("apart_tokens_per_ms", byPace ? m_placement.prefill.tokensPerMs : apart.tokensPerMs)
+        .with("apart_fixed_ms", byPace ? m_placement.prefill.fixedMs : apart.fixedMs)
         .with("hand_over_tokens_per_ms", m_placement.handOver.tokensPerMs)
         .with("hand_over_fixed_ms", m_placement.handOver.fixedMs)
         .with("itself_tokens_per_ms", m_placement.colocatedPrefill.tokensPerMs)
--- a/src/serving/promptscheduler.cpp
+++ b/src/serving/promptscheduler.cpp
@@ -171,11 +171,14 @@
     double engines = 0; // In engines of usual speed.
     for (const EndpointPtr &it : endpoints) {
         if (it->prefills() && it->acceptsWork())
-            engines += 1 / it->slowdown.factor().value_or(1);
+            engines += m_placement.predictsByPace ? 1 / it->slowdown.factor().value_or(1) : 1;
     }
     constexpr double msPerSecond = 1000;
-    const double rate = m_placement.prefill.tokensPerMs * msPerSecond * (engines > 0 ? engines : 1)
-        / std::max(1U, m_gatewayCount());
+    const double tokensPerMs = m_placement.predictsByPace
+        ? m_placement.prefill.tokensPerMs
+        : m_placement.disaggregatedPrefill.tokensPerMs;
+    const double rate =
+        tokensPerMs * msPerSecond * (engines > 0 ? engines : 1) / std::max(1U, m_gatewayCount());
     return serviceQueue->second.queue.expectedWait(prompt, rate, core::BootClock::now());
 }
 
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -27,6 +27,9 @@
 // prompts a second would follow.
 constexpr Milliseconds SuspectSlack{200};
 constexpr int SuspectFactor = 3;
+// The same for a prediction of the time to the first token, which is about twice as long.
+constexpr int FirstTokenTimeoutFactor = 3;
+constexpr int FirstTokenSuspectFactor = 2;
 constexpr Milliseconds SuspectPause{400};
 // Failed connection attempts are not charged to the retry budget; this limit bounds them.
 constexpr uint32_t MaxSends = 8;
@@ -166,6 +169,10 @@
 
 double Session::expectedOutputTokens() const
 {
+    // Without an estimate from the client: answers use about half of their token limit.
+    if (!m_services.placement.predictsByPace)
+        return m_request.metadata.expectedOutputTokens.value_or(m_request.metadata.maxOutputTokens
+                                                                / 2);
     return m_services.outputLengths.estimate(outputRequest()).expected;
 }
 
@@ -200,19 +207,21 @@
 void Session::startPrefillTimeouts()
 {
     const Milliseconds predicted = m_prefillPlan.choice.predictedPrefill;
-    const Milliseconds suspect = predicted * SuspectFactor + SuspectSlack;
-    startPrefillTimer(suspect, [this, predicted, suspect]() {
+    const bool byPace = m_prefillPlan.choice.byPace;
+    const int timeoutFactor = byPace ? PrefillTimeoutFactor : FirstTokenTimeoutFactor;
+    const Milliseconds suspect =
+        predicted * (byPace ? SuspectFactor : FirstTokenSuspectFactor) + SuspectSlack;
+    startPrefillTimer(suspect, [this, predicted, suspect, timeoutFactor]() {
         core::incrementCounter("jujube_engines_suspected_total");
         m_endpoint->pauseFor(core::BootClock::now(), SuspectPause);
-        startPrefillTimer(
-            predicted * PrefillTimeoutFactor + PrefillTimeoutSlack - suspect, [this]() {
-                // It takes at least as long.
-                recordEngineSpeed(
-                    std::chrono::duration<double, std::milli>(core::BootClock::now() - m_sentAt)
-                        .count());
-                recordLostAnswer();
-                handlePrefillFailure(true, "no answer to the prefill in time");
-            });
+        startPrefillTimer(predicted * timeoutFactor + PrefillTimeoutSlack - suspect, [this]() {
+            // It takes at least as long.
+            recordEngineSpeed(
+                std::chrono::duration<double, std::milli>(core::BootClock::now() - m_sentAt)
+                    .count());
+            recordLostAnswer();
+            handlePrefillFailure(true, "no answer to the prefill in time");
+        });
     });
 }
 
@@ -319,7 +328,6 @@
     ++endpoint->ownLoad.running;
     endpoint->hadRequests = true;
     endpoint->ownLoad.backlogTokens += m_sentBacklogTokens;
-    addToBacklog();
     m_services.onLoadChanged();
     metadata.endpointId = endpoint->record.id;
     metadata.timeLeft = timeLeft();
@@ -358,7 +366,7 @@
         m_services.promptScheduler.scheduleDispatch();
         m_services.onLoadChanged();
         --m_endpoint->ownLoad.running;
-        removeFromBacklog();
+        m_endpoint->ownLoad.backlogTokens -= std::exchange(m_sentBacklogTokens, 0);
         m_endpoint = nullptr;
     }
     if (const auto connection = std::exchange(m_connection, nullptr)) {
--- a/src/serving/session.h
+++ b/src/serving/session.h
@@ -44,6 +44,8 @@
     std::mt19937_64 &random;
     const policy::PlacementSettings &placement;
     policy::PrefillDurationEstimator &prefillDuration; ///< On a prefill engine.
+    policy::PrefillTimeEstimator
+        &disaggregatedPrefill;              ///< Time to first token through a prefill engine.
     policy::PrefillTimeEstimator &handOver; ///< From the end of a prefill to the first token.
     policy::PrefillTimeEstimator
         &colocatedPrefill; ///< Time to the first token if the decode engine prefills.
@@ -119,9 +121,6 @@
     void endSend(bool keepConnection);
     void leavePromptQueue();
     void startPrefillTimeouts();
-    /** Adds the prompt of this send to the endpoint's backlog. */
-    void addToBacklog();
-    void removeFromBacklog();
     void startPrefillTimer(core::Milliseconds time, std::function<void()> onExpired);
 
     bool onHead(const http::Head &head);
@@ -202,8 +201,7 @@
     Purpose m_purpose = Purpose::Run;
     core::TimePoint m_sentAt{};
     PrefillPlan m_prefillPlan;        ///< Without an engine: no plan.
-    uint32_t m_sentBacklogTokens = 0; ///< Prompt tokens of this send that count as its load.
-    uint64_t m_backlogId = 0;         ///< Of this send in the endpoint's backlog; 0: none.
+    uint32_t m_sentBacklogTokens = 0; ///< This send's part of the endpoint's backlog.
     EventCounter m_events;            ///< Events of this send's answer.
     http::Head m_head;
     AnswerMetadata m_answer;
--- a/src/serving/sessionanswer.cpp
+++ b/src/serving/sessionanswer.cpp
@@ -153,7 +153,8 @@
 
 void Session::relayEvents(std::string &body)
 {
-    removeFromBacklog();
+    if (m_sentBacklogTokens > 0)
+        m_endpoint->ownLoad.backlogTokens -= std::exchange(m_sentBacklogTokens, 0);
     countForUsage();
     m_mayHaveRun = true;
     recordStepTime(body);
--- a/src/serving/sessionevidence.cpp
+++ b/src/serving/sessionevidence.cpp
@@ -52,39 +52,20 @@
 {
     if (!m_prefillPlan.engine)
         return;
-    if (m_prefillEngine) {
-        if (m_runSends == 1)
-            m_services.handOver.note(m_promptInfo.tokens, msBetween(m_prefilledAt, m_firstEventAt));
-        return;
-    }
+    const bool disaggregated = m_prefillEngine != nullptr;
+    if (disaggregated && m_runSends == 1)
+        m_services.handOver.note(m_promptInfo.tokens, msBetween(m_prefilledAt, m_firstEventAt));
     const double ms = msBetween(m_assignedAt, m_firstEventAt);
     const double tokens = m_prefillPlan.aheadTokens + m_prefillPlan.choice.uncachedTokens;
-    m_services.colocatedPrefill.note(tokens, ms);
+    (disaggregated ? m_services.disaggregatedPrefill : m_services.colocatedPrefill)
+        .note(tokens, ms);
+    // The slowdown of a prefill engine is learned from its prefills (recordEngineSpeed).
+    if (disaggregated && m_prefillPlan.choice.byPace)
+        return;
     updateSlowness(*m_prefillPlan.engine, Milliseconds(std::llround(ms)),
                    m_prefillPlan.choice.predictedFirstToken);
 }
 
-void Session::addToBacklog()
-{
-    if (m_sentBacklogTokens == 0)
-        return;
-    const TimePoint now = m_sentAt;
-    const policy::PlacementSettings &settings = m_services.placement;
-    const double ahead = m_endpoint->backlog.tokens(now) + m_endpoint->peerLoad.backlogTokens;
-    const policy::PlacementCandidate view = placementViewOf(*m_endpoint, {}, now);
-    const double msPerToken = m_purpose == Purpose::Prefill
-        ? policy::prefillFactor(view) / settings.prefill.tokensPerMs
-        : m_endpoint->slowness / settings.colocatedPrefill.tokensPerMs;
-    m_backlogId = m_endpoint->backlog.add(m_sentBacklogTokens, ahead * msPerToken,
-                                          m_sentBacklogTokens * msPerToken, now);
-}
-
-void Session::removeFromBacklog()
-{
-    m_endpoint->backlog.remove(std::exchange(m_backlogId, 0));
-    m_endpoint->ownLoad.backlogTokens -= std::exchange(m_sentBacklogTokens, 0);
-}
-
 void Session::recordPrefill()
 {
     const double ms = msBetween(m_sentAt, m_prefilledAt);
