--- a/src/policy/prefilldurationestimator.cpp
+++ b/src/policy/prefilldurationestimator.cpp
@@ -29,8 +29,7 @@
     const double step =
         std::clamp(FirstStep / static_cast<double>(++m_count), MinStep, MaxFirstStep) * error;
     double &ahead = m_model.aheadShare[std::min(work.priority, LowestEnginePriority)];
-    const double aheadPart =
-        factor * ahead * work.aheadTokens / m_model.tokensPerMs / predicted;
+    const double aheadPart = factor * ahead * work.aheadTokens / m_model.tokensPerMs / predicted;
     const double tokenPart = factor * work.tokens / m_model.tokensPerMs / predicted + aheadPart;
     const double fixedPart = m_model.fixedMs / predicted;
     const double fetchPart = work.fetches ? m_model.fetchMs / predicted : 0;
--- a/test/correctness/stagereplacements.cpp
+++ b/test/correctness/stagereplacements.cpp
@@ -280,7 +280,8 @@
 }
 
 // Guards against a decode stage of slow engines on a service with two kinds of machines, on which
-// every token of every stream takes longer: prefill takes the slow ones and gives the fast ones back.
+// every token of every stream takes longer: prefill takes the slow ones and gives the fast ones
+// back.
 Test(stagereplacements, fast_engines_are_preferred_for_decode)
 {
     for (const bool towardsPrefill : {true, false}) {
