--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -33,8 +33,54 @@
     return preferred;
 }
 
+// Load and speed figures are not recent enough to tell smaller differences, and gateways that
+// decide on the same figures should not all choose the same engine.
+constexpr double PrefillTieShare = 0.05;
+// The largest slowdown and the highest pace at once are more likely to be wrong than true.
+constexpr double MinPrefillFactor = 0.15;
+constexpr double MaxPrefillFactor = 8;
+
+/** Times to the first token at one engine. */
+struct PredictedTimes
+{
+    double prefillMs = 0; ///< Until the engine has prefilled the prompt.
+    double restMs = 0;    ///< From then to the first token.
+};
+
+PredictedTimes predictTimes(const PlacementCandidate &engine, double tokens, bool fetch,
+                            const PromptInfo &prompt, const PlacementSettings &settings)
+{
+    PredictedTimes times;
+    if (!settings.predictsByPace) {
+        const PrefillTimeModel &model =
+            engine.isPrefillEngine ? settings.disaggregatedPrefill : settings.colocatedPrefill;
+        times.prefillMs = (engine.backlogTokens + tokens) * engine.slowness / model.tokensPerMs;
+        times.restMs = model.fixedMs + (fetch ? settings.prefixFetchMs : 0);
+        return times;
+    }
+    if (engine.isPrefillEngine) {
+        times.prefillMs = settings.prefill.predictMs(
+            {tokens, engine.backlogTokens, prompt.priority, fetch}, prefillFactor(engine));
+        times.restMs = settings.handOver.fixedMs + prompt.tokens / settings.handOver.tokensPerMs;
+        return times;
+    }
+    // The smoothed slowness contains the usual pace already.
+    const PrefillTimeModel &model = settings.colocatedPrefill;
+    times.prefillMs = (engine.backlogTokens + tokens) / model.tokensPerMs * engine.slowness
+        * engine.pace / engine.usualPace;
+    times.restMs = model.fixedMs + (fetch ? settings.prefixFetchMs : 0);
+    return times;
+}
+
 } // namespace
 
+double prefillFactor(const PlacementCandidate &engine)
+{
+    if (!engine.slowdown)
+        return engine.slowness * engine.pace;
+    return std::clamp(*engine.slowdown * engine.pace, MinPrefillFactor, MaxPrefillFactor);
+}
+
 std::optional<PrefillChoice> choosePrefillEngine(const std::vector<PlacementCandidate> &engines,
                                                  const PromptInfo &prompt,
                                                  const PlacementSettings &settings,
@@ -54,8 +100,6 @@
             || (!engine.isPrefillEngine
                 && engine.running >= engine.slots * settings.maxColocatedSlotUse))
             continue;
-        const PrefillTimeModel &model =
-            engine.isPrefillEngine ? settings.disaggregatedPrefill : settings.colocatedPrefill;
         const bool fetch = prompt.fetchableTokens > engine.cachedTokens + settings.minFetchTokens;
         const uint32_t reusableTokens = fetch ? prompt.fetchableTokens : engine.cachedTokens;
         const double missingTokens = prompt.tokens - std::min(reusableTokens, prompt.tokens);
@@ -64,12 +108,22 @@
             : missingTokens;
         const double crossDomainMs =
             engine.domain == settings.domain ? 0 : settings.crossDomainPrefillMs;
-        const double ms = model.fixedMs + crossDomainMs + (fetch ? settings.prefixFetchMs : 0)
-            + (engine.backlogTokens + expectedTokens) * engine.slowness / model.tokensPerMs
-            + tie(random);
-        if (ms < best) {
-            best = ms;
-            choice = PrefillChoice{i, static_cast<uint32_t>(missingTokens), fetch, wholeMs(ms)};
+        const PredictedTimes times = predictTimes(engine, expectedTokens, fetch, prompt, settings);
+        const double ms = times.prefillMs + times.restMs + crossDomainMs;
+        const double spread = settings.predictsByPace ? times.prefillMs * PrefillTieShare : 1;
+        const double score = ms + spread * tie(random);
+        if (score < best) {
+            best = score;
+            choice.emplace();
+            choice->index = i;
+            choice->uncachedTokens = static_cast<uint32_t>(missingTokens);
+            choice->expectedTokens = expectedTokens;
+            choice->fetch = fetch;
+            choice->predictedFirstToken = wholeMs(ms);
+            choice->predictedPrefill = wholeMs(settings.predictsByPace ? times.prefillMs : ms);
+            choice->byPace = settings.predictsByPace;
+            choice->slowdown = engine.slowdown.value_or(engine.slowness);
+            choice->pace = engine.pace;
         }
     }
     return choice;
@@ -89,7 +143,8 @@
         const PlacementCandidate &endpoint = endpoints[i];
         if (!endpoint.usable)
             continue;
-        double share = (endpoint.running + 1) * endpoint.slowness / std::max(1U, endpoint.slots);
+        double share = (endpoint.running + 1) * endpoint.slowness * endpoint.pace
+            / std::max(1U, endpoint.slots);
         if (endpoint.domain != domain)
             share += settings.crossDomainSlotPenalty;
         share += tie(random);
@@ -101,4 +156,17 @@
     return choice;
 }
 
+void applyHolds(std::vector<PlacementCandidate> &endpoints)
+{
+    const bool othersHaveRoom =
+        std::any_of(endpoints.begin(), endpoints.end(), [](const PlacementCandidate &it) {
+            return it.usable && !it.held && !it.probe && !it.isPrefillEngine
+                && it.running < it.slots;
+        });
+    if (!othersHaveRoom)
+        return;
+    for (PlacementCandidate &it : endpoints)
+        it.usable = it.usable && !it.held;
+}
+
 } // namespace jujube::policy
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -5,6 +5,7 @@
  */
 
 #include "core/clock.h"
+#include "policy/prefilldurationestimator.h"
 
 #include <cstdint>
 #include <optional>
@@ -26,10 +27,15 @@
     double backlogTokens = 0;  ///< Prompt tokens sent to it that await prefill.
     uint32_t cachedTokens = 0; ///< Tokens of this request's prompt in its cache.
     double slowness = 1;       ///< Ratio of observed to expected duration of requests.
+    /** Learned factor on the duration of prefills (EngineSlowdown); nothing without evidence. */
+    std::optional<double> slowdown{};
+    double pace = 1;      ///< Factor on the duration of work by the endpoint's reports.
+    double usualPace = 1; ///< Low quantile of the reported paces.
     /** Prefills prompts that others decode; otherwise only those that it decodes. */
     bool isPrefillEngine = false;
     bool usable = true; ///< Accepts new requests.
     bool probe = false; ///< Ejected and due for a probe request.
+    bool held = false;  ///< Has just registered and may be assigned another stage shortly.
 };
 
 /** Properties of a prompt that its placement depends on. */
@@ -38,6 +44,7 @@
     uint32_t tokens = 0;
     uint64_t prefixHash = 0; ///< Hash of the last block that is shared with other prompts; 0: none.
     uint32_t fetchableTokens = 0; ///< Tokens held by some endpoint that others can fetch them from.
+    uint32_t priority = 0;        ///< At the engine; 0 is served first.
 };
 
 /** Linear model of the time from sending a prompt to its first token, without the wait for prompts
@@ -50,9 +57,16 @@
 
 struct PlacementSettings
 {
-    // Initial values; both are updated from observed requests by PrefillTimeEstimator.
-    /** On a prefill engine, whose cache is then handed over. */
+    /** Whether prefills are predicted by the slowdown and pace of each engine. A gateway sets it
+     * once an endpoint has stated a pace. Without paces, learned slowdowns alone measured slightly
+     * worse than one smoothed ratio (docs/POLICY.md). */
+    bool predictsByPace = true;
+    // Initial values, which are updated from observed requests.
+    /** Time to the first token through a prefill engine, if predictsByPace is not set. */
     PrefillTimeModel disaggregatedPrefill{60, 75};
+    PrefillDurationModel prefill; ///< On a prefill engine of usual speed.
+    /** From the end of a prefill on a prefill engine to the first token of the decode engine. */
+    PrefillTimeModel handOver{500, 50};
     /** On the decode engine, between tokens of other requests. */
     PrefillTimeModel colocatedPrefill{18, 45};
     double prefixFetchMs = 10; ///< Time to fetch cached prefix blocks from another endpoint.
@@ -71,6 +85,7 @@
     double crossDomainSlotPenalty = 0.15;
     double crossDomainPrefillMs = 20; ///< Time added for a prefill in another domain.
     std::string domain{};             ///< Failure domain of this gateway.
+    uint32_t gateways = 1;            ///< That send prompts to the same engines.
 };
 
 /** Engine chosen to prefill a prompt. */
@@ -78,10 +93,19 @@
 {
     size_t index = 0;
     uint32_t uncachedTokens = 0;
-    bool fetch = false; ///< Whether to fetch cached prefix blocks from another endpoint.
+    double expectedTokens = 0; ///< Tokens that the engine is expected to prefill.
+    bool fetch = false;        ///< Whether to fetch cached prefix blocks from another endpoint.
     core::Milliseconds predictedFirstToken{}; ///< Time from sending the prompt.
+    core::Milliseconds predictedPrefill{};    ///< Time to the answer of a prefill engine.
+    bool byPace = true;                       ///< PlacementSettings::predictsByPace of the choice.
+    double slowdown = 1; ///< Factor by which this engine takes longer, without its pace.
+    double pace = 1;     ///< Factor of its reported pace.
 };
 
+/** Factor by which a prefill on a prefill engine takes longer than usual at this moment; limited,
+ * so that wrong figures never take an engine out of use. */
+double prefillFactor(const PlacementCandidate &engine);
+
 /** Chooses the engine with the lowest predicted time to the first token, among prefill engines and
  * decode engines that prefill the prompt themselves. Returns nothing if no engine is usable. */
 std::optional<PrefillChoice> choosePrefillEngine(const std::vector<PlacementCandidate> &engines,
@@ -96,4 +120,7 @@
                                                 const PlacementSettings &settings,
                                                 std::mt19937_64 &random);
 
+/** Marks the held endpoints as unusable, unless no other decode engine has a free slot. */
+void applyHolds(std::vector<PlacementCandidate> &endpoints);
+
 } // namespace jujube::policy
--- a/src/policy/stageplanner.cpp
+++ b/src/policy/stageplanner.cpp
@@ -11,6 +11,8 @@
 
 // Longer than the time for which a stage change or a crash of some engines distorts the split.
 constexpr std::chrono::duration<double> ObservedShareTimeConstant{5};
+// Longer than the time from the end of an engine until its successor has changed its stage.
+constexpr core::Milliseconds ReplacementTime{10'000};
 
 double prefillShare(const std::vector<StageView> &engines)
 {
@@ -19,6 +21,30 @@
     return static_cast<double>(prefill) / static_cast<double>(engines.size());
 }
 
+double prefillSpeed(const StageView &engine)
+{
+    constexpr double minSlowdown = 0.2;
+    constexpr double maxSlowdown = 5;
+    return 1 / std::clamp(engine.slowdown, minSlowdown, maxSlowdown);
+}
+
+// Speeds within about a quarter of each other are in one class, so that the error of the estimates
+// does not decide which engine is moved.
+int speedClass(const StageView &engine)
+{
+    constexpr double classWidth = 1.25;
+    return static_cast<int>(std::lround(std::log(prefillSpeed(engine)) / std::log(classWidth)));
+}
+
+// Fast engines decode: each token of a stream takes longer on a slow one, while a large part of a
+// prefill does not depend on the speed, and long prompts go to those prefill engines that are fast.
+// Each doubling of the speed outweighs this many engines of imbalance between failure domains.
+int speedInEngines(const StageView &engine)
+{
+    constexpr double enginesPerDoubling = 2;
+    return static_cast<int>(std::lround(enginesPerDoubling * std::log2(prefillSpeed(engine))));
+}
+
 } // namespace
 
 // Returns the use of the bottleneck stage relative to its target use.
@@ -159,7 +185,7 @@
     if (m_trafficSeen)
         observe(demand, now);
     const auto passed = std::exchange(m_shareObservedAt, now);
-    if (engines.empty())
+    if (engines.empty() || observeReplacements(engines, now))
         return;
     const double share = prefillShare(engines);
     const double weight =
@@ -168,6 +194,20 @@
         m_observedShare ? *m_observedShare + weight * (share - *m_observedShare) : share;
 }
 
+// Returns whether engines were replaced a short time ago. The present share is then not the one
+// that the leader aims at.
+bool StagePlanner::observeReplacements(const std::vector<StageView> &engines, core::TimePoint now)
+{
+    std::set<std::pair<std::string, int64_t>> present;
+    for (const StageView &it : engines)
+        present.emplace(it.id, it.bornMs);
+    const bool changed = present != m_observedEngines;
+    if (changed && m_trafficSeen && m_observedShare)
+        m_replacedAt = now;
+    m_observedEngines = std::move(present);
+    return m_replacedAt != core::TimePoint{} && now - m_replacedAt < ReplacementTime;
+}
+
 // Adopts the split of the previous leader, because changing it would make engines unavailable for
 // seconds.
 void StagePlanner::becomeLeader(const std::vector<StageView> &engines, core::TimePoint now)
@@ -181,6 +221,26 @@
 
 std::vector<StageChange> StagePlanner::plan(const std::vector<StageView> &engines,
                                             const StageDemand &demand, core::TimePoint now)
+{
+    std::vector<StageChange> changes = planNewEngines(engines, demand, now);
+    const auto round = planRound(withAssignments(engines), demand, now);
+    changes.insert(changes.end(), round.begin(), round.end());
+    return changes;
+}
+
+// Before traffic the initial split covers all engines.
+std::vector<StageChange> StagePlanner::planNewEngines(const std::vector<StageView> &engines,
+                                                      const StageDemand &demand,
+                                                      core::TimePoint now)
+{
+    if (!m_isLeader || !m_trafficSeen)
+        return {};
+    forgetOldAssignments(engines, now);
+    return assignNewEngines(engines, demand, now);
+}
+
+std::vector<StageChange> StagePlanner::planRound(const std::vector<StageView> &engines,
+                                                 const StageDemand &demand, core::TimePoint now)
 {
     size_t available = 0;
     size_t prefill = 0;
@@ -219,6 +279,109 @@
     return round;
 }
 
+// An order without a known answer counts until the engine's entry would show the stage, and no
+// engine is ordered again before that.
+void StagePlanner::forgetOldAssignments(const std::vector<StageView> &engines, core::TimePoint now)
+{
+    std::erase_if(m_assignments, [&](const auto &entry) {
+        const auto engine = std::find_if(engines.begin(), engines.end(),
+                                         [&](const StageView &it) { return it.id == entry.first; });
+        return engine == engines.end() || engine->bornMs != entry.second.bornMs
+            || now - entry.second.at >= m_settings.retryInterval;
+    });
+}
+
+void StagePlanner::recordRefusedAssignment(const std::string &id)
+{
+    if (const auto it = m_assignments.find(id); it != m_assignments.end())
+        it->second.refused = true;
+}
+
+// Returns the engines with the new ones in the stage that they were assigned, as if the change were
+// complete: it is not a loss that would justify moving an engine in use.
+std::vector<StageView> StagePlanner::withAssignments(std::vector<StageView> engines) const
+{
+    for (StageView &it : engines) {
+        const auto assignment = m_assignments.find(it.id);
+        if (it.lost || assignment == m_assignments.end() || assignment->second.refused)
+            continue;
+        it.prefill = true;
+        it.available = true;
+    }
+    return engines;
+}
+
+// Returns how many of the possible changes to prefill the stage needs. The target is a capacity;
+// the number of engines stays close to it as well, because speeds are estimates and those of new
+// engines are not known.
+size_t StagePlanner::newEnginesNeeded(const std::vector<StageView> &engines,
+                                      const std::vector<StageChange> &possible, size_t target)
+{
+    constexpr double maxCountDeviation = 0.1;
+    const double minCount = static_cast<double>(target) * (1 - maxCountDeviation);
+    const double maxCount = static_cast<double>(target) * (1 + maxCountDeviation);
+    double total = 0;
+    double capacity = 0;
+    double count = 0;
+    for (const StageView &it : engines) {
+        total += prefillSpeed(it);
+        capacity += it.prefill ? prefillSpeed(it) : 0;
+        count += it.prefill ? 1 : 0;
+    }
+    const double wanted = static_cast<double>(target) * total / static_cast<double>(engines.size());
+    size_t needed = 0;
+    for (const StageChange &change : possible) {
+        const auto engine = std::find_if(engines.begin(), engines.end(),
+                                         [&](const StageView &it) { return it.id == change.id; });
+        const double speed = prefillSpeed(*engine);
+        const bool below = wanted - capacity >= speed / 2 && count + 1 <= maxCount;
+        if (count >= minCount && !below)
+            break;
+        ++needed;
+        ++count;
+        capacity += speed;
+    }
+    return needed;
+}
+
+// Returns whether decode is above its target use and the bottleneck. A new engine is then of more
+// use as it is: during a burst of long outputs, prompts wait for slots and not for prefill.
+bool StagePlanner::decodeIsShort(const std::vector<StageView> &engines,
+                                 const StageDemand &demand) const
+{
+    const auto prefill = static_cast<double>(std::count_if(
+        engines.begin(), engines.end(), [](const StageView &it) { return it.prefill; }));
+    const double decode = static_cast<double>(engines.size()) - prefill;
+    const double decodeUse = demand.busyDecodeSlots / (std::max(1.0, decode) * demand.slots);
+    const double prefillUse =
+        demand.promptTokensPerSecond / (std::max(1.0, prefill) * demand.prefillTokensPerSecond);
+    return decodeUse > m_settings.targetDecodeUse
+        && decodeUse / m_settings.targetDecodeUse > prefillUse / m_settings.targetPrefillUse;
+}
+
+// Counts engines that are paused for a moment, as an assignment lasts longer than such a pause.
+std::vector<StageChange> StagePlanner::assignNewEngines(const std::vector<StageView> &engines,
+                                                        const StageDemand &demand,
+                                                        core::TimePoint now)
+{
+    std::vector<StageView> present = withAssignments(engines);
+    std::erase_if(present, [](const StageView &it) { return it.lost; });
+    if (present.size() < 2 || decodeIsShort(present, demand))
+        return {};
+    for (StageView &it : present)
+        it.available = it.prefill || it.unused;
+    std::vector<StageChange> changes = planChanges(present, present.size(), present.size());
+    changes.resize(
+        newEnginesNeeded(present, changes, targetPrefillCount(present.size(), demand.slots)));
+    for (StageChange &it : changes) {
+        it.newEngine = true;
+        const auto engine = std::find_if(present.begin(), present.end(),
+                                         [&](const StageView &view) { return view.id == it.id; });
+        m_assignments.insert_or_assign(it.id, Assignment{engine->bornMs, now});
+    }
+    return changes;
+}
+
 std::vector<StageChange> StagePlanner::planChanges(const std::vector<StageView> &engines,
                                                    size_t target, size_t maxChanges) const
 {
@@ -236,18 +399,21 @@
     const size_t difference = morePrefill ? target - present : present - target;
     std::vector<const StageView *> movable;
     for (const StageView &it : engines) {
-        if (it.available && it.prefill != morePrefill)
+        if (it.available && it.prefill != morePrefill && !m_assignments.contains(it.id))
             movable.push_back(&it);
     }
     std::vector<StageChange> result;
     while (result.size() < std::min<size_t>(difference, maxChanges) && !movable.empty()) {
         // Prefer the domain with the fewest prefill engines if more are wanted, else the one with
-        // the most; then the engine with the fewest requests.
+        // the most, where a much faster engine counts as a difference of some engines; then a slow
+        // engine for prefill or a fast one for decode; then the engine with the fewest requests.
         const auto better = [&](const StageView *a, const StageView *b) {
-            const int x = prefillByDomain[a->domain];
-            const int y = prefillByDomain[b->domain];
+            const int x = prefillByDomain[a->domain] + speedInEngines(*a);
+            const int y = prefillByDomain[b->domain] + speedInEngines(*b);
             if (x != y)
                 return morePrefill ? x < y : x > y;
+            if (const int v = speedClass(*a), w = speedClass(*b); v != w)
+                return morePrefill ? v < w : v > w;
             return a->running != b->running ? a->running < b->running : a->id < b->id;
         };
         const auto it = std::min_element(movable.begin(), movable.end(), better);
--- a/src/serving/endpoints.cpp
+++ b/src/serving/endpoints.cpp
@@ -31,6 +31,12 @@
 // An entry expires when its owner has missed three reports, which are more than a second apart.
 constexpr core::Milliseconds HoldBackTime{6'000};
 
+// Covers the leader's tick (200 ms), two exchanges with the engine and one round of gossip (100
+// ms).
+constexpr core::Milliseconds NewEngineHold{400};
+// Long enough for one repeated order (StagePlannerSettings::retryInterval).
+constexpr core::Milliseconds NewEngineTime{10'000};
+
 // Logs a limit that has changed; a negative one has ended.
 void logLimit(const Endpoint &endpoint, std::string_view source)
 {
@@ -57,6 +63,43 @@
     pausedUntil = std::max(pausedUntil, now + time);
 }
 
+void Endpoint::noteReport(const ReportedLoad &load, core::TimePoint now, bool own)
+{
+    const core::TimePoint at = now - load.age;
+    // Answers to prefills state no pace; they must not keep the pace of a probe from the peers.
+    const bool hidesPace = load.pacePercent == 0 && ownReport.pacePercent > 0
+        && at - ownReportAt < policy::LoadReportLifetime;
+    if (own && !hidesPace) {
+        ownReport = load;
+        ownReportAt = at;
+    }
+    if (at <= reportedAt)
+        return;
+    report = load;
+    reportedAt = at;
+    pace.note(load.pacePercent, at);
+}
+
+// Peers need a report if it states the pace, or more requests than the gateways know of. Reports
+// that others have received are not passed on, as they would seem newer with each step.
+std::optional<ReportedLoad> Endpoint::reportToShare(core::TimePoint now) const
+{
+    if (ownReportAt == core::TimePoint{} || now - ownReportAt >= policy::LoadReportLifetime)
+        return std::nullopt;
+    const bool otherClients =
+        ownReport.running + ownReport.waiting > ownLoad.running + peerLoad.running;
+    if (ownReport.pacePercent == 0 && !otherClients)
+        return std::nullopt;
+    ReportedLoad shared = ownReport;
+    shared.age = std::chrono::floor<core::Milliseconds>(now - ownReportAt);
+    return shared;
+}
+
+bool Endpoint::isUnused(core::TimePoint now) const
+{
+    return registeredAt != core::TimePoint{} && now - registeredAt < NewEngineTime && !hadRequests;
+}
+
 // The copy has one record of each endpoint, so a second record was written in the new era. A record
 // of a draining endpoint is applied at once.
 bool EndpointTable::mayPredateRestore(const EndpointRecord &record) const
@@ -76,7 +119,8 @@
     return past && record.version.era > past->era && record.sequence <= past->sequence;
 }
 
-void EndpointTable::update(const EndpointRecord &record, uint64_t cacheTokens)
+bool EndpointTable::update(const EndpointRecord &record, uint64_t cacheTokens,
+                           RecordArrival arrival)
 {
     if (mayPredateRestore(record)) {
         core::Event("endpoint.doubted")
@@ -84,10 +128,10 @@
             .with("era", record.version.era)
             .with("sequence", record.sequence);
         m_heldBack.insert_or_assign(record.id, HeldBackRecord{record, cacheTokens, {}});
-        return;
+        return false;
     }
     m_heldBack.erase(record.id);
-    apply(record, cacheTokens);
+    return apply(record, cacheTokens, arrival);
 }
 
 void EndpointTable::applyHeldBack(core::TimePoint now)
@@ -101,17 +145,17 @@
     }
     for (const HeldBackRecord &it : due) {
         m_heldBack.erase(it.record.id);
-        apply(it.record, it.cacheTokens);
+        apply(it.record, it.cacheTokens, {});
     }
 }
 
-void EndpointTable::apply(const EndpointRecord &record, uint64_t cacheTokens)
+bool EndpointTable::apply(const EndpointRecord &record, uint64_t cacheTokens, RecordArrival arrival)
 {
     const auto it = m_byId.find(record.id);
     if (it != m_byId.end()) {
         const EndpointPtr &known = it->second;
         if (known->record.version >= record.version)
-            return;
+            return false;
         const bool same = known->record.bornMs == record.bornMs
             && known->record.address == record.address && known->record.service == record.service;
         if (same) {
@@ -123,9 +167,9 @@
                     .with("revision", record.version.revision);
             }
             if (known->record.stage != record.stage)
-                known->pausedUntil = {};
+                known->pausedUntil = known->registeredAt = {};
             known->record = record;
-            return;
+            return false;
         }
         remove(record.id, record.version.era);
     }
@@ -133,6 +177,10 @@
     if (const PastIncarnation *past = findPastIncarnation(record)) {
         endpoint->leaving = past->leaving;
         endpoint->backoffUntil = past->backoffUntil;
+    } else if (record.stage != Stage::None) {
+        endpoint->registeredAt = arrival.at;
+        if (arrival.leaderKnown && !endpoint->prefills())
+            endpoint->heldUntil = arrival.at + NewEngineHold;
     }
     m_byId.emplace(record.id, endpoint);
     m_byHash.insert_or_assign(endpoint->hash, endpoint);
@@ -143,6 +191,7 @@
         .with("address", record.address)
         .with("stage", stageName(record.stage))
         .with("revision", record.version.revision);
+    return endpoint->registeredAt != core::TimePoint{};
 }
 
 void EndpointTable::remove(const std::string &id, uint64_t era)
@@ -242,11 +291,34 @@
     for (const auto &[id, endpoint] : m_byId)
         endpoint->peerLoad = {};
     for (const GossipLoadShare &share : shares) {
-        if (const auto it = m_byHash.find(share.endpoint); it != m_byHash.end())
-            it->second->peerLoad = share.load;
+        const auto it = m_byHash.find(share.endpoint);
+        if (it == m_byHash.end())
+            continue;
+        it->second->peerLoad = share.load;
+        it->second->hadRequests = it->second->hadRequests || share.load.running > 0;
     }
 }
 
+void EndpointTable::updateSlowdowns(core::TimePoint now)
+{
+    std::vector<policy::EngineSlowdown *> engines;
+    for (const auto &[service, endpoints] : m_byService) {
+        engines.clear();
+        for (const EndpointPtr &it : endpoints) {
+            if (it->prefills())
+                engines.push_back(&it->slowdown);
+        }
+        policy::normalizeSlowdowns(engines, now);
+    }
+}
+
+bool EndpointTable::statesPace() const
+{
+    return std::any_of(m_byId.begin(), m_byId.end(), [](const auto &it) {
+        return it.second->pace.reportedAt() != core::TimePoint{};
+    });
+}
+
 const std::vector<EndpointPtr> &EndpointTable::ofService(const std::string &service) const
 {
     static const std::vector<EndpointPtr> none;
@@ -294,7 +366,11 @@
     view.backlogTokens = endpoint.ownLoad.backlogTokens + endpoint.peerLoad.backlogTokens;
     view.cachedTokens = endpoint.prefixCache.cachedTokens(prompt);
     view.slowness = endpoint.slowness;
+    view.slowdown = endpoint.slowdown.factor();
+    view.pace = endpoint.pace.factor(now);
+    view.usualPace = endpoint.pace.usual(now);
     view.isPrefillEngine = endpoint.prefills();
+    view.held = endpoint.isHeld(now);
     const auto state = endpoint.health.state(now);
     view.probe = state == policy::OutlierDetector::State::ProbeDue;
     view.usable = endpoint.acceptsWork() && now >= endpoint.pausedUntil && !endpoint.inBackoff(now)
@@ -356,6 +432,10 @@
     if ((answer.requestLimit || answer.endsLimit)
         && endpoint.limit.observe(answer.requestLimit, now))
         logLimit(endpoint, "answer");
+    if (answer.load)
+        endpoint.noteReport(
+            {answer.load->running, answer.load->waiting, answer.load->pacePercent.value_or(0), {}},
+            now, true);
     if (!answer.retryAfter)
         return;
     // Answers can arrive out of order, so a shorter back-off does not replace a longer one.
--- a/src/serving/endpoints.h
+++ b/src/serving/endpoints.h
@@ -4,9 +4,11 @@
  * Defines the table of endpoints that a gateway knows, with their load and health.
  */
 
+#include "policy/engineslowdown.h"
 #include "policy/outlierdetector.h"
 #include "policy/placement.h"
 #include "policy/prefixcachemodel.h"
+#include "policy/reportedpace.h"
 #include "policy/requestlimit.h"
 #include "serving/fleetconfig.h"
 #include "serving/requesttypes.h"
@@ -28,14 +30,24 @@
     uint32_t backlogTokens = 0; ///< Prompt tokens sent and not prefilled yet.
 };
 
+/** Load that an endpoint has reported, with the age of the report. */
+struct ReportedLoad
+{
+    uint32_t running = 0;
+    uint32_t waiting = 0;
+    uint32_t pacePercent = 0; ///< 0: not stated.
+    core::Milliseconds age{};
+};
+
 /** Load and state of one endpoint in a gossip message. */
 struct GossipLoadShare
 {
     uint64_t endpoint = 0; ///< Hash of the endpoint's id.
     OutstandingLoad load;
-    bool changing = false; ///< The sender has ordered it to change its stage.
-    bool failing = false;  ///< The sender has ejected it.
-    bool leaving = false;  ///< It has announced its shutdown to the sender.
+    bool changing = false;                ///< The sender has ordered it to change its stage.
+    bool failing = false;                 ///< The sender has ejected it.
+    bool leaving = false;                 ///< It has announced its shutdown to the sender.
+    std::optional<ReportedLoad> report{}; ///< That the sender has received from the endpoint.
 };
 
 /** Hash that identifies an endpoint in gossip messages. */
@@ -63,6 +75,16 @@
      * stage. A longer pause stays. */
     void pauseFor(core::TimePoint now, core::Milliseconds time);
     bool prefills() const { return record.stage == Stage::Prefill; }
+    /** Applies a report of the load unless a newer one is known.
+     * \param own whether this gateway has received it from the endpoint. */
+    void noteReport(const ReportedLoad &load, core::TimePoint now, bool own);
+    /** \return the report of this gateway that others should know of, if any. */
+    std::optional<ReportedLoad> reportToShare(core::TimePoint now) const;
+    /** Whether it has registered while this gateway followed the store, has its initial stage and,
+     * as far as is known, got no request. */
+    bool isUnused(core::TimePoint now) const;
+    /** Whether new work is held back from it, so that the leader can assign its stage. */
+    bool isHeld(core::TimePoint now) const { return now < heldUntil && isUnused(now); }
 
     EndpointRecord record;
     uint64_t hash = 0;        ///< Hash of the id, for gossip messages.
@@ -71,7 +93,15 @@
     policy::OutlierDetector health{EndpointHealthSettings};
     policy::ErrorRateTest errors;
     policy::PrefixCacheModel prefixCache;
-    double slowness = 1; ///< Observed over predicted time to the first token, smoothed.
+    /** Observed over predicted time to the first token, smoothed. Not updated by prefills for other
+     * engines, whose duration slowdown describes. */
+    double slowness = 1;
+    policy::EngineSlowdown slowdown; ///< Of prefills.
+    policy::ReportedPace pace;
+    ReportedLoad report;          ///< Freshest known; its age is that at its arrival.
+    core::TimePoint reportedAt{}; ///< Time of the freshest report; not set: none.
+    ReportedLoad ownReport;       ///< Last report that this gateway has received.
+    core::TimePoint ownReportAt{};
     core::TimePoint lastLostAnswerAt{}; ///< Last time that a request ended without an answer.
     uint32_t consecutiveRefusals = 0;   ///< Without another answer in between, to this gateway.
     uint32_t connections = 0;           ///< In use by this gateway.
@@ -81,10 +111,21 @@
     core::TimePoint backoffUntil{};     ///< End of the back-off that the endpoint asked for.
     /** No new work until then: its stage changes, it has refused a request, or it is suspected. */
     core::TimePoint pausedUntil{};
+    core::TimePoint registeredAt{}; ///< Not set if its registration was not observed.
+    core::TimePoint heldUntil{};
+    bool hadRequests = false; ///< Of any gateway, as far as is known.
 };
 
 using EndpointPtr = std::shared_ptr<Endpoint>;
 
+/** How an endpoint record was received. */
+struct RecordArrival
+{
+    /** Time at which it arrived as a change; not set if it was listed. */
+    core::TimePoint at{};
+    bool leaderKnown = false; ///< The store names a leader, which may assign a stage.
+};
+
 /** All known endpoints, by id and by service. */
 class EndpointTable
 {
@@ -94,8 +135,9 @@
      * The first records of a new era of the store may come from the copy that it was restored from.
      * A record that is not newer than the one known of its incarnation is held back until its owner
      * has written again, or until the entry of an owner that is gone would have expired
-     * (applyHeldBack). */
-    void update(const EndpointRecord &record, uint64_t cacheTokens);
+     * (applyHeldBack).
+     * \return whether a new engine has registered whose stage may be assigned. */
+    bool update(const EndpointRecord &record, uint64_t cacheTokens, RecordArrival arrival = {});
     /** Applies records that were held back for long enough. Call several times a second. */
     void applyHeldBack(core::TimePoint now);
     /** Removes an endpoint. \param era of the store in which its entry was removed. */
@@ -114,6 +156,10 @@
     void mergeLimit(uint64_t hash, const policy::LimitObservation &observation);
     /** Replaces the known load of the other gateways. */
     void setPeerLoads(const std::vector<GossipLoadShare> &shares);
+    /** Updates the slowdowns of all prefill engines. Call several times a second. */
+    void updateSlowdowns(core::TimePoint now);
+    /** Whether an endpoint has stated its pace. */
+    bool statesPace() const;
     const std::map<std::string, EndpointPtr> &all() const { return m_byId; }
 
 private:
@@ -139,7 +185,7 @@
     };
 
     bool mayPredateRestore(const EndpointRecord &record) const;
-    void apply(const EndpointRecord &record, uint64_t cacheTokens);
+    bool apply(const EndpointRecord &record, uint64_t cacheTokens, RecordArrival arrival);
     void removeFromService(const Endpoint &endpoint);
     void rememberIncarnation(const Endpoint &endpoint, uint64_t era);
     const PastIncarnation *findPastIncarnation(const EndpointRecord &record) const;
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -20,9 +20,6 @@
 constexpr uint16_t MetricsPort = 9464; // Has to match deploy/system.toml.
 constexpr Milliseconds TickInterval{200};
 constexpr Milliseconds TokenRateWindow{2'000}; ///< Shorter than swings of the request mix.
-constexpr Milliseconds DrainPollInterval{100};
-constexpr Milliseconds MarginBeforeKill{500}; ///< Time kept free before the platform sends SIGKILL.
-constexpr Milliseconds LastAnswersTime{100};  ///< For the last answers to leave the process.
 // Limits all gateways together to about 2.5 watch calls per second.
 constexpr Milliseconds WatchWaitPerGateway{400};
 constexpr Milliseconds MinWatchWait{2'500};
@@ -38,7 +35,6 @@
 // unavailable before the counts are committed.
 constexpr Milliseconds UsageCountsDelay{1'200};
 constexpr Milliseconds LargeUsageCountsDelay{3'200};
-constexpr Milliseconds PredictionLogInterval{5'000};
 constexpr uint64_t DefaultKvCacheTokens = 500'000; ///< For engines without a configured size.
 // Parts of the memory for request bodies, buffered answers and output. A body is held twice.
 constexpr uint64_t RequestMemoryDivisor = 4;
@@ -61,6 +57,7 @@
       m_usage(m_settings.usageWindow),
       m_quotas(io, m_settings, m_random, [this]() { m_peers.loadChanged(); }),
       m_disaggregatedPrefill(m_placement.disaggregatedPrefill),
+      m_handOver(m_placement.handOver),
       m_colocatedPrefill(m_placement.colocatedPrefill),
       m_promptTokens(TokenRateWindow),
       m_outputTokens(TokenRateWindow),
@@ -76,7 +73,8 @@
            &m_usage,
            [this]() { return m_usage.windowAt(m_wallClock.at(core::BootClock::now())); },
            [this]() { return knownLimits(); },
-           [this](const std::string &peer) { return m_quotas.levelsFor(peer); }}),
+           [this](const std::string &peer) { return m_quotas.levelsFor(peer); },
+           [this]() { return engineSpeeds(); }}),
       m_feed(m_httpClient, m_settings.name, [this](const StorePage &state) { onPeerState(state); }),
       m_promptScheduler(io, m_endpoints, m_placement, m_random,
                         [this]() { return m_peers.aliveCount(); }),
@@ -113,9 +111,12 @@
           m_usage,
           m_random,
           m_placement,
+          m_prefillDuration,
           m_disaggregatedPrefill,
+          m_handOver,
           m_colocatedPrefill,
           m_prefillRate,
+          m_outputLengths,
           m_settings.domain,
           [this](const std::string &service) -> policy::SendBudget & {
               policy::SendBudgetSettings budget{m_settings.retryRatio, m_settings.retryWindow,
@@ -157,11 +158,15 @@
                           head.fields.add("Content-Type", "text/plain; version=0.0.4");
                           responder.send(head, core::renderMetrics());
                       }),
+      m_loadProber(
+          io, m_httpClient, m_endpoints, [this]() { return m_config.load(); },
+          [this]() { return !m_draining && m_peers.isCoordinator(); }),
       m_loopMonitor(io),
       m_tickTimer(io),
       m_drainTimer(io)
 {
     m_placement.domain = m_settings.domain;
+    m_placement.predictsByPace = false;
     http::ServerLimits withoutBody;
     withoutBody.maxBodyBytes = 0;
     m_readyServer.setLimits(withoutBody);
@@ -188,6 +193,7 @@
         !status.ok())
         return status;
     m_mirror->start();
+    m_loadProber.start();
     m_loopMonitor.start();
     tick();
     core::Event("gateway.started")
@@ -277,7 +283,7 @@
         m_endpoints.remove(id, item.version.era);
         return;
     }
-    m_endpoints.update(*record, cacheTokens(record->service));
+    updateEndpoint(*record);
 }
 
 void Gateway::onPeer(const StoreItem &item)
@@ -319,20 +325,6 @@
     return !m_draining && m_config.load() && !m_endpoints.all().empty();
 }
 
-void Gateway::logPredictions(TimePoint now)
-{
-    if (now - m_predictionsLoggedAt < PredictionLogInterval)
-        return;
-    m_predictionsLoggedAt = now;
-    core::Event("predictions")
-        .with("apart_tokens_per_ms", m_placement.disaggregatedPrefill.tokensPerMs)
-        .with("apart_fixed_ms", m_placement.disaggregatedPrefill.fixedMs)
-        .with("itself_tokens_per_ms", m_placement.colocatedPrefill.tokensPerMs)
-        .with("itself_fixed_ms", m_placement.colocatedPrefill.fixedMs)
-        .with("read_tokens_per_s", m_prefillRate.tokensPerSecond())
-        .with("waiting", m_promptScheduler.waitingCount());
-}
-
 void Gateway::tick()
 {
     m_tickTimer.expires_after(TickInterval);
@@ -353,7 +345,13 @@
                                                  SmallestMinWatchInterval,
                                                  LargestMinWatchInterval));
         m_leadership.setContenders(static_cast<uint32_t>(gateways));
+        m_placement.prefill = m_prefillDuration.model();
+        m_placement.handOver = m_handOver.model();
         m_placement.disaggregatedPrefill = m_disaggregatedPrefill.model();
+        m_placement.predictsByPace = m_endpoints.statesPace();
+        if (m_placement.predictsByPace)
+            m_endpoints.updateSlowdowns(now);
+        m_placement.gateways = m_peers.aliveCount();
         m_placement.colocatedPrefill = m_colocatedPrefill.model();
         logPredictions(now);
         if (m_mirror->complete() && m_mirror->reachable() && !m_draining) {
@@ -371,51 +369,4 @@
     });
 }
 
-void Gateway::drain(std::function<void()> done)
-{
-    if (std::exchange(m_draining, true))
-        return;
-    core::Event("gateway.draining").with("busy", m_clientServer.activeRequestCount());
-    m_drainSince = core::BootClock::now();
-    m_onDrained = std::move(done);
-    m_clientServer.closeAfterResponses();
-    pollDrain();
-}
-
-// New connections arrive until the load balancer has removed this process. After that the process
-// ends as soon as the last request is answered.
-void Gateway::pollDrain()
-{
-    m_drainTimer.expires_after(DrainPollInterval);
-    m_drainTimer.async_wait([this](const ErrorCode &ec) {
-        if (ec)
-            return;
-        const auto since = core::BootClock::now() - m_drainSince;
-        if (since >= RemovalTime) {
-            m_clientServer.stopListening();
-            m_clientServer.closeIdleConnections();
-        }
-        const bool empty = since >= RemovalTime && m_clientServer.activeRequestCount() == 0;
-        if (!empty && since < m_settings.drainGrace - MarginBeforeKill) {
-            pollDrain();
-            return;
-        }
-        core::Event("gateway.stopped").with("busy", m_clientServer.activeRequestCount());
-        m_leadership.stop();
-        answerOpenRequests();
-    });
-}
-
-void Gateway::answerOpenRequests()
-{
-    const auto open = std::exchange(m_sessionServices.open, {});
-    for (const auto &it : open)
-        it->giveUp("the gateway stops");
-    m_drainTimer.expires_after(open.empty() ? Milliseconds(0) : LastAnswersTime);
-    m_drainTimer.async_wait([this](const ErrorCode &ec) {
-        if (!ec)
-            m_onDrained();
-    });
-}
-
 } // namespace jujube::serving
--- a/src/serving/gateway.h
+++ b/src/serving/gateway.h
@@ -9,6 +9,7 @@
 #include "policy/ratemeter.h"
 #include "serving/catchup.h"
 #include "serving/leaderduties.h"
+#include "serving/loadprober.h"
 #include "serving/loopmonitor.h"
 #include "serving/peermesh.h"
 #include "serving/session.h"
@@ -34,11 +35,6 @@
     void drain(std::function<void()> done);
 
 private:
-    // The load balancer removes a process after two failed readiness probes, one second apart. A
-    // request accepted later than three seconds after SIGTERM could not be aborted before the grace
-    // time ends.
-    static constexpr core::Milliseconds RemovalTime{2'700};
-
     void onItem(const StoreItem &item);
     void onConfig(const StoreItem &item);
     void onEndpoint(const StoreItem &item);
@@ -55,6 +51,7 @@
 
     GossipMessage composeGossip();
     std::vector<GossipLimit> knownLimits() const;
+    std::vector<GossipEngineSpeed> engineSpeeds() const;
     TokenRates localTokenRates(core::TimePoint now) const;
     void addUsageWindows(GossipMessage &gossip);
     void onPeerState(const StorePage &state);
@@ -64,9 +61,11 @@
     void logPredictions(core::TimePoint now);
     void tick();
     void pollDrain();
+    bool acceptsNoRequests(core::TimePoint now) const;
     void answerOpenRequests();
     bool ready() const;
     uint64_t cacheTokens(const std::string &service) const;
+    void updateEndpoint(const EndpointRecord &record);
 
     boost::asio::io_context &m_io;
     NodeSettings m_settings;
@@ -83,9 +82,12 @@
     TeamQuotas m_quotas;
     PrefixBlockGossip m_sentBlocks;
     policy::PlacementSettings m_placement;
+    policy::PrefillDurationEstimator m_prefillDuration;
     policy::PrefillTimeEstimator m_disaggregatedPrefill;
+    policy::PrefillTimeEstimator m_handOver;
     policy::PrefillTimeEstimator m_colocatedPrefill;
     policy::PrefillRateEstimator m_prefillRate;
+    policy::OutputLengthEstimator m_outputLengths;
     std::map<std::string, policy::DecodeStepEstimator> m_decodeSteps; ///< By name of the service.
     policy::RateMeter m_promptTokens;
     policy::RateMeter m_outputTokens;
@@ -105,6 +107,7 @@
     http::Server m_clientServer;
     http::Server m_readyServer;
     http::Server m_metricsServer;
+    LoadProber m_loadProber;
     LoopMonitor m_loopMonitor;
     boost::asio::steady_timer m_tickTimer;
     boost::asio::steady_timer m_drainTimer;
--- a/src/serving/leaderduties.cpp
+++ b/src/serving/leaderduties.cpp
@@ -23,6 +23,8 @@
 constexpr uint64_t RetainedWindows = 8;
 constexpr Milliseconds ReportTimeout{1'500};
 constexpr Milliseconds OrderTimeout{1'000};
+// Engines that register at almost the same time are planned together.
+constexpr Milliseconds NewEngineDelay{20};
 // An engine that accepted a stage order gets no work until its entry shows the new stage, or until
 // the configured change time plus this margin has passed.
 constexpr Milliseconds StageChangeMargin{1'500};
@@ -42,6 +44,11 @@
     return window;
 }
 
+// Before traffic the initial split waits for the paces of the engines, as slow ones should decode.
+// The probes that tell them take about a second; without a first one after a second there are none.
+constexpr Milliseconds FirstPaceTime{1'000};
+constexpr Milliseconds AllPacesTime{2'500};
+
 } // namespace
 
 std::string encodeCounts(const TeamCounts &counts)
@@ -233,21 +240,44 @@
 }
 
 StageDuty::StageDuty(DutyServices &services, const NodeSettings &settings)
-    : m_services(services), m_settings(settings)
+    : m_services(services), m_settings(settings), m_planTimer(services.io)
+{
+}
+
+void StageDuty::planSoon()
 {
+    if (!m_services.leadership.held() || std::exchange(m_planTimerRuns, true))
+        return;
+    m_planTimer.expires_after(NewEngineDelay);
+    m_planTimer.async_wait([this](const boost::system::error_code &ec) {
+        if (ec)
+            return;
+        m_planTimerRuns = false;
+        if (m_services.leadership.held())
+            plan(true);
+    });
 }
 
 void StageDuty::tick()
+{
+    plan(false);
+}
+
+void StageDuty::plan(bool onlyNewEngines)
 {
     const auto config = m_services.config();
     if (!config)
         return;
     const bool leads = m_services.leadership.held();
     const TimePoint now = core::BootClock::now();
+    if (!leads)
+        m_leadsSince = {};
+    else if (m_leadsSince == TimePoint{})
+        m_leadsSince = now;
     for (const auto &[name, service] : config->services) {
         if (!service.engine)
             continue;
-        std::vector<policy::StageView> views;
+        const std::vector<policy::StageView> views = viewsOf(name, now);
         policy::StageDemand demand;
         const policy::DecodeStepEstimator &decodeSteps = m_services.decodeSteps(name);
         demand.slots = std::max(1U, service.engine->slots);
@@ -256,20 +286,8 @@
         demand.promptTokensPerSecond = rates.promptPerSecond;
         if (const double prefillRate = m_services.prefillTokensPerSecond(); prefillRate > 0)
             demand.prefillTokensPerSecond = prefillRate;
-        for (const EndpointPtr &it : m_services.endpoints.ofService(name)) {
-            if (it->record.stage == Stage::None)
-                continue;
-            policy::StageView view;
-            view.id = it->record.id;
-            view.domain = it->record.domain;
-            view.prefill = it->prefills();
-            view.running = it->ownLoad.running + it->peerLoad.running;
-            view.available = it->acceptsWork() && now >= it->pausedUntil && !it->inBackoff(now)
-                && it->health.state(now) == policy::OutlierDetector::State::Healthy;
-            if (!view.prefill)
-                demand.busyDecodeSlots += view.running;
-            views.push_back(std::move(view));
-        }
+        for (const policy::StageView &it : views)
+            demand.busyDecodeSlots += it.prefill ? 0 : it.running;
         if (demand.decodeStepsKnown)
             demand.busyDecodeSlots = decodeSteps.slotsNeeded(rates.outputPerSecond, demand.slots);
         policy::StagePlanner &planner =
@@ -278,34 +296,82 @@
             planner.observeAsFollower(views, demand, now);
             continue;
         }
-        const auto changes = planner.plan(views, demand, now);
-        for (const policy::StageChange &change : changes) {
-            core::Event("stage.planned")
-                .with("endpoint", change.id)
-                .with("prefill", change.prefill)
-                .with("prompt_tokens_per_s", demand.promptTokensPerSecond)
-                .with("prefill_tokens_per_s", demand.prefillTokensPerSecond)
-                .with("output_tokens_per_s", rates.outputPerSecond)
-                .with("streams", demand.busyDecodeSlots)
-                .with("step_ms", decodeSteps.stepMs(1))
-                .with("full_step_ms", decodeSteps.stepMs(demand.slots));
-            if (const EndpointPtr engine = m_services.endpoints.find(change.id))
-                order(engine, change.prefill);
-        }
+        const bool traffic = demand.promptTokensPerSecond > 0 || demand.busyDecodeSlots > 0;
+        if (!traffic && awaitsPaces(name, now))
+            continue;
+        orderChanges(onlyNewEngines ? planner.planNewEngines(views, demand, now)
+                                    : planner.plan(views, demand, now),
+                     demand, rates, decodeSteps);
+    }
+}
+
+void StageDuty::orderChanges(const std::vector<policy::StageChange> &changes,
+                             const policy::StageDemand &demand, const TokenRates &rates,
+                             const policy::DecodeStepEstimator &decodeSteps)
+{
+    for (const policy::StageChange &change : changes) {
+        core::Event("stage.planned")
+            .with("endpoint", change.id)
+            .with("prefill", change.prefill)
+            .with("new", change.newEngine)
+            .with("prompt_tokens_per_s", demand.promptTokensPerSecond)
+            .with("prefill_tokens_per_s", demand.prefillTokensPerSecond)
+            .with("output_tokens_per_s", rates.outputPerSecond)
+            .with("streams", demand.busyDecodeSlots)
+            .with("step_ms", decodeSteps.stepMs(1))
+            .with("full_step_ms", decodeSteps.stepMs(demand.slots));
+        if (const EndpointPtr engine = m_services.endpoints.find(change.id))
+            order(engine, change);
     }
 }
 
+std::vector<policy::StageView> StageDuty::viewsOf(const std::string &service, TimePoint now) const
+{
+    std::vector<policy::StageView> views;
+    for (const EndpointPtr &it : m_services.endpoints.ofService(service)) {
+        if (it->record.stage == Stage::None)
+            continue;
+        const bool healthy = it->health.state(now) == policy::OutlierDetector::State::Healthy;
+        policy::StageView view;
+        view.id = it->record.id;
+        view.domain = it->record.domain;
+        view.bornMs = it->record.bornMs;
+        view.prefill = it->prefills();
+        view.running = it->ownLoad.running + it->peerLoad.running;
+        view.slowdown = it->pace.usual(now) * it->slowdown.factor().value_or(1);
+        view.lost = !it->acceptsWork() || !healthy;
+        view.available = !view.lost && now >= it->pausedUntil && !it->inBackoff(now);
+        view.unused = !view.lost && !it->inBackoff(now) && it->isUnused(now);
+        views.push_back(std::move(view));
+    }
+    return views;
+}
+
+bool StageDuty::awaitsPaces(const std::string &service, TimePoint now) const
+{
+    bool anyKnown = false;
+    bool allKnown = true;
+    for (const EndpointPtr &it : m_services.endpoints.ofService(service)) {
+        if (!it->acceptsWork())
+            continue;
+        anyKnown = anyKnown || it->pace.reportedAt() != TimePoint{};
+        allKnown = allKnown && it->pace.known();
+    }
+    return !allKnown && now - m_leadsSince < (anyKnown ? AllPacesTime : FirstPaceTime);
+}
+
 // The order contains the number of orders that the engine has accepted, so that the engine refuses
 // an order that arrives late, after newer ones.
-void StageDuty::order(const EndpointPtr &engine, bool prefill)
+void StageDuty::order(const EndpointPtr &engine, const policy::StageChange &change)
 {
     m_services.httpClient.call(
         engine->record.address, platform::encodeReportQuery(engine->record.id), OrderTimeout,
-        [this, engine, prefill](const http::CallResult &result) {
+        [this, engine, change](const http::CallResult &result) {
             if (!result.response.ok()) {
                 core::Event("stage.report.failed")
                     .with("endpoint", engine->record.id)
                     .with("why", result.response.status().message());
+                recordRefusal(*engine, change);
                 return;
             }
             applyAnswerNotices(*engine, platform::decodeResponseHead(result.response->head),
@@ -315,21 +381,44 @@
                 core::Event("stage.report.unusable")
                     .with("endpoint", engine->record.id)
                     .with("changing", report.ok());
+                if (!report.ok())
+                    recordRefusal(*engine, change);
                 return;
             }
-            send(engine, prefill, report->ordersAccepted);
+            const bool used = engine->hadRequests
+                || report->running + report->waiting + report->ordersAccepted > 0;
+            if (change.newEngine && used) {
+                core::Event("stage.order.omitted")
+                    .with("endpoint", engine->record.id)
+                    .with("running", report->running)
+                    .with("waiting", report->waiting)
+                    .with("orders", report->ordersAccepted);
+                recordRefusal(*engine, change);
+                return;
+            }
+            send(engine, change, report->ordersAccepted);
         },
         http::ConnectionMode::Dedicated);
 }
 
-void StageDuty::send(const EndpointPtr &engine, bool prefill, uint64_t ordersBefore)
+void StageDuty::recordRefusal(const Endpoint &engine, const policy::StageChange &change)
+{
+    const auto planner = m_planners.find(engine.record.service);
+    if (change.newEngine && planner != m_planners.end())
+        planner->second.recordRefusedAssignment(engine.record.id);
+}
+
+void StageDuty::send(const EndpointPtr &engine, const policy::StageChange &change,
+                     uint64_t ordersBefore)
 {
     if (!m_services.leadership.held() || !engine->acceptsWork()
-        || engine->inBackoff(core::BootClock::now()))
+        || engine->inBackoff(core::BootClock::now())) {
+        recordRefusal(*engine, change);
         return;
+    }
     platform::StageOrder order;
     order.endpointId = engine->record.id;
-    order.stage = prefill ? Stage::Prefill : Stage::Decode;
+    order.stage = change.prefill ? Stage::Prefill : Stage::Decode;
     order.holder = m_settings.name;
     order.fencingToken = m_services.leadership.fencingToken();
     order.expectedOrderCount = ordersBefore;
@@ -337,24 +426,28 @@
     const ServiceConfig *service = nullptr;
     if (const auto it = config->services.find(engine->record.service); it != config->services.end())
         service = &it->second;
-    const Milliseconds change =
+    const Milliseconds changeTime =
         service && service->engine ? service->engine->stageChangeTime : Milliseconds(0);
     m_services.httpClient.call(
         engine->record.address, platform::encodeStageOrder(order), OrderTimeout,
-        [engine, prefill, change, token = order.fencingToken](const http::CallResult &result) {
+        [this, engine, change, changeTime,
+         token = order.fencingToken](const http::CallResult &result) {
             const uint32_t status = result.response.ok() ? result.response->head.status : 0;
             if (result.response.ok())
                 applyAnswerNotices(*engine, platform::decodeResponseHead(result.response->head),
                                    core::BootClock::now());
             core::Event("stage.ordered")
                 .with("endpoint", engine->record.id)
-                .with("prefill", prefill)
+                .with("prefill", change.prefill)
+                .with("new", change.newEngine)
                 .with("token", token)
                 .with("status", status);
             core::incrementCounter("jujube_stage_orders_total",
                                    core::concat("status=\"", status, "\""));
             if (status == http::status::Accepted)
-                engine->pausedUntil = core::BootClock::now() + change + StageChangeMargin;
+                engine->pausedUntil = core::BootClock::now() + changeTime + StageChangeMargin;
+            else if (status != 0)
+                recordRefusal(*engine, change);
         },
         http::ConnectionMode::Dedicated);
 }
--- a/src/serving/peermesh.h
+++ b/src/serving/peermesh.h
@@ -43,6 +43,8 @@
         std::function<std::vector<GossipLimit>()> limits{}; ///< Limits that a hub relays.
         /** Levels of quotas that a hub states to a peer. */
         std::function<std::vector<policy::QuotaLevel>(const std::string &peer)> quotaLevels{};
+        /** Evidence on engine speeds that full messages carry. */
+        std::function<std::vector<GossipEngineSpeed>()> engineSpeeds{};
     };
 
     PeerMesh(boost::asio::io_context &io, http::Client &httpClient, EndpointTable &endpoints,
@@ -71,6 +73,9 @@
     bool isLarge() const;
     /** Name of the hub of a large deployment; empty: none was selected yet. */
     const std::string &hub() const { return m_hub; }
+    /** Whether this gateway does what one gateway does for all without an agreement. For a moment
+     * there may be two such gateways, or none. */
+    bool isCoordinator() const;
     /** The live peers as sources of the store state. */
     std::vector<FeedPeer> statePeers() const;
     /** Whether this gateway watches the store for others. */
@@ -133,6 +138,7 @@
     core::TimePoint m_startedAt{};
     core::TimePoint m_sharesSummedAt{};
     core::TimePoint m_lastBroadcastAt{};
+    core::TimePoint m_speedsSentAt{};
     BroadcastRound m_round;
     GossipTraffic m_traffic;
     policy::LinkPace m_pace;
--- a/src/serving/promptscheduler.cpp
+++ b/src/serving/promptscheduler.cpp
@@ -108,6 +108,7 @@
     views.reserve(engines.size());
     for (const EndpointPtr &it : engines)
         views.push_back(placementViewOf(*it, {}, now));
+    policy::applyHolds(views);
     const bool noneUsable =
         std::none_of(views.begin(), views.end(), [](const auto &it) { return it.usable; });
     const bool limited = std::any_of(engines.begin(), engines.end(), [now](const EndpointPtr &it) {
@@ -167,12 +168,17 @@
     const auto limitWait = expectedLimitWait(endpoints, serviceQueue->second.entries.size());
     if (limitWait)
         return *limitWait;
-    const auto engines = std::count_if(endpoints.begin(), endpoints.end(), [](const auto &it) {
-        return it->prefills() && it->acceptsWork();
-    });
+    double engines = 0; // In engines of usual speed.
+    for (const EndpointPtr &it : endpoints) {
+        if (it->prefills() && it->acceptsWork())
+            engines += m_placement.predictsByPace ? 1 / it->slowdown.factor().value_or(1) : 1;
+    }
     constexpr double msPerSecond = 1000;
-    const double rate = m_placement.disaggregatedPrefill.tokensPerMs * msPerSecond
-        * static_cast<double>(std::max<int64_t>(1, engines)) / std::max(1U, m_gatewayCount());
+    const double tokensPerMs = m_placement.predictsByPace
+        ? m_placement.prefill.tokensPerMs
+        : m_placement.disaggregatedPrefill.tokensPerMs;
+    const double rate =
+        tokensPerMs * msPerSecond * (engines > 0 ? engines : 1) / std::max(1U, m_gatewayCount());
     return serviceQueue->second.queue.expectedWait(prompt, rate, core::BootClock::now());
 }
 
--- a/src/serving/session.h
+++ b/src/serving/session.h
@@ -8,6 +8,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "policy/decodestepestimator.h"
+#include "policy/outputlengthestimator.h"
 #include "policy/placement.h"
 #include "policy/prefillrateestimator.h"
 #include "policy/prefilltimeestimator.h"
@@ -42,11 +43,15 @@
     UsageCounts &usage;
     std::mt19937_64 &random;
     const policy::PlacementSettings &placement;
+    policy::PrefillDurationEstimator &prefillDuration; ///< On a prefill engine.
     policy::PrefillTimeEstimator
-        &disaggregatedPrefill; ///< Time to first token through a prefill engine.
-    policy::PrefillTimeEstimator &colocatedPrefill; ///< The same if the decode engine prefills.
-    policy::PrefillRateEstimator &prefillRate;      ///< Of the service's prefill engines.
-    std::string domain;                             ///< Failure domain of this gateway.
+        &disaggregatedPrefill;              ///< Time to first token through a prefill engine.
+    policy::PrefillTimeEstimator &handOver; ///< From the end of a prefill to the first token.
+    policy::PrefillTimeEstimator
+        &colocatedPrefill; ///< Time to the first token if the decode engine prefills.
+    policy::PrefillRateEstimator &prefillRate; ///< Of the service's prefill engines.
+    policy::OutputLengthEstimator &outputLengths;
+    std::string domain; ///< Failure domain of this gateway.
     std::function<policy::SendBudget &(const std::string &service)> retryBudget;
     std::function<uint32_t()> budgetGateways;        ///< Gateways that share a retry budget.
     std::function<core::Milliseconds()> wallTime;    ///< Time of day that usage windows follow.
@@ -104,7 +109,9 @@
     void startNextStep();
     void queuePrompt();
     void dispatchPrompt(const PrefillPlan &plan);
+    policy::OutputRequest outputRequest() const;
     double expectedOutputTokens() const;
+    void recordOutputLength();
     void sendRun();
     void sendRunTo(const EndpointPtr &endpoint);
     uint32_t enginePriority() const;
@@ -134,6 +141,9 @@
     void recordStepTime(std::string_view body);
     void beginStream();
     void recordFirstToken();
+    void recordPrefill();
+    /** Records the speed of the engine that was sent the prefill. */
+    void recordEngineSpeed(double takenMs);
     /** Handles a run that ended without an answer for the client.
      * \param notRun whether the request certainly did not run.
      * \param sent whether the endpoint may have received it. */
@@ -195,6 +205,8 @@
     EventCounter m_events;            ///< Events of this send's answer.
     http::Head m_head;
     AnswerMetadata m_answer;
+    double m_expectedOutputTokens = 0;
+    double m_outputTokens = 0; ///< Of a stream that ended whole after one run.
     std::string m_body;
     http::BufferShare m_answerShare; ///< Of the part of this send's answer that is buffered.
 
--- a/test/fakes/fakeendpoint.h
+++ b/test/fakes/fakeendpoint.h
@@ -105,6 +105,12 @@
     void setEventCount(uint32_t events) { m_eventCount = events; }
     void setEventGap(core::Milliseconds gap) { m_eventGap = gap; }
 
+    /** Sets the path of health checks, which are answered at once and are no requests. */
+    void setHealthPath(std::string path) { m_healthPath = std::move(path); }
+    /** Sets that health checks are never answered. */
+    void setSilentHealth(bool silent) { m_silentHealth = silent; }
+    /** Number of health checks that reached this incarnation. */
+    size_t healthChecks() const { return m_healthChecks; }
     const std::vector<ReceivedRequest> &receivedRequests() const { return m_receivedRequests; }
     /** Number of times a request was started, whether or not it finished. */
     size_t runCount(const std::string &requestId) const;
@@ -115,6 +121,12 @@
     }
     serving::Stage stage() const { return m_stage; }
     uint64_t orderCount() const { return m_orderCount; }
+    /** Number of orders that arrived, whether or not they were accepted. */
+    uint64_t receivedOrderCount() const { return m_receivedOrderCount; }
+    /** Sets how long the answers to queries of the report are on their way. */
+    void setReportDelay(core::Milliseconds delay) { m_reportDelay = delay; }
+    /** Sets whether orders are accepted, but their answers are lost. */
+    void setLosesOrderAnswers(bool loses) { m_losesOrderAnswers = loses; }
 
 private:
     void handle(const http::Request &request, const http::Responder &responder);
@@ -156,9 +168,15 @@
     std::multiset<std::string> m_startedRequests;
     std::multiset<std::string> m_runningRequests;
     std::vector<http::Field> m_responseFields;
+    std::string m_healthPath;
+    size_t m_healthChecks = 0;
+    bool m_silentHealth = false;
     size_t m_bodySize = 0; ///< In bytes; 0: a short text with the request id.
     size_t m_endlessBytes = 0;
     uint64_t m_orderCount = 0;
+    uint64_t m_receivedOrderCount = 0;
+    core::Milliseconds m_reportDelay{};
+    bool m_losesOrderAnswers = false;
     uint64_t m_highestFence = 0;
     uint64_t m_lastHandle = 0;
 };
