Faults that the reviews found: drain, quotas of a hub without levels, pace of peers, frozen slowness

Change: the drain waits for unsent output; a hub states that it knows the levels; a member that has heard no statement lets requests wait; a request beyond a window's quota is refused; prefills by pace use learned slowdowns only; the initial split waits for paces only if one is known. Two tests named the old factor and now set the prediction that they are about.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -263,6 +263,14 @@
     }
 }
 
+size_t Server::unsentBytes() const
+{
+    size_t sum = 0;
+    for (const auto &it : m_connections)
+        sum += it->m_outputShare.bytes();
+    return sum;
+}
+
 size_t Server::activeRequestCount() const
 {
     return static_cast<size_t>(
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -105,6 +105,8 @@
         m_outputBudget = std::make_shared<OutputBudget>(outputBytes);
     }
     size_t connectionCount() const { return m_connections.size(); }
+    /** Bytes of answers that the kernel has not taken yet. */
+    size_t unsentBytes() const;
     size_t activeRequestCount() const;
 
 private:
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -74,11 +74,16 @@
 
 } // namespace
 
+// The smoothed slowness of an engine that prefills its own prompts contains its usual pace.
+static double runFactor(const PlacementCandidate &endpoint)
+{
+    return endpoint.usualPace == 1 ? endpoint.slowness * endpoint.pace : endpoint.pace;
+}
+
 double prefillFactor(const PlacementCandidate &engine)
 {
-    if (!engine.slowdown)
-        return engine.slowness * engine.pace;
-    return std::clamp(*engine.slowdown * engine.pace, MinPrefillFactor, MaxPrefillFactor);
+    return std::clamp(engine.slowdown.value_or(1) * engine.pace, MinPrefillFactor,
+                      MaxPrefillFactor);
 }
 
 std::optional<PrefillChoice> choosePrefillEngine(const std::vector<PlacementCandidate> &engines,
@@ -122,7 +127,7 @@
             choice->predictedFirstToken = wholeMs(ms);
             choice->predictedPrefill = wholeMs(settings.predictsByPace ? times.prefillMs : ms);
             choice->byPace = settings.predictsByPace;
-            choice->slowdown = engine.slowdown.value_or(engine.slowness);
+            choice->slowdown = engine.slowdown.value_or(1);
             choice->pace = engine.pace;
         }
     }
@@ -143,8 +148,7 @@
         const PlacementCandidate &endpoint = endpoints[i];
         if (!endpoint.usable)
             continue;
-        double share = (endpoint.running + 1) * endpoint.slowness * endpoint.pace
-            / std::max(1U, endpoint.slots);
+        double share = (endpoint.running + 1) * runFactor(endpoint) / std::max(1U, endpoint.slots);
         if (endpoint.domain != domain)
             share += settings.crossDomainSlotPenalty;
         share += tie(random);
--- a/src/policy/quotagate.cpp
+++ b/src/policy/quotagate.cpp
@@ -99,6 +99,10 @@
     // The new role decides by other figures, which may not have arrived yet.
     if (role == QuotaRole::Mesh)
         m_listedAt = now;
+    if (role == QuotaRole::Member) {
+        m_statedAt = now;
+        forgetStatements();
+    }
     m_role = role;
 }
 
@@ -106,10 +110,18 @@
 {
     m_statedAt = m_listedAt = m_markedAt = m_touchedAt = now;
     m_distrustUntil = {};
-    m_round = 0;
+    forgetStatements();
     m_alone = false;
 }
 
+// Requests wait for the first statement, which is numbered from 1 again.
+void QuotaGate::forgetStatements()
+{
+    m_round = 0;
+    for (auto &[name, team] : m_teams)
+        team.round = 0;
+}
+
 bool QuotaGate::lostContact(TimePoint now) const
 {
     if (now < m_distrustUntil)
@@ -271,6 +283,12 @@
         return decideAlone(own, team, tokens, now);
     const double capacity = quota->capacity(m_ledger.terms());
     decision.level = view(team, own, *quota, now);
+    // Such a request exceeds the quota of a whole window by itself.
+    if (tokens > quota->mostInWindow(m_ledger.terms())) {
+        decision.verdict = QuotaVerdict::Refuse;
+        decision.retryIn = timeToFill(tokens, quota->perSecond);
+        return decision;
+    }
     decision.unacknowledged = unacknowledged(own);
     if (decision.mode == QuotaMode::Member)
         decision.age = std::chrono::duration_cast<Milliseconds>(now - m_statedAt);
--- a/src/policy/quotagate.h
+++ b/src/policy/quotagate.h
@@ -111,6 +111,7 @@
 
     bool lostContact(core::TimePoint now) const;
     core::TimePoint lastContact(core::TimePoint now) const;
+    void forgetStatements();
     void enterAlone(core::TimePoint now);
     double view(uint64_t team, const Team &own, const QuotaRate &quota, core::TimePoint now);
     double unacknowledged(const Team &own) const;
--- a/src/policy/quotaledger.cpp
+++ b/src/policy/quotaledger.cpp
@@ -42,6 +42,11 @@
     return terms.overrun * (perSecond * seconds(terms.window) + burst) + terms.slack;
 }
 
+double QuotaRate::mostInWindow(const QuotaTerms &terms) const
+{
+    return perSecond * seconds(terms.window) + burst + margin(terms);
+}
+
 double QuotaRate::capacity(const QuotaTerms &terms) const
 {
     return burst + BonusShare * margin(terms);
@@ -220,6 +225,12 @@
         && now - it->second.createdAt < AdoptionTime;
 }
 
+bool QuotaLedger::awaitsAnyLevel(TimePoint now) const
+{
+    return std::any_of(m_buckets.begin(), m_buckets.end(),
+                       [&](const auto &it) { return awaitsLevel(it.first, now); });
+}
+
 bool QuotaLedger::empty() const
 {
     return std::none_of(m_buckets.begin(), m_buckets.end(),
--- a/src/policy/quotaledger.h
+++ b/src/policy/quotaledger.h
@@ -30,6 +30,8 @@
 
     /** Tokens by which the use may exceed the quota in a window. */
     double margin(const QuotaTerms &terms) const;
+    /** Most tokens that may run in a window. */
+    double mostInWindow(const QuotaTerms &terms) const;
     /** Largest level of the bucket. */
     double capacity(const QuotaTerms &terms) const;
     bool operator==(const QuotaRate &) const = default;
@@ -102,6 +104,8 @@
     double level(uint64_t team, core::TimePoint now);
     /** Whether the level is not known yet and a peer will probably state it soon. */
     bool awaitsLevel(uint64_t team, core::TimePoint now) const;
+    /** The same for any team. */
+    bool awaitsAnyLevel(core::TimePoint now) const;
     /** Levels to state to a peer: those below UnstatedShare and those that its latest counts have
      * changed. */
     std::vector<QuotaLevel> levelsFor(uint64_t gateway, core::TimePoint now);
--- a/src/serving/endpoints.cpp
+++ b/src/serving/endpoints.cpp
@@ -73,11 +73,12 @@
         ownReport = load;
         ownReportAt = at;
     }
+    // An own answer without a pace may be newer than a peer's report of the pace.
+    pace.note(load.pacePercent, at);
     if (at <= reportedAt)
         return;
     report = load;
     reportedAt = at;
-    pace.note(load.pacePercent, at);
 }
 
 // Peers need a report if it states the pace, or more requests than the gateways know of. Reports
--- a/src/serving/gatewaydrain.cpp
+++ b/src/serving/gatewaydrain.cpp
@@ -53,7 +53,10 @@
             m_clientServer.stopListening();
             m_clientServer.closeIdleConnections();
         }
-        const bool empty = since >= BalancerRemovalTime && m_clientServer.activeRequestCount() == 0;
+        // The process must not end before the kernel has taken the last answers: a client on a slow
+        // link would lose the end of its answer.
+        const bool empty = since >= BalancerRemovalTime && m_clientServer.activeRequestCount() == 0
+            && m_clientServer.unsentBytes() == 0;
         if (!empty && since < m_settings.drainGrace - MarginBeforeKill) {
             pollDrain();
             return;
--- a/src/serving/leaderduties.cpp
+++ b/src/serving/leaderduties.cpp
@@ -45,8 +45,7 @@
 }
 
 // Before traffic the initial split waits for the paces of the engines, as slow ones should decode.
-// The probes that tell them take about a second; without a first one after a second there are none.
-constexpr Milliseconds FirstPaceTime{1'000};
+// The probes that tell them take about a second.
 constexpr Milliseconds AllPacesTime{2'500};
 
 } // namespace
@@ -338,7 +337,7 @@
         view.bornMs = it->record.bornMs;
         view.prefill = it->prefills();
         view.running = it->ownLoad.running + it->peerLoad.running;
-        view.slowdown = it->pace.usual(now) * it->slowdown.factor().value_or(1);
+        view.slowdown = it->pace.usual(now);
         view.lost = !it->acceptsWork() || !healthy;
         view.available = !view.lost && now >= it->pausedUntil && !it->inBackoff(now);
         view.unused = !view.lost && !it->inBackoff(now) && it->isUnused(now);
@@ -357,7 +356,7 @@
         anyKnown = anyKnown || it->pace.reportedAt() != TimePoint{};
         allKnown = allKnown && it->pace.known();
     }
-    return !allKnown && now - m_leadsSince < (anyKnown ? AllPacesTime : FirstPaceTime);
+    return anyKnown && !allKnown && now - m_leadsSince < AllPacesTime;
 }
 
 // The order contains the number of orders that the engine has accepted, so that the engine refuses
--- a/src/serving/peermeshstatus.cpp
+++ b/src/serving/peermeshstatus.cpp
@@ -20,9 +20,10 @@
 // their share of limits to others.
 constexpr double MinActivity = 0.25;
 
-// Full messages of all peers arrive within a second; before that, each gateway that starts would
-// consider itself the coordinator.
-constexpr Milliseconds CoordinatorDelay{1'500};
+// Before the first messages of its peers, each gateway that starts would consider itself the
+// coordinator. The paces have to be known when the leader splits the engines, 1.4 s after the
+// start.
+constexpr Milliseconds CoordinatorDelay{600};
 
 } // namespace
 
--- a/src/serving/teamquotas.cpp
+++ b/src/serving/teamquotas.cpp
@@ -41,6 +41,11 @@
     return std::ceil(stated > 0 ? stated : quota.plainTokens);
 }
 
+// Entry of a summary by which a hub states that it knows the levels of all teams. A hub without it
+// has no configuration yet, or has just started: a team that it does not mention may be out of
+// tokens.
+constexpr uint64_t KeepsQuotas = 0;
+
 } // namespace
 
 TeamQuotas::TeamQuotas(boost::asio::io_context &io, const NodeSettings &settings,
@@ -117,7 +122,12 @@
 {
     if (!active())
         return {};
-    return m_ledger.levelsFor(hashOf(peer), core::BootClock::now());
+    const TimePoint now = core::BootClock::now();
+    if (m_ledger.awaitsAnyLevel(now))
+        return {};
+    auto levels = m_ledger.levelsFor(hashOf(peer), now);
+    levels.push_back({KeepsQuotas, 0, 0});
+    return levels;
 }
 
 void TeamQuotas::onGossip(const GossipMessage &gossip, const MeshPosition &position)
@@ -129,7 +139,10 @@
     const uint64_t sender = hashOf(gossip.name);
     if (gossip.kind == GossipKind::Summary) {
         m_ledger.noteHeard(sender, gossip.run, now);
-        if (gossip.name == position.hub)
+        const bool keepsQuotas =
+            std::any_of(gossip.quotaLevels.begin(), gossip.quotaLevels.end(),
+                        [](const policy::QuotaLevel &it) { return it.team == KeepsQuotas; });
+        if (gossip.name == position.hub && keepsQuotas)
             m_gate.applyStatement({sender, gossip.run, gossip.sequence, gossip.quotaLevels}, now);
         return;
     }
@@ -183,9 +196,10 @@
         return;
     m_timer.expires_after(SettleInterval);
     m_timer.async_wait([this](const ErrorCode &ec) {
+        if (ec)
+            return;
         m_settling = false;
-        if (!ec)
-            settleWaiting();
+        settleWaiting();
     });
 }
 
--- a/test/correctness/placement.cpp
+++ b/test/correctness/placement.cpp
@@ -130,6 +130,11 @@
     std::vector engines{engine("slow", true), engine("sound", true)};
     engines[0].slowness = 4;
     engines[1].backlogTokens = 5'000;
+    bench.settings.predictsByPace = false;
+    cr_assert_eq(bench.choose(engines, {8'000, 0, 0}).index, 1U);
+    // Where endpoints state their pace, the learned slowdown takes the place of the smoothed ratio.
+    engines[0].slowdown = 4;
+    bench.settings.predictsByPace = true;
     cr_assert_eq(bench.choose(engines, {8'000, 0, 0}).index, 1U);
 }
 
