--- a/test/correctness/quotas.cpp
+++ b/test/correctness/quotas.cpp
@@ -313,3 +313,42 @@
     cr_expect(hear() == policy::QuotaMode::Member);
     cr_expect(gate.decide(7, 3'000, now).verdict == policy::QuotaVerdict::Admit);
 }
+
+// Guards against one request that stops a team for hours: a client that states four billion tokens
+// was admitted by a full bucket and left a debt that the rate repays in a day.
+Test(quotas, a_request_beyond_the_quota_of_a_window_is_refused)
+{
+    const core::TimePoint start{1h};
+    const policy::QuotaTerms terms{8'000ms, 0.1, 140'000};
+    policy::QuotaLedger ledger(terms, true, start);
+    ledger.setQuota(7, policy::QuotaRate{36'000, 36'000}, start);
+    ledger.endOfConfiguration();
+    policy::QuotaGate gate(ledger, start);
+    gate.setRole(policy::QuotaRole::Hub, start);
+    const auto refused = gate.decide(7, 4.3e9, start);
+    cr_assert(refused.verdict == policy::QuotaVerdict::Refuse);
+    cr_assert_gt(refused.retryIn.count(), 0);
+    cr_assert(gate.decide(7, 60'000, start).verdict == policy::QuotaVerdict::Admit);
+}
+
+// Guards against a hub that refuses everything when a better equipped gateway returns: what it knew
+// of statements dates from before it was the hub.
+Test(quotas, a_former_hub_lets_requests_wait_for_the_first_statement)
+{
+    const core::TimePoint start{1h};
+    const policy::QuotaTerms terms{8'000ms, 0.1, 140'000};
+    policy::QuotaLedger ledger(terms, true, start);
+    ledger.addGateway(2, start);
+    ledger.setQuota(7, policy::QuotaRate{36'000, 36'000}, start);
+    ledger.endOfConfiguration();
+    policy::QuotaGate gate(ledger, start);
+    gate.setRole(policy::QuotaRole::Hub, start);
+    core::TimePoint now = start;
+    for (; now < start + 60s; now += 100ms) {
+        ledger.noteHeard(2, 5, now);
+        gate.touch(now);
+    }
+    gate.setRole(policy::QuotaRole::Member, now);
+    gate.touch(now);
+    cr_assert(gate.decide(7, 12'000, now).verdict == policy::QuotaVerdict::Wait);
+}
--- a/test/correctness/reportedpace.cpp
+++ b/test/correctness/reportedpace.cpp
@@ -139,3 +139,14 @@
     loads.prune(Start + 10ms);
     cr_assert_eq(loads.loadExcept("c").front().report->pacePercent, Slow);
 }
+
+// Guards against a peer's report of the pace that is dropped, as this gateway has had an answer to
+// a prefill, without a pace, since the peer's probe.
+Test(reportedpace, an_own_answer_without_pace_does_not_hide_the_pace_of_a_peer)
+{
+    serving::Endpoint endpoint({}, 0);
+    endpoint.noteReport({2, 0, 0, {}}, Start + 20ms, true);
+    endpoint.noteReport({1, 0, Slow, 50ms}, Start + 50ms, false);
+    cr_assert_gt(endpoint.pace.factor(Start + 60ms), 1.3);
+    cr_assert_eq(endpoint.report.running, 2U, "the newer report of the load holds");
+}
