Runs go to the engine that is expected to produce their tokens soonest

Cause: a stream counted as one request however many tokens it had left, and nothing kept requests from an engine whose KV cache is full.

Sessions account for the tokens that their stream has left and for the KV cache that it holds; gossip shares both sums.

--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -1,5 +1,7 @@
 #include "policy/placement.h"
 
+#include "policy/decodeplacement.h"
+
 #include <algorithm>
 #include <limits>
 #include <xxhash.h>
@@ -46,13 +48,15 @@
     const auto preferred =
         uncachedPrefix ? preferredEngine(engines, prompt.prefixHash) : std::nullopt;
     std::optional<PrefillChoice> choice;
+    const double requiredRoom = requiredCacheRoom(engines, prompt.cache);
     double best = std::numeric_limits<double>::max();
     std::uniform_real_distribution<double> tie(0, 1);
     for (size_t i = 0; i < engines.size(); ++i) {
         const PlacementCandidate &engine = engines[i];
         if (!engine.usable
             || (!engine.isPrefillEngine
-                && engine.running >= engine.slots * settings.maxColocatedSlotUse))
+                && (engine.running >= engine.slots * settings.maxColocatedSlotUse
+                    || cacheRoom(engine, prompt.cache) < requiredRoom)))
             continue;
         const PrefillTimeModel &model =
             engine.isPrefillEngine ? settings.disaggregatedPrefill : settings.colocatedPrefill;
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -30,6 +30,17 @@
     bool isPrefillEngine = false;
     bool usable = true; ///< Accepts new requests.
     bool probe = false; ///< Ejected and due for a probe request.
+    // Of runs, for decode engines.
+    double remainingTokens = 0; ///< Output tokens that its streams are expected to produce yet.
+    double heldTokens = 0;      ///< KV cache that its requests hold, in tokens.
+    double unstatedRunning = 0; ///< Part of running that remainingTokens does not include.
+};
+
+/** Memory that a request needs on the engine that decodes it. */
+struct CacheDemand
+{
+    double heldTokens = 0;  ///< KV cache that the request will hold, in tokens.
+    double cacheTokens = 0; ///< Size of an engine's KV cache; 0: not stated, no limit.
 };
 
 /** Properties of a prompt that its placement depends on. */
@@ -38,6 +49,7 @@
     uint32_t tokens = 0;
     uint64_t prefixHash = 0; ///< Hash of the last block that is shared with other prompts; 0: none.
     uint32_t fetchableTokens = 0; ///< Tokens held by some endpoint that others can fetch them from.
+    CacheDemand cache{};          ///< Of the whole request, if its prefill engine also decodes it.
 };
 
 /** Linear model of the time from sending a prompt to its first token, without the wait for prompts
@@ -89,8 +101,9 @@
                                                  const PlacementSettings &settings,
                                                  std::mt19937_64 &random);
 
-/** Chooses the endpoint with the smallest share of its slots in use, at random among nearly equal
- * ones. Returns nothing if no endpoint is usable. */
+/** Chooses the endpoint of a service without engines that has the smallest share of its slots in
+ * use, at random among nearly equal ones (for engines, see chooseDecodeEngine()). Returns nothing
+ * if no endpoint is usable. */
 std::optional<size_t> chooseLeastLoadedEndpoint(const std::vector<PlacementCandidate> &endpoints,
                                                 std::string_view domain,
                                                 const PlacementSettings &settings,
--- a/src/serving/endpoints.cpp
+++ b/src/serving/endpoints.cpp
@@ -1,6 +1,7 @@
 #include "serving/endpoints.h"
 
 #include "core/eventlog.h"
+#include "policy/decodeplacement.h"
 
 #include <algorithm>
 #include <xxhash.h>
@@ -47,6 +48,15 @@
     return XXH3_64bits(id.data(), id.size());
 }
 
+OutstandingLoad &OutstandingLoad::operator+=(const OutstandingLoad &other)
+{
+    running += other.running;
+    backlogTokens += other.backlogTokens;
+    remainingTokens += other.remainingTokens;
+    heldTokens += other.heldTokens;
+    return *this;
+}
+
 Endpoint::Endpoint(EndpointRecord entry, uint64_t cacheTokens)
     : record(std::move(entry)), hash(endpointHash(record.id)), prefixCache(cacheTokens)
 {
@@ -292,6 +302,11 @@
     view.slots = endpoint.record.slots;
     view.running = endpoint.ownLoad.running + endpoint.peerLoad.running;
     view.backlogTokens = endpoint.ownLoad.backlogTokens + endpoint.peerLoad.backlogTokens;
+    view.remainingTokens = endpoint.ownLoad.remainingTokens + endpoint.peerLoad.remainingTokens;
+    view.heldTokens = endpoint.ownLoad.heldTokens + endpoint.peerLoad.heldTokens;
+    // Each running stream counts with tokens left, so peers with too few do not state them.
+    if (endpoint.peerLoad.remainingTokens < endpoint.peerLoad.running * policy::MinRemainingTokens)
+        view.unstatedRunning = endpoint.peerLoad.running;
     view.cachedTokens = endpoint.prefixCache.cachedTokens(prompt);
     view.slowness = endpoint.slowness;
     view.isPrefillEngine = endpoint.prefills();
--- a/src/serving/endpoints.h
+++ b/src/serving/endpoints.h
@@ -26,6 +26,11 @@
 {
     uint32_t running = 0;       ///< Requests in progress.
     uint32_t backlogTokens = 0; ///< Prompt tokens sent and not prefilled yet.
+    // Of engines only; both are 0 in messages of gateways that do not state them.
+    uint32_t remainingTokens = 0; ///< Output tokens that streams are expected to produce yet.
+    uint32_t heldTokens = 0;      ///< Size of the KV cache that requests hold, in tokens.
+
+    OutstandingLoad &operator+=(const OutstandingLoad &other);
 };
 
 /** Load and state of one endpoint in a gossip message. */
--- a/src/serving/loadexchange.cpp
+++ b/src/serving/loadexchange.cpp
@@ -1,6 +1,7 @@
 #include "serving/loadexchange.h"
 
 #include <algorithm>
+#include <limits>
 #include <xxhash.h>
 
 namespace jujube::serving {
@@ -18,6 +19,11 @@
 // Gateways that relay the counts of gone ones: more than one, as it may be leaving itself.
 constexpr size_t MaxCountRelays = 2;
 
+uint32_t loadFigure(int64_t sum)
+{
+    return static_cast<uint32_t>(std::clamp<int64_t>(sum, 0, std::numeric_limits<uint32_t>::max()));
+}
+
 } // namespace
 
 std::string HubSelector::choose(const std::vector<HubCandidate> &candidates, TimePoint now)
@@ -112,6 +118,17 @@
     }
 }
 
+void LoadAggregator::Sum::add(const GossipLoadShare &share, int sign)
+{
+    running += sign * static_cast<int64_t>(share.load.running);
+    backlogTokens += sign * static_cast<int64_t>(share.load.backlogTokens);
+    remainingTokens += sign * static_cast<int64_t>(share.load.remainingTokens);
+    heldTokens += sign * static_cast<int64_t>(share.load.heldTokens);
+    changing += share.changing ? sign : 0;
+    failing += share.failing ? sign : 0;
+    leaving += share.leaving ? sign : 0;
+}
+
 void LoadAggregator::addToSums(const GossipMessage &gossip, int sign)
 {
     if (sign > 0)
@@ -120,11 +137,7 @@
         m_rates -= gossip.rates;
     for (const GossipLoadShare &share : gossip.shares) {
         Sum &sum = m_sums[share.endpoint];
-        sum.running += sign * static_cast<int64_t>(share.load.running);
-        sum.backlogTokens += sign * static_cast<int64_t>(share.load.backlogTokens);
-        sum.changing += share.changing ? sign : 0;
-        sum.failing += share.failing ? sign : 0;
-        sum.leaving += share.leaving ? sign : 0;
+        sum.add(share, sign);
         if (sum.empty())
             m_sums.erase(share.endpoint);
     }
@@ -134,26 +147,20 @@
 {
     auto sums = m_sums;
     if (const auto it = m_loads.find(name); it != m_loads.end()) {
-        for (const GossipLoadShare &share : it->second.gossip.shares) {
-            Sum &sum = sums[share.endpoint];
-            sum.running -= static_cast<int64_t>(share.load.running);
-            sum.backlogTokens -= static_cast<int64_t>(share.load.backlogTokens);
-            sum.changing -= share.changing ? 1 : 0;
-            sum.failing -= share.failing ? 1 : 0;
-            sum.leaving -= share.leaving ? 1 : 0;
-        }
+        for (const GossipLoadShare &share : it->second.gossip.shares)
+            sums[share.endpoint].add(share, -1);
     }
     std::vector<GossipLoadShare> shares;
     shares.reserve(sums.size());
     for (const auto &[endpoint, sum] : sums) {
-        if (sum.running > 0 || sum.backlogTokens > 0 || sum.changing > 0 || sum.failing > 0
-            || sum.leaving > 0)
-            shares.push_back({endpoint,
-                              {static_cast<uint32_t>(std::max<int64_t>(0, sum.running)),
-                               static_cast<uint32_t>(std::max<int64_t>(0, sum.backlogTokens))},
-                              sum.changing > 0,
-                              sum.failing > 0,
-                              sum.leaving > 0});
+        if (sum.empty())
+            continue;
+        shares.push_back({endpoint,
+                          {loadFigure(sum.running), loadFigure(sum.backlogTokens),
+                           loadFigure(sum.remainingTokens), loadFigure(sum.heldTokens)},
+                          sum.changing > 0,
+                          sum.failing > 0,
+                          sum.leaving > 0});
     }
     return shares;
 }
--- a/src/serving/loadexchange.h
+++ b/src/serving/loadexchange.h
@@ -97,23 +97,28 @@
         core::TimePoint receivedAt{};
     };
 
-    void addToSums(const GossipMessage &gossip, int sign);
-
-    std::map<std::string, GatewayLoad> m_loads;
     struct Sum
     {
         int64_t running = 0;
         int64_t backlogTokens = 0;
+        int64_t remainingTokens = 0;
+        int64_t heldTokens = 0;
         int32_t changing = 0;
         int32_t failing = 0;
         int32_t leaving = 0;
 
+        /** \param sign 1 to add a share, -1 to remove it. */
+        void add(const GossipLoadShare &share, int sign);
         bool empty() const
         {
-            return running == 0 && backlogTokens == 0 && changing == 0 && failing == 0
-                && leaving == 0;
+            return running == 0 && backlogTokens == 0 && remainingTokens == 0 && heldTokens == 0
+                && changing == 0 && failing == 0 && leaving == 0;
         }
     };
+
+    void addToSums(const GossipMessage &gossip, int sign);
+
+    std::map<std::string, GatewayLoad> m_loads;
     std::unordered_map<uint64_t, Sum> m_sums;
     TokenRates m_rates;
 };
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -90,7 +90,8 @@
             self->onDeadline();
     });
     m_services.retryBudget(m_request.service).noteRequest(m_arrivedAt);
-    startNextStep();
+    if (!endIfTooLarge())
+        startNextStep();
 }
 
 void Session::startNextStep()
@@ -121,6 +122,7 @@
     prompt.routeName = m_request.route->name;
     prompt.rank = m_request.rank;
     prompt.info = m_promptInfo;
+    prompt.info.cache = cacheDemand();
     prompt.arrivedAt = m_arrivedAt;
     prompt.firstTokenDueAt = m_arrivedAt + m_request.route->latencyObjective;
     prompt.deadlineAt = firstEventDeadline();
@@ -232,8 +234,10 @@
     }
     const std::string &domain =
         m_prefillEngine ? m_prefillEngine->record.domain : m_services.domain;
-    const auto index =
-        policy::chooseLeastLoadedEndpoint(views, domain, m_services.placement, m_services.random);
+    const EngineConfig *engine = engineConfig();
+    const auto index = engine
+        ? chooseDecodeEngine(*engine, views, domain)
+        : policy::chooseLeastLoadedEndpoint(views, domain, m_services.placement, m_services.random);
     if (!index)
         return nullptr;
     if (views[*index].probe)
@@ -299,6 +303,7 @@
     m_endpoint = endpoint;
     m_sentAt = core::BootClock::now();
     m_lastEventAt = {};
+    m_earlierEvents += m_events.count();
     m_events = {};
     clearAnswer();
     m_head = {};
@@ -306,6 +311,7 @@
     endpoint->limit.take(m_sentAt);
     ++endpoint->ownLoad.running;
     endpoint->ownLoad.backlogTokens += m_sentBacklogTokens;
+    updateEndpointLoad();
     m_services.onLoadChanged();
     metadata.endpointId = endpoint->record.id;
     metadata.timeLeft = timeLeft();
@@ -321,6 +327,8 @@
         .with("running", endpoint->ownLoad.running + endpoint->peerLoad.running)
         .with("tokens", m_sentBacklogTokens)
         .with("backlog", endpoint->ownLoad.backlogTokens + endpoint->peerLoad.backlogTokens)
+        .with("remaining", endpoint->ownLoad.remainingTokens + endpoint->peerLoad.remainingTokens)
+        .with("held", endpoint->ownLoad.heldTokens + endpoint->peerLoad.heldTokens)
         .with("predicted_ms", m_prefillPlan.choice.predictedFirstToken.count())
         .with("left_ms", metadata.timeLeft.count());
     m_connection = m_services.pool.acquire(endpoint->record.address);
@@ -345,6 +353,7 @@
         m_services.onLoadChanged();
         --m_endpoint->ownLoad.running;
         m_endpoint->ownLoad.backlogTokens -= std::exchange(m_sentBacklogTokens, 0);
+        setEndpointLoad({});
         m_endpoint = nullptr;
     }
     if (const auto connection = std::exchange(m_connection, nullptr)) {
--- a/src/serving/session.h
+++ b/src/serving/session.h
@@ -7,7 +7,7 @@
 
 #include "http/client.h"
 #include "http/server.h"
-#include "policy/decodestepestimator.h"
+#include "policy/decodeplacement.h"
 #include "policy/placement.h"
 #include "policy/prefillrateestimator.h"
 #include "policy/prefilltimeestimator.h"
@@ -106,6 +106,20 @@
     void sendRunTo(const EndpointPtr &endpoint);
     uint32_t enginePriority() const;
     EndpointPtr chooseRunner();
+    std::optional<size_t> chooseDecodeEngine(const EngineConfig &engine,
+                                             const std::vector<policy::PlacementCandidate> &engines,
+                                             const std::string &domain);
+    /** Properties of the service's engines; null if it has none. */
+    const EngineConfig *engineConfig() const;
+    policy::CacheDemand cacheDemand() const;
+    /** Output tokens that the runs of this request have produced. */
+    uint64_t producedTokens() const;
+    /** Updates this request's part of the load of the endpoint that it was sent to. */
+    void updateEndpointLoad();
+    void setEndpointLoad(const policy::DecodeLoad &load);
+    /** Ends a request that exceeds the memory of the service's engines. \return whether it has
+     * ended. */
+    bool endIfTooLarge();
     void send(Purpose purpose, const EndpointPtr &endpoint, SendMetadata metadata);
     /** Ends the send in progress; its connection returns to the pool or is closed. */
     void endSend(bool keepConnection);
@@ -189,6 +203,7 @@
     core::TimePoint m_sentAt{};
     PrefillPlan m_prefillPlan;        ///< Without an engine: no plan.
     uint32_t m_sentBacklogTokens = 0; ///< This send's part of the endpoint's backlog.
+    policy::DecodeLoad m_decodeLoad;  ///< This send's part of the endpoint's decode load.
     EventCounter m_events;            ///< Events of this send's answer.
     http::Head m_head;
     AnswerMetadata m_answer;
@@ -200,6 +215,7 @@
     EndpointPtr m_prefillEngine; ///< Prefill engine that keeps the prompt's cache, if any.
     EventFramer m_eventFramer;
     std::string m_streamType;           ///< Media type of the stream that the client receives.
+    uint64_t m_earlierEvents = 0;       ///< Events of earlier runs' answers.
     uint32_t m_runSends = 0;            ///< Sends for a run, attempts to connect included.
     uint32_t m_runs = 0;                ///< Endpoints that have run it or may have.
     uint64_t m_promptQueueId = 0;       ///< Id in the prompt scheduler; 0: not queued.
--- a/src/serving/sessionanswer.cpp
+++ b/src/serving/sessionanswer.cpp
@@ -165,6 +165,7 @@
     recordStepTime(body);
     const bool firstEvent = m_events.count() == 0;
     m_events.add(body);
+    updateEndpointLoad();
     if (firstEvent && m_events.count() > 0)
         m_services.quarantine.recordSuccess(m_sharedBlocks);
     if (m_request.route->resumable) {
