Decode placement: even out the streams that gateways cannot know of yet

Cause: gateways with equal figures 100 ms old all preferred the same engine.

Each engine is now chosen with the probability that evens out the expected times after the streams of all gateways within 100 ms, within the room of its cache.

--- a/src/policy/decodeplacement.h
+++ b/src/policy/decodeplacement.h
@@ -41,7 +41,7 @@
 double cacheRoom(const PlacementCandidate &engine, const CacheDemand &demand);
 
 /** Returns the room that a decode engine needs to be chosen for a request: that of the request, or,
- * if no usable decode engine has it, that of the one with the most room. */
+ * if no usable decode engine has it, about that of the one with the most room. */
 double requiredCacheRoom(const std::vector<PlacementCandidate> &engines, const CacheDemand &demand);
 
 /** A request to be decoded. */
@@ -61,8 +61,9 @@
 
 /** Chooses the decode engine with the least expected time to produce the tokens of a request.
  *
- * Load figures are up to 100 ms old and other gateways decide by the same ones. The choice is
- * therefore random among engines of a failure domain whose loads differ by a few streams.
+ * Load figures are up to 100 ms old, and other gateways decide by the same ones. The choice is
+ * therefore random among the engines that would still have the least time after the streams of all
+ * gateways within that age.
  *
  * \param domain failure domain that holds the request's prompt.
  * \return nothing if no engine is usable.
