--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -234,9 +234,8 @@
     }
     const std::string &domain =
         m_prefillEngine ? m_prefillEngine->record.domain : m_services.domain;
-    const EngineConfig *engine = engineConfig();
-    const auto index = engine
-        ? chooseDecodeEngine(*engine, views, domain)
+    const auto index = engineConfig()
+        ? chooseDecodeEngine(views, domain)
         : policy::chooseLeastLoadedEndpoint(views, domain, m_services.placement, m_services.random);
     if (!index)
         return nullptr;
--- a/src/serving/session.h
+++ b/src/serving/session.h
@@ -106,8 +106,7 @@
     void sendRunTo(const EndpointPtr &endpoint);
     uint32_t enginePriority() const;
     EndpointPtr chooseRunner();
-    std::optional<size_t> chooseDecodeEngine(const EngineConfig &engine,
-                                             const std::vector<policy::PlacementCandidate> &engines,
+    std::optional<size_t> chooseDecodeEngine(const std::vector<policy::PlacementCandidate> &engines,
                                              const std::string &domain);
     /** Properties of the service's engines; null if it has none. */
     const EngineConfig *engineConfig() const;
@@ -117,7 +116,7 @@
     /** Updates this request's part of the load of the endpoint that it was sent to. */
     void updateEndpointLoad();
     void setEndpointLoad(const policy::DecodeLoad &load);
-    /** Ends a request that exceeds the memory of the service's engines. \return whether it has
+    /** Ends a request that exceeds the KV cache of the service's engines. \return whether it has
      * ended. */
     bool endIfTooLarge();
     void send(Purpose purpose, const EndpointPtr &endpoint, SendMetadata metadata);
--- a/src/serving/sessionload.cpp
+++ b/src/serving/sessionload.cpp
@@ -34,16 +34,12 @@
     return engine ? events * engine->tokensPerEvent : 0;
 }
 
+// A prefill has no decode load: its engine holds the prompt only until another fetches it.
 void Session::updateEndpointLoad()
 {
-    if (!engineConfig())
-        return;
-    policy::DecodeLoad load =
-        policy::decodeLoadOf(m_promptInfo.tokens, expectedOutputTokens(), producedTokens());
-    // A prefill engine holds the prompt only, and produces no output.
-    if (m_purpose == Purpose::Prefill)
-        load = {0, policy::wholeCacheBlocks(m_promptInfo.tokens)};
-    setEndpointLoad(load);
+    if (m_purpose == Purpose::Run && engineConfig())
+        setEndpointLoad(
+            policy::decodeLoadOf(m_promptInfo.tokens, expectedOutputTokens(), producedTokens()));
 }
 
 void Session::setEndpointLoad(const policy::DecodeLoad &load)
@@ -55,8 +51,7 @@
 }
 
 std::optional<size_t>
-Session::chooseDecodeEngine(const EngineConfig &engine,
-                            const std::vector<policy::PlacementCandidate> &engines,
+Session::chooseDecodeEngine(const std::vector<policy::PlacementCandidate> &engines,
                             const std::string &domain)
 {
     policy::DecodeDemand demand;
@@ -69,16 +64,16 @@
                                    m_services.decodeSteps(m_request.service), m_services.random);
     if (!choice)
         return std::nullopt;
-    core::Event("run.placed")
-        .with("request", m_request.metadata.id)
-        .with("endpoint", engines[choice->index].id)
-        .with("expected_ms", choice->expectedMs)
-        .with("output_tokens", demand.outputTokens)
-        .with("held_tokens", demand.cache.heldTokens)
-        .with("cache_tokens", engine.cacheTokens)
-        .with("fits", choice->hasRoom);
-    if (!choice->hasRoom)
-        core::incrementCounter("jujube_runs_beyond_memory_total");
+    if (!choice->hasRoom) {
+        core::incrementCounter("jujube_runs_beyond_cache_total");
+        core::Event("run.beyond_cache")
+            .with("request", m_request.metadata.id)
+            .with("endpoint", engines[choice->index].id)
+            .with("held", engines[choice->index].heldTokens)
+            .with("request_held", demand.cache.heldTokens)
+            .with("cache", demand.cache.cacheTokens)
+            .with("expected_ms", choice->expectedMs);
+    }
     return choice->index;
 }
 
@@ -89,7 +84,7 @@
         return false;
     core::incrementCounter("jujube_requests_too_large_total");
     fail(http::status::ServiceUnavailable,
-         "the prompt exceeds the memory of the service's engines");
+         "the prompt exceeds the KV cache of the service's engines");
     return true;
 }
 
--- a/test/correctness/decodeload.cpp
+++ b/test/correctness/decodeload.cpp
@@ -103,6 +103,6 @@
         it.sendRequest("POST", "/stream/prompt/1", "large", promptFields("500000,50"));
     cr_assert_eq(answer.status(), 503U);
     cr_assert(prefillEngine.receivedRequests().empty() && decodeEngine.receivedRequests().empty());
-    cr_assert_eq(linesOf("request.failed", "exceeds the memory of the service's engines").size(),
+    cr_assert_eq(linesOf("request.failed", "exceeds the KV cache of the service's engines").size(),
                  1U);
 }
