Test that gateways state the decode load of their running streams

Cause: no test covered the sums of a small deployment, where every gateway broadcasts to all others.

--- a/test/correctness/decodeload.cpp
+++ b/test/correctness/decodeload.cpp
@@ -106,3 +106,34 @@
     cr_assert_eq(linesOf("request.failed", "exceeds the KV cache of the service's engines").size(),
                  1U);
 }
+
+// Guards against gateways that do not see each other's streams, or see them after they have ended.
+Test(decodeload, gateways_state_the_decode_load_of_their_streams_while_they_run)
+{
+    core::startEventLog("test", core::LogSettings{core::LogTarget::None});
+    Deployment it;
+    it.addEndpoint("model", serving::Stage::Prefill);
+    auto &decodeEngine = it.addEndpoint("model", serving::Stage::Decode);
+    decodeEngine.setFault(test::EndpointFault::Silent);
+    it.publishConfig(1);
+    it.startGateway();
+    it.startGateway();
+    const auto loadSeenBy = [&](const std::string &id, size_t gateway) {
+        const auto answer = std::make_shared<test::ClientResponse>();
+        const auto client =
+            it.startRequest("/stream/prompt/1", id, answer, promptFields("9000,50"), gateway);
+        const std::string run = "request=" + id + " for=run";
+        cr_assert(it.runUntil([&]() { return !linesOf("request.sent", run).empty(); }));
+        it.runFor(400ms); // Several rounds of gossip.
+        const std::string line = linesOf("request.sent", run).front();
+        return std::pair(client, line.substr(line.find("remaining=")));
+    };
+    const auto first = loadSeenBy("r1", 0);
+    cr_assert(first.second.starts_with("remaining=25 held=9040"), "%s", first.second.c_str());
+    const auto second = loadSeenBy("r2", 1);
+    cr_assert(second.second.starts_with("remaining=50 held=18080"), "%s", second.second.c_str());
+    first.first->close();
+    it.runFor(400ms);
+    const auto third = loadSeenBy("r3", 1);
+    cr_assert(third.second.starts_with("remaining=50 held=18080"), "%s", third.second.c_str());
+}
