Early stages of new engines only where endpoints state their pace

Change: the planner, the hold of new engines and the observation of replacements apply only once an endpoint has stated a pace.

--- a/src/policy/stageplanner.cpp
+++ b/src/policy/stageplanner.cpp
@@ -185,7 +185,7 @@
     if (m_trafficSeen)
         observe(demand, now);
     const auto passed = std::exchange(m_shareObservedAt, now);
-    if (engines.empty() || observeReplacements(engines, now))
+    if (engines.empty() || (demand.assignsNewEngines && observeReplacements(engines, now)))
         return;
     const double share = prefillShare(engines);
     const double weight =
@@ -233,7 +233,7 @@
                                                       const StageDemand &demand,
                                                       core::TimePoint now)
 {
-    if (!m_isLeader || !m_trafficSeen)
+    if (!m_isLeader || !m_trafficSeen || !demand.assignsNewEngines)
         return {};
     forgetOldAssignments(engines, now);
     return assignNewEngines(engines, demand, now);
--- a/src/policy/stageplanner.h
+++ b/src/policy/stageplanner.h
@@ -43,6 +43,8 @@
     bool decodeStepsKnown = false;          ///< Whether decode step times are known.
     uint32_t slots = 1;                     ///< Per engine.
     double prefillTokensPerSecond = 65'000; ///< Observed prefill rate of one engine.
+    /** Whether new engines get their stage before their first request. */
+    bool assignsNewEngines = true;
 };
 
 struct StagePlannerSettings
--- a/src/serving/gatewaygossip.cpp
+++ b/src/serving/gatewaygossip.cpp
@@ -35,7 +35,9 @@
 
 void Gateway::updateEndpoint(const EndpointRecord &record)
 {
-    const RecordArrival arrival{m_mirror->complete() ? core::BootClock::now() : TimePoint{},
+    // Only where endpoints state their pace: elsewhere the earlier rules measured better.
+    const bool observed = m_mirror->complete() && m_endpoints.statesPace();
+    const RecordArrival arrival{observed ? core::BootClock::now() : TimePoint{},
                                 m_mirror->items().contains(Leadership::Key)};
     if (m_endpoints.update(record, cacheTokens(record.service), arrival))
         m_stageDuty.planSoon();
--- a/src/serving/leaderduties.cpp
+++ b/src/serving/leaderduties.cpp
@@ -280,6 +280,7 @@
         policy::StageDemand demand;
         const policy::DecodeStepEstimator &decodeSteps = m_services.decodeSteps(name);
         demand.slots = std::max(1U, service.engine->slots);
+        demand.assignsNewEngines = m_services.endpoints.statesPace();
         demand.decodeStepsKnown = decodeSteps.calibrated();
         const TokenRates rates = m_services.tokenRates();
         demand.promptTokensPerSecond = rates.promptPerSecond;
--- a/test/correctness/stageorders.cpp
+++ b/test/correctness/stageorders.cpp
@@ -21,8 +21,8 @@
     explicit Fleet(size_t gateways = 1)
     {
         for (int i = 0; i < 3; ++i)
-            addEndpoint("model", serving::Stage::Prefill);
-        decodeEngine = &addEndpoint("model", serving::Stage::Decode);
+            addPacedEngine(serving::Stage::Prefill);
+        decodeEngine = &addPacedEngine(serving::Stage::Decode);
         publishConfig(1);
         for (size_t i = 0; i < gateways; ++i)
             startGateway();
@@ -31,6 +31,14 @@
         runFor(500ms);
     }
 
+    /** Adds an engine that states its pace: only there new engines get their stage early. */
+    FakeEndpoint &addPacedEngine(serving::Stage stage)
+    {
+        FakeEndpoint &engine = addEndpoint("model", stage);
+        engine.setResponseFields({{"Server-Load", "1,0,64,100"}});
+        return engine;
+    }
+
     void sendPrompt(size_t gateway = 0)
     {
         const std::string n = std::to_string(++m_prompts);
@@ -44,7 +52,7 @@
     FakeEndpoint &replacePrefillEngine()
     {
         store().erase("servers/i-1");
-        return addEndpoint("model", serving::Stage::Decode);
+        return addPacedEngine(serving::Stage::Decode);
     }
 
     /** Writes the entry of the fifth engine, as the engine itself does after a change. */
--- a/test/correctness/stagereplacements.cpp
+++ b/test/correctness/stagereplacements.cpp
@@ -324,3 +324,26 @@
     it.run(10s);
     cr_assert_eq(it.prefillCount(), 25U);
 }
+
+// Guards against deployments whose endpoints state no pace and whose stages then change otherwise
+// than before: their engines are replaced one after the other.
+Test(stagereplacements, without_paces_new_engines_get_no_early_stage)
+{
+    policy::StagePlanner planner({});
+    std::vector<policy::StageView> engines(12);
+    for (size_t i = 0; i < engines.size(); ++i) {
+        engines[i].id = "e" + std::to_string(10 + i);
+        engines[i].prefill = i < 6;
+    }
+    policy::StageDemand demand{.slots = 64};
+    demand.promptTokensPerSecond = 1'000;
+    demand.busyDecodeSlots = 1;
+    demand.assignsNewEngines = false;
+    planner.plan(engines, demand, Start);
+    engines[0].id = "new";
+    engines[0].prefill = false;
+    engines[0].unused = true;
+    cr_assert(planner.planNewEngines(engines, demand, Start + 200ms).empty());
+    demand.assignsNewEngines = true;
+    cr_assert_not(planner.planNewEngines(engines, demand, Start + 200ms).empty());
+}
