--- a/src/serving/leaderduties.cpp
+++ b/src/serving/leaderduties.cpp
@@ -5,6 +5,7 @@
 #include "core/text.h"
 #include "platform/dutycodec.h"
 #include "platform/requestcodec.h"
+#include "serving/endpointhealth.h"
 #include "wire/json.h"
 
 #include <algorithm>
--- a/src/serving/loadprober.cpp
+++ b/src/serving/loadprober.cpp
@@ -4,6 +4,7 @@
 #include "core/metrics.h"
 #include "core/text.h"
 #include "platform/requestcodec.h"
+#include "serving/endpointhealth.h"
 
 #include <algorithm>
 
--- a/src/serving/session.h
+++ b/src/serving/session.h
@@ -13,7 +13,7 @@
 #include "policy/prefillrateestimator.h"
 #include "policy/prefilltimeestimator.h"
 #include "policy/sendbudget.h"
-#include "serving/endpoints.h"
+#include "serving/endpointhealth.h"
 #include "serving/eventframer.h"
 #include "serving/prefixblockgossip.h"
 #include "serving/promptscheduler.h"
--- a/test/correctness/endpoints.cpp
+++ b/test/correctness/endpoints.cpp
@@ -2,7 +2,7 @@
  * Tests of the ejection and the pausing of endpoints that fail or refuse, without a network.
  */
 
-#include "serving/endpoints.h"
+#include "serving/endpointhealth.h"
 
 #include <criterion/criterion.h>
 
--- a/test/correctness/engineslowdown.cpp
+++ b/test/correctness/engineslowdown.cpp
@@ -6,6 +6,7 @@
 #include "policy/placement.h"
 #include "policy/promptqueue.h"
 #include "policy/reportedpace.h"
+#include "serving/endpointhealth.h"
 #include "serving/gossip.h"
 #include "serving/loadexchange.h"
 #include "serving/promptscheduler.h"
--- a/test/correctness/notices.cpp
+++ b/test/correctness/notices.cpp
@@ -3,6 +3,7 @@
  */
 
 #include "platform/requestcodec.h"
+#include "serving/endpointhealth.h"
 #include "support/deployment.h"
 
 #include <criterion/criterion.h>
