Engines that accept no connections get no work for a time

Idle and refusing within a millisecond, they were the best choice for each prompt (450 refused prefills in 2 s); after three a decode engine had to prefill it (backlog of 29,000 tokens at the median), and first tokens of short requests came after 416 ms instead of 18. Connections to VMs without power were given up after 350 ms, more than the objective (250 ms). Change: a failed connection pauses the endpoint (300 to 1,200 ms, at most half of a stage), does not count as a prefill attempt, and the time to connect is half of the objective (120 to 350 ms); a 421 that names another instance ends the incarnation. Only with contention or stated paces. Tests: connectfailures/*, 6 of 6; the first two fail without the change.

--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -61,6 +61,9 @@
      * once an endpoint has stated a pace. Without paces, learned slowdowns alone measured slightly
      * worse than one smoothed ratio (docs/POLICY.md). */
     bool predictsByPace = true;
+    /** Whether endpoints that accept no connection, or at whose address another instance answers,
+     * get no further work. */
+    bool avoidsUnreachable = false;
     // Initial values, which are updated from observed requests.
     /** Time to the first token through a prefill engine, if predictsByPace is not set. */
     PrefillTimeModel disaggregatedPrefill{60, 75};
--- a/src/serving/endpointhealth.cpp
+++ b/src/serving/endpointhealth.cpp
@@ -1,6 +1,7 @@
 #include "serving/endpointhealth.h"
 
 #include "core/eventlog.h"
+#include "core/metrics.h"
 
 #include <algorithm>
 
@@ -70,6 +71,12 @@
 {
     if (answer.leaving && !std::exchange(endpoint.leaving, true))
         core::Event("endpoint.leaving").with("endpoint", endpoint.record.id);
+    // The process that was addressed has ended, although its entry may stay for a second or more.
+    if (!answer.otherInstance.empty() && answer.otherInstance != endpoint.record.id
+        && !std::exchange(endpoint.leaving, true))
+        core::Event("endpoint.replaced")
+            .with("endpoint", endpoint.record.id)
+            .with("instance", answer.otherInstance);
     if ((answer.requestLimit || answer.endsLimit)
         && endpoint.limit.observe(answer.requestLimit, now))
         logLimit(endpoint, "answer");
@@ -86,6 +93,29 @@
         .with("for_ms", answer.retryAfter->count());
 }
 
+void recordConnectFailure(Endpoint &endpoint, const std::vector<EndpointPtr> &others,
+                          core::TimePoint now)
+{
+    size_t present = 0;
+    size_t paused = 0;
+    for (const EndpointPtr &it : others) {
+        if (it->prefills() != endpoint.prefills() || !it->acceptsWork())
+            continue;
+        ++present;
+        paused += now < it->pausedUntil ? 1 : 0;
+    }
+    const core::Milliseconds pause = endpoint.connectFailures.note(now);
+    if (now < endpoint.pausedUntil || !policy::mayPauseUnreachable(paused, present))
+        return;
+    endpoint.pauseFor(now, pause);
+    core::incrementCounter("jujube_unreachable_endpoints_total");
+    core::Event("endpoint.unreachable")
+        .with("endpoint", endpoint.record.id)
+        .with("for_ms", pause.count())
+        .with("paused", paused)
+        .with("present", present);
+}
+
 // Only failures in a row count. Unlike an endpoint that returns errors at once, one that loses
 // answers does not attract more requests, and while the fleet is full the answers it does give are
 // needed.
--- a/src/serving/endpoints.h
+++ b/src/serving/endpoints.h
@@ -4,6 +4,7 @@
  * Defines the table of endpoints that a gateway knows, with their load and health.
  */
 
+#include "policy/connectfailures.h"
 #include "policy/engineslowdown.h"
 #include "policy/outlierdetector.h"
 #include "policy/placement.h"
@@ -92,6 +93,7 @@
     OutstandingLoad peerLoad; ///< Sum over the other gateways.
     policy::OutlierDetector health{EndpointHealthSettings};
     policy::ErrorRateTest errors;
+    policy::ConnectFailures connectFailures;
     policy::PrefixCacheModel prefixCache;
     /** Observed over predicted time to the first token, smoothed. Not updated by prefills for other
      * engines, whose duration slowdown describes. */
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -349,6 +349,7 @@
         m_placement.handOver = m_handOver.model();
         m_placement.disaggregatedPrefill = m_disaggregatedPrefill.model();
         m_placement.predictsByPace = m_endpoints.statesPace();
+        m_placement.avoidsUnreachable = m_settings.contention || m_placement.predictsByPace;
         if (m_placement.predictsByPace)
             m_endpoints.updateSlowdowns(now);
         m_placement.gateways = m_peers.aliveCount();
--- a/src/serving/nodesettings.h
+++ b/src/serving/nodesettings.h
@@ -41,6 +41,7 @@
     core::Milliseconds quotaWindow{8'000}; ///< Sliding window in which quotas of teams hold.
     double quotaOverrun = 0; ///< Share by which the use of a quota may exceed it in a window.
     double quotaSlack = 0;   ///< Tokens by which it may exceed the quota besides.
+    bool contention = false; ///< Callers compete for capacity.
 };
 
 } // namespace jujube::serving
--- a/src/serving/requesttypes.h
+++ b/src/serving/requesttypes.h
@@ -72,6 +72,8 @@
     bool hasSignature = false; ///< Carries the endpoint's signature of its answer.
     bool notRun = false;  ///< The endpoint states that it has not run the request and will not.
     bool leaving = false; ///< The endpoint is shutting down and accepts no new requests.
+    /** Id of the instance that refused a request addressed to another one; empty: not stated. */
+    std::string otherInstance;
     /** Back-off that a refusal asks for: no requests to the endpoint until it has passed. */
     std::optional<core::Milliseconds> retryAfter;
     std::optional<EndpointLoad> load;
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -17,7 +17,7 @@
 using ErrorCode = boost::system::error_code;
 
 // Connecting within a region takes a few ms; a VM that has lost power does not answer at all.
-constexpr Milliseconds ConnectTimeout{350};
+constexpr Milliseconds ConnectTimeout{350}; ///< Unless it follows from the latency objective.
 // A prompt can be prefilled again elsewhere, so the timeout of a prefill is not much longer than
 // the prediction. The prediction misses work that other gateways have sent since their last gossip.
 // It is near the median: a tenth of the prefills take more than twice as long.
@@ -354,8 +354,11 @@
     handler.onFailure = [self](http::Failure failure, const std::string &why) {
         self->onFailure(failure, why);
     };
+    const Milliseconds connectTimeout = m_services.placement.avoidsUnreachable
+        ? policy::connectTimeout(m_request.route->latencyObjective)
+        : ConnectTimeout;
     m_connection->send(http::renderRequest(head, m_request.message.body), head.method == "HEAD",
-                       ConnectTimeout, std::move(handler));
+                       connectTimeout, std::move(handler));
 }
 
 // The end of its connection makes the endpoint stop its work on the request.
--- a/src/serving/session.h
+++ b/src/serving/session.h
@@ -157,6 +157,9 @@
     void countForUsage();
     void recordEndpointAnswer(bool failed);
     void recordLostAnswer();
+    void recordConnectFailure();
+    /** Whether no further prefill of the prompt is tried. */
+    bool prefillAttemptsSpent() const;
     /** Whether a run that was lost now may be the cause of the loss. */
     bool mayHaveCrashedEndpoint() const;
     void releaseCacheHandle();
@@ -214,6 +217,7 @@
     EndpointPtr m_prefillEngine; ///< Prefill engine that keeps the prompt's cache, if any.
     EventFramer m_eventFramer;
     std::string m_streamType;           ///< Media type of the stream that the client receives.
+    uint32_t m_failedPrefills = 0;      ///< Prefills that an endpoint may have received.
     uint32_t m_runSends = 0;            ///< Sends for a run, attempts to connect included.
     uint32_t m_runs = 0;                ///< Endpoints that have run it or may have.
     uint64_t m_promptQueueId = 0;       ///< Id in the prompt scheduler; 0: not queued.
--- a/src/serving/sessionanswer.cpp
+++ b/src/serving/sessionanswer.cpp
@@ -20,6 +20,8 @@
 
 constexpr uint32_t MaxPrefillAttempts =
     3; ///< After these the endpoint that runs the request prefills.
+// The same if connections fail before anything is sent.
+constexpr uint32_t MaxUnreachableAttempts = 8;
 // Answers up to this size are buffered, so that a failure can still be reported to the client with
 // its own status; larger ones are relayed as they arrive. 200 concurrent requests then take 50 MB
 // of a VM with 160 MB.
@@ -76,6 +78,9 @@
         onFailure(http::Failure::Malformed, "the answer is of another type than the stream");
         return false;
     }
+    if (!m_services.placement.avoidsUnreachable)
+        metadata.otherInstance.clear();
+    m_endpoint->connectFailures.reset();
     m_head = head;
     m_answer = metadata;
     applyAnswerNotices(*m_endpoint, metadata, core::BootClock::now());
@@ -245,11 +250,21 @@
              retryAfterDelay());
         return;
     }
-    if (m_avoidedEndpoints.size() >= MaxPrefillAttempts)
-        m_prefillTried = true;
+    m_failedPrefills += mayHaveArrived ? 1 : 0;
+    m_prefillTried = prefillAttemptsSpent();
     startNextStep();
 }
 
+// A refused connection takes about a millisecond. When a quarter of the engines had ended, three of
+// them in a row sent prompts to decode engines for prefill, whose streams then took longer.
+bool Session::prefillAttemptsSpent() const
+{
+    if (!m_services.placement.avoidsUnreachable)
+        return m_avoidedEndpoints.size() >= MaxPrefillAttempts;
+    return m_failedPrefills >= MaxPrefillAttempts
+        || m_avoidedEndpoints.size() >= MaxUnreachableAttempts;
+}
+
 void Session::handleRunAnswer()
 {
     const bool success = http::status::isSuccess(m_head.status);
@@ -315,6 +330,13 @@
                  core::BootClock::now());
 }
 
+void Session::recordConnectFailure()
+{
+    if (m_services.placement.avoidsUnreachable)
+        serving::recordConnectFailure(
+            *m_endpoint, m_services.endpoints.ofService(m_request.service), core::BootClock::now());
+}
+
 void Session::recordLostAnswer()
 {
     serving::recordLostAnswer(*m_endpoint, core::BootClock::now());
@@ -332,6 +354,8 @@
 
 void Session::onFailure(http::Failure failure, const std::string &why)
 {
+    if (failure == http::Failure::NotSent)
+        recordConnectFailure();
     if (m_purpose == Purpose::Prefill) {
         recordLostAnswer();
         handlePrefillFailure(failure != http::Failure::NotSent, why);
