--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -15,8 +15,8 @@
 
 // Rendezvous hashing: all gateways rank the engines alike, and the loss of an engine moves only the
 // prefixes that prefer it.
-std::optional<size_t> preferredEngine(const std::vector<PlacementCandidate> &engines,
-                                      uint64_t prefixHash)
+std::optional<size_t> engineOfPrefix(const std::vector<PlacementCandidate> &engines,
+                                     uint64_t prefixHash)
 {
     std::optional<size_t> preferred;
     uint64_t best = 0;
@@ -40,36 +40,30 @@
 constexpr double MinPrefillFactor = 0.15;
 constexpr double MaxPrefillFactor = 8;
 
-/** Times to the first token at one engine. */
-struct PredictedTimes
-{
-    double prefillMs = 0; ///< Until the engine has prefilled the prompt.
-    double restMs = 0;    ///< From then to the first token.
-};
-
-PredictedTimes predictTimes(const PlacementCandidate &engine, double tokens, bool fetch,
-                            const PromptInfo &prompt, const PlacementSettings &settings)
+// Sets the times to the first token at one engine.
+void predictTimes(PrefillScore &times, const PlacementCandidate &engine, const PromptInfo &prompt,
+                  const PlacementSettings &settings)
 {
-    PredictedTimes times;
+    const double tokens = times.expectedTokens;
+    const bool fetch = times.fetch;
     if (!settings.predictsByPace) {
         const PrefillTimeModel &model =
             engine.isPrefillEngine ? settings.disaggregatedPrefill : settings.colocatedPrefill;
         times.prefillMs = (engine.backlogTokens + tokens) * engine.slowness / model.tokensPerMs;
         times.restMs = model.fixedMs + (fetch ? settings.prefixFetchMs : 0);
-        return times;
+        return;
     }
     if (engine.isPrefillEngine) {
         times.prefillMs = settings.prefill.predictMs(
             {tokens, engine.backlogTokens, prompt.priority, fetch}, prefillFactor(engine));
         times.restMs = settings.handOver.fixedMs + prompt.tokens / settings.handOver.tokensPerMs;
-        return times;
+        return;
     }
     // The smoothed slowness contains the usual pace already.
     const PrefillTimeModel &model = settings.colocatedPrefill;
     times.prefillMs = (engine.backlogTokens + tokens) / model.tokensPerMs * engine.slowness
         * engine.pace / engine.usualPace;
     times.restMs = model.fixedMs + (fetch ? settings.prefixFetchMs : 0);
-    return times;
 }
 
 } // namespace
@@ -86,46 +80,74 @@
                       MaxPrefillFactor);
 }
 
+std::optional<size_t> preferredEngine(const std::vector<PlacementCandidate> &engines,
+                                      const PromptInfo &prompt)
+{
+    // The preferred engine matters only for the first prefill of a prefix; afterwards it can be
+    // fetched from the endpoints that hold it.
+    const bool uncachedPrefix = prompt.prefixHash != 0 && prompt.fetchableTokens == 0;
+    return uncachedPrefix ? engineOfPrefix(engines, prompt.prefixHash) : std::nullopt;
+}
+
+bool mayPrefill(const PlacementCandidate &engine, const PlacementSettings &settings)
+{
+    return engine.usable
+        && (engine.isPrefillEngine || engine.running < engine.slots * settings.maxColocatedSlotUse);
+}
+
+PrefillScore scorePrefill(const PlacementCandidate &engine, const PromptInfo &prompt,
+                          bool isPreferred, const PlacementSettings &settings)
+{
+    PrefillScore score;
+    score.fetch = prompt.fetchableTokens > engine.cachedTokens + settings.minFetchTokens;
+    const uint32_t reusableTokens = score.fetch ? prompt.fetchableTokens : engine.cachedTokens;
+    score.missingTokens = prompt.tokens - std::min(reusableTokens, prompt.tokens);
+    score.expectedTokens = isPreferred
+        ? std::min(score.missingTokens, prompt.tokens * (1 - settings.preferredCachedShare))
+        : score.missingTokens;
+    score.crossDomainMs = engine.domain == settings.domain ? 0 : settings.crossDomainPrefillMs;
+    predictTimes(score, engine, prompt, settings);
+    score.spread = settings.predictsByPace ? score.prefillMs * PrefillTieShare : 1;
+    return score;
+}
+
+RunScore scoreRun(const PlacementCandidate &endpoint, std::string_view domain,
+                  const PlacementSettings &settings)
+{
+    // Load figures are not recent enough to tell smaller differences.
+    constexpr double tieShare = 0.02;
+    RunScore score{0, tieShare};
+    score.share = (endpoint.running + 1) * runFactor(endpoint) / std::max(1U, endpoint.slots);
+    if (endpoint.domain != domain)
+        score.share += settings.crossDomainSlotPenalty;
+    return score;
+}
+
 std::optional<PrefillChoice> choosePrefillEngine(const std::vector<PlacementCandidate> &engines,
                                                  const PromptInfo &prompt,
                                                  const PlacementSettings &settings,
                                                  std::mt19937_64 &random)
 {
-    // The preferred engine matters only for the first prefill of a prefix; afterwards it can be
-    // fetched from the endpoints that hold it.
-    const bool uncachedPrefix = prompt.prefixHash != 0 && prompt.fetchableTokens == 0;
-    const auto preferred =
-        uncachedPrefix ? preferredEngine(engines, prompt.prefixHash) : std::nullopt;
+    const auto preferred = preferredEngine(engines, prompt);
     std::optional<PrefillChoice> choice;
     double best = std::numeric_limits<double>::max();
     std::uniform_real_distribution<double> tie(0, 1);
     for (size_t i = 0; i < engines.size(); ++i) {
         const PlacementCandidate &engine = engines[i];
-        if (!engine.usable
-            || (!engine.isPrefillEngine
-                && engine.running >= engine.slots * settings.maxColocatedSlotUse))
+        if (!mayPrefill(engine, settings))
             continue;
-        const bool fetch = prompt.fetchableTokens > engine.cachedTokens + settings.minFetchTokens;
-        const uint32_t reusableTokens = fetch ? prompt.fetchableTokens : engine.cachedTokens;
-        const double missingTokens = prompt.tokens - std::min(reusableTokens, prompt.tokens);
-        const double expectedTokens = preferred == i
-            ? std::min(missingTokens, prompt.tokens * (1 - settings.preferredCachedShare))
-            : missingTokens;
-        const double crossDomainMs =
-            engine.domain == settings.domain ? 0 : settings.crossDomainPrefillMs;
-        const PredictedTimes times = predictTimes(engine, expectedTokens, fetch, prompt, settings);
-        const double ms = times.prefillMs + times.restMs + crossDomainMs;
-        const double spread = settings.predictsByPace ? times.prefillMs * PrefillTieShare : 1;
-        const double score = ms + spread * tie(random);
+        const PrefillScore figures = scorePrefill(engine, prompt, preferred == i, settings);
+        const double ms = figures.ms();
+        const double score = ms + figures.spread * tie(random);
         if (score < best) {
             best = score;
             choice.emplace();
             choice->index = i;
-            choice->uncachedTokens = static_cast<uint32_t>(missingTokens);
-            choice->expectedTokens = expectedTokens;
-            choice->fetch = fetch;
+            choice->uncachedTokens = static_cast<uint32_t>(figures.missingTokens);
+            choice->expectedTokens = figures.expectedTokens;
+            choice->fetch = figures.fetch;
             choice->predictedFirstToken = wholeMs(ms);
-            choice->predictedPrefill = wholeMs(settings.predictsByPace ? times.prefillMs : ms);
+            choice->predictedPrefill = wholeMs(settings.predictsByPace ? figures.prefillMs : ms);
             choice->byPace = settings.predictsByPace;
             choice->slowdown = engine.slowdown.value_or(1);
             choice->pace = engine.pace;
@@ -139,21 +161,16 @@
                                                 const PlacementSettings &settings,
                                                 std::mt19937_64 &random)
 {
-    // Load figures are not recent enough to tell smaller differences.
-    constexpr double tieShare = 0.02;
     std::optional<size_t> choice;
     double best = std::numeric_limits<double>::max();
-    std::uniform_real_distribution<double> tie(0, tieShare);
     for (size_t i = 0; i < endpoints.size(); ++i) {
-        const PlacementCandidate &endpoint = endpoints[i];
-        if (!endpoint.usable)
+        if (!endpoints[i].usable)
             continue;
-        double share = (endpoint.running + 1) * runFactor(endpoint) / std::max(1U, endpoint.slots);
-        if (endpoint.domain != domain)
-            share += settings.crossDomainSlotPenalty;
-        share += tie(random);
-        if (share < best) {
-            best = share;
+        const RunScore figures = scoreRun(endpoints[i], domain, settings);
+        std::uniform_real_distribution<double> tie(0, figures.spread);
+        const double score = figures.share + tie(random);
+        if (score < best) {
+            best = score;
             choice = i;
         }
     }
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -102,6 +102,46 @@
     double pace = 1;     ///< Factor of its reported pace.
 };
 
+/** What a placement predicts for the prefill of a prompt at one engine. */
+struct PrefillScore
+{
+    double missingTokens = 0;  ///< Tokens that neither its cache nor a fetch provides.
+    double expectedTokens = 0; ///< Tokens that it is expected to prefill.
+    bool fetch = false;        ///< Whether to fetch cached prefix blocks from another endpoint.
+    double prefillMs = 0;      ///< Until it has prefilled the prompt.
+    double restMs = 0;         ///< From then to the first token.
+    double crossDomainMs = 0;  ///< Penalty for another failure domain.
+    /** A random part in [0, spread) is added to ms(), so that gateways that decide on the same
+     * figures do not all choose the same engine. */
+    double spread = 0;
+
+    double ms() const { return prefillMs + restMs + crossDomainMs; }
+};
+
+/** What the choice of an endpoint for a run is based on. */
+struct RunScore
+{
+    /** Share of its slots in use, with this run, its slowness and its failure domain. */
+    double share = 0;
+    double spread = 0; ///< A random part in [0, spread) is added to the share.
+};
+
+/** Returns the engine that is preferred for the first prefill of a prompt's prefix, if any. */
+std::optional<size_t> preferredEngine(const std::vector<PlacementCandidate> &engines,
+                                      const PromptInfo &prompt);
+
+/** Whether an engine is considered for the prefill of a prompt. */
+bool mayPrefill(const PlacementCandidate &engine, const PlacementSettings &settings);
+
+/** Predicts the prefill of a prompt at an engine. The lowest ms() is chosen. */
+PrefillScore scorePrefill(const PlacementCandidate &engine, const PromptInfo &prompt,
+                          bool isPreferred, const PlacementSettings &settings);
+
+/** Scores an endpoint for a run. The lowest share is chosen.
+ * \param domain from which the run is sent. */
+RunScore scoreRun(const PlacementCandidate &endpoint, std::string_view domain,
+                  const PlacementSettings &settings);
+
 /** Factor by which a prefill on a prefill engine takes longer than usual at this moment; limited,
  * so that wrong figures never take an engine out of use. */
 double prefillFactor(const PlacementCandidate &engine);
