Preview the decisions of quotas and of the prompt queue on copies

Cause: an explanation has to state both without a charge, a queued prompt or a draw. Change: QuotaGate::preview decides on copies of the gate and its ledger, which the gate therefore holds by pointer; PromptScheduler::preview dispatches from a copy of the queue.

--- a/src/policy/promptqueue.cpp
+++ b/src/policy/promptqueue.cpp
@@ -73,6 +73,11 @@
     return engine.backlogTokens * factor < m_settings.maxBacklogTokens;
 }
 
+uint32_t PromptQueue::priorityOf(const WaitingPrompt &prompt, core::TimePoint now) const
+{
+    return enginePriority(orderingKey(prompt, now));
+}
+
 // Prompts in prefill count as occupied decode slots, because they need one shortly after.
 bool PromptQueue::decodeHasRoom(const std::vector<PlacementCandidate> &engines) const
 {
--- a/src/policy/promptqueue.h
+++ b/src/policy/promptqueue.h
@@ -98,8 +98,12 @@
     size_t size() const { return m_waiting.size(); }
     double waitingTokens() const;
 
-private:
+    /** Whether the backlog of an engine permits further prompts. */
     bool hasRoom(const PlacementCandidate &engine) const;
+    /** Priority at an engine that a prompt would be sent with. */
+    uint32_t priorityOf(const WaitingPrompt &prompt, core::TimePoint now) const;
+
+private:
     bool decodeHasRoom(const std::vector<PlacementCandidate> &engines) const;
     /** Returns the best prefill engine with room if a prompt is prefilled there sooner than after
      * waiting for room at the chosen engine. \param waitMs expected wait. */
--- a/src/policy/quotagate.cpp
+++ b/src/policy/quotagate.cpp
@@ -72,7 +72,7 @@
 }
 
 QuotaGate::QuotaGate(QuotaLedger &ledger, TimePoint now)
-    : m_ledger(ledger), m_statedAt(now), m_listedAt(now), m_markedAt(now), m_touchedAt(now)
+    : m_ledger(&ledger), m_statedAt(now), m_listedAt(now), m_markedAt(now), m_touchedAt(now)
 {
 }
 
@@ -83,7 +83,7 @@
         m_distrustUntil = now + DistrustTime;
     else
         m_activeSeconds += std::max(0.0, seconds(since));
-    m_ledger.advance(now);
+    m_ledger->advance(now);
     if (!lostContact(now))
         m_alone = false;
     else if (!std::exchange(m_alone, true))
@@ -92,7 +92,7 @@
 
 void QuotaGate::setRole(QuotaRole role, TimePoint now)
 {
-    m_ledger.setConnectionTimeout(
+    m_ledger->setConnectionTimeout(
         role == QuotaRole::Member ? StandbyConnectionTimeout : ContactTimeout, now);
     if (role == m_role)
         return;
@@ -125,16 +125,16 @@
 bool QuotaGate::lostContact(TimePoint now) const
 {
     if (now < m_distrustUntil)
-        return m_ledger.hasPeers();
+        return m_ledger->hasPeers();
     switch (m_role) {
     case QuotaRole::Hub:
-        return m_ledger.hasPeers() && !m_ledger.anyConnected(now);
+        return m_ledger->hasPeers() && !m_ledger->anyConnected(now);
     case QuotaRole::Member:
         return now - m_statedAt > ContactTimeout;
     case QuotaRole::Mesh:
         break;
     }
-    return m_ledger.hasPeers() && now - m_listedAt > ContactTimeout;
+    return m_ledger->hasPeers() && now - m_listedAt > ContactTimeout;
 }
 
 TimePoint QuotaGate::lastContact(TimePoint now) const
@@ -154,13 +154,13 @@
 void QuotaGate::enterAlone(TimePoint now)
 {
     const TimePoint contact = lastContact(now);
-    m_aloneGateways = m_ledger.memberCount(contact);
+    m_aloneGateways = m_ledger->memberCount(contact);
     m_aloneSince = now;
     m_aloneEnd = contact + ContactTimeout + MaxTimeAlone;
-    for (const QuotaLevel &it : m_ledger.allLevels(now)) {
+    for (const QuotaLevel &it : m_ledger->allLevels(now)) {
         Team &own = m_teams[it.team];
         const double level =
-            view(it.team, own, *m_ledger.quota(it.team), std::min(now, contact + ContactTimeout));
+            view(it.team, own, *m_ledger->quota(it.team), std::min(now, contact + ContactTimeout));
         const double unknown = unacknowledged(own);
         own.aloneLevel = (level + unknown) / m_aloneGateways - unknown;
         own.aloneFilledTo = m_activeSeconds;
@@ -170,7 +170,7 @@
 void QuotaGate::applyStatement(const QuotaStatement &statement, TimePoint now)
 {
     touch(now);
-    const bool isOld = statement.run != m_ledger.runOf(statement.hub)
+    const bool isOld = statement.run != m_ledger->runOf(statement.hub)
         || (statement.run == m_latest.run && statement.sequence <= m_latest.sequence);
     if (now < m_distrustUntil || isOld)
         return;
@@ -189,14 +189,14 @@
     }
     touch(now);
     std::vector<QuotaLevel> first;
-    for (const QuotaLevel &it : m_ledger.allLevels(now)) {
-        if (m_ledger.awaitsLevel(it.team, now))
+    for (const QuotaLevel &it : m_ledger->allLevels(now)) {
+        if (m_ledger->awaitsLevel(it.team, now))
             first.push_back({it.team,
                              static_cast<int64_t>(
-                                 view(it.team, m_teams[it.team], *m_ledger.quota(it.team), now)),
+                                 view(it.team, m_teams[it.team], *m_ledger->quota(it.team), now)),
                              0});
     }
-    m_ledger.adopt(first, now);
+    m_ledger->adopt(first, now);
 }
 
 // A refund may bring the count back to an earlier value, so the earliest report that matches
@@ -223,7 +223,7 @@
     if (m_role != QuotaRole::Mesh || now - m_markedAt < MeshDelay)
         return;
     // Without contact the peers have probably not received the last messages either.
-    if (m_ledger.hasPeers() && m_listedAt < m_markedAt)
+    if (m_ledger->hasPeers() && m_listedAt < m_markedAt)
         return;
     m_knownUntil = std::exchange(m_markedAt, now);
     ++m_round;
@@ -264,8 +264,8 @@
 double QuotaGate::view(uint64_t team, const Team &own, const QuotaRate &quota, TimePoint now)
 {
     if (m_role != QuotaRole::Member || m_round == 0)
-        return m_ledger.level(team, now);
-    const double capacity = quota.capacity(m_ledger.terms());
+        return m_ledger->level(team, now);
+    const double capacity = quota.capacity(m_ledger->terms());
     const double stated = own.round == m_round ? own.stated : QuotaLedger::UnstatedShare * capacity;
     const double age = std::max(0.0, seconds(now - m_statedAt));
     return std::min(stated + quota.perSecond * age - unacknowledged(own), capacity);
@@ -273,7 +273,7 @@
 
 QuotaDecision QuotaGate::decide(uint64_t team, double tokens, TimePoint now)
 {
-    const QuotaRate *quota = m_ledger.quota(team);
+    const QuotaRate *quota = m_ledger->quota(team);
     if (!quota)
         return {};
     Team &own = m_teams[team];
@@ -281,10 +281,10 @@
     decision.mode = mode(now);
     if (decision.mode == QuotaMode::Alone)
         return decideAlone(own, team, tokens, now);
-    const double capacity = quota->capacity(m_ledger.terms());
+    const double capacity = quota->capacity(m_ledger->terms());
     decision.level = view(team, own, *quota, now);
     // Such a request exceeds the quota of a whole window by itself.
-    if (tokens > quota->mostInWindow(m_ledger.terms())) {
+    if (tokens > quota->mostInWindow(m_ledger->terms())) {
         decision.verdict = QuotaVerdict::Refuse;
         decision.retryIn = timeToFill(tokens, quota->perSecond);
         return decision;
@@ -295,7 +295,7 @@
     // A request that is larger than the bucket is covered by a full one, which is not stated.
     const double needed = std::min(tokens, QuotaLedger::UnstatedShare * capacity);
     const bool unknown =
-        m_ledger.awaitsLevel(team, now) || (decision.mode == QuotaMode::Member && m_round == 0);
+        m_ledger->awaitsLevel(team, now) || (decision.mode == QuotaMode::Member && m_round == 0);
     if (unknown) {
         decision.verdict = QuotaVerdict::Wait;
         return decision;
@@ -305,11 +305,11 @@
         decision.retryIn = timeToFill(needed - decision.level, quota->perSecond);
         return decision;
     }
-    const double members = m_ledger.memberCount(now);
+    const double members = m_ledger->memberCount(now);
     const double known = decision.level + decision.unacknowledged;
     const double levelShare = now - lastContact(now) <= FreshTime ? UnknownLevelShare : 1;
     const double most =
-        std::max(levelShare * known, UnknownMarginShare * quota->margin(m_ledger.terms()))
+        std::max(levelShare * known, UnknownMarginShare * quota->margin(m_ledger->terms()))
         / members;
     const bool little = decision.unacknowledged + tokens <= most;
     const bool plenty = decision.unacknowledged <= 0 && decision.level >= PlentyRequests * tokens;
@@ -319,30 +319,38 @@
     return decision;
 }
 
+QuotaDecision QuotaGate::preview(uint64_t team, double tokens, TimePoint now) const
+{
+    QuotaLedger ledger = *m_ledger;
+    QuotaGate gate = *this;
+    gate.m_ledger = &ledger;
+    return gate.decide(team, tokens, now);
+}
+
 double QuotaGate::aloneLevel(Team &own, const QuotaRate &quota) const
 {
     const double time = m_activeSeconds - std::exchange(own.aloneFilledTo, m_activeSeconds);
     own.aloneLevel = std::min(own.aloneLevel + time * quota.perSecond / m_aloneGateways,
-                              quota.capacity(m_ledger.terms()) / m_aloneGateways);
+                              quota.capacity(m_ledger->terms()) / m_aloneGateways);
     return own.aloneLevel;
 }
 
 QuotaDecision QuotaGate::decideAlone(Team &own, uint64_t team, double tokens, TimePoint now)
 {
-    const QuotaRate &quota = *m_ledger.quota(team);
+    const QuotaRate &quota = *m_ledger->quota(team);
     QuotaDecision decision;
     decision.mode = QuotaMode::Alone;
     decision.level = aloneLevel(own, quota);
     decision.unacknowledged = unacknowledged(own);
     decision.age = std::chrono::duration_cast<Milliseconds>(now - m_statedAt);
     const double overdraft =
-        UnknownLevelShare * UnknownMarginShare * quota.margin(m_ledger.terms()) / m_aloneGateways;
+        UnknownLevelShare * UnknownMarginShare * quota.margin(m_ledger->terms()) / m_aloneGateways;
     if (now < m_aloneEnd && decision.level + overdraft >= tokens)
         return decision;
     // Contact is usually regained soon, such as when the hub changes.
     const bool recent = now < m_distrustUntil || now - m_aloneSince < ReconnectTime;
     const bool covered = view(team, own, quota, now)
-        >= std::min(tokens, QuotaLedger::UnstatedShare * quota.capacity(m_ledger.terms()));
+        >= std::min(tokens, QuotaLedger::UnstatedShare * quota.capacity(m_ledger->terms()));
     decision.verdict =
         recent && covered && now < m_aloneEnd ? QuotaVerdict::Wait : QuotaVerdict::Refuse;
     decision.retryIn = timeToFill(tokens - decision.level, quota.perSecond / m_aloneGateways);
@@ -358,7 +366,7 @@
         own.aloneLevel -= tokens;
     own.count += tokens;
     own.chargedAt = now;
-    m_ledger.charge(team, tokens, now);
+    m_ledger->charge(team, tokens, now);
     return {team, tokens, now, m_round};
 }
 
@@ -367,7 +375,7 @@
     Team &own = m_teams[team];
     own.count -= tokens;
     own.chargedAt = now;
-    m_ledger.charge(team, -tokens, now);
+    m_ledger->charge(team, -tokens, now);
 }
 
 bool QuotaGate::isKnown(const QuotaHold &hold, QuotaMode mode) const
@@ -387,18 +395,18 @@
 
 QuotaVerdict QuotaGate::settle(QuotaHold &hold, std::mt19937_64 &random, TimePoint now)
 {
-    const QuotaRate *quota = m_ledger.quota(hold.team);
+    const QuotaRate *quota = m_ledger->quota(hold.team);
     if (!quota)
         return QuotaVerdict::Admit;
     const bool late = now - hold.since > MaxHoldTime;
     const QuotaVerdict otherwise = late ? QuotaVerdict::Refuse : QuotaVerdict::Wait;
     const QuotaMode by = mode(now);
     const Team &own = m_teams[hold.team];
-    if (!isKnown(hold, by) || m_ledger.awaitsLevel(hold.team, now))
+    if (!isKnown(hold, by) || m_ledger->awaitsLevel(hold.team, now))
         return otherwise;
-    const double overdraft = OverdraftShare * quota->margin(m_ledger.terms());
-    const double excess =
-        std::max(0.0, hold.tokens - QuotaLedger::UnstatedShare * quota->capacity(m_ledger.terms()));
+    const double overdraft = OverdraftShare * quota->margin(m_ledger->terms());
+    const double excess = std::max(
+        0.0, hold.tokens - QuotaLedger::UnstatedShare * quota->capacity(m_ledger->terms()));
     if (view(hold.team, own, *quota, now) >= -overdraft - excess)
         return QuotaVerdict::Admit;
     if (by == QuotaMode::Hub)
@@ -412,7 +420,7 @@
 std::vector<QuotaCount> QuotaGate::counts(TimePoint now)
 {
     const bool all =
-        m_ledger.newPeerAt() != TimePoint{} && now - m_ledger.newPeerAt() < NewPeerTime;
+        m_ledger->newPeerAt() != TimePoint{} && now - m_ledger->newPeerAt() < NewPeerTime;
     std::vector<QuotaCount> counts;
     for (auto &[name, team] : m_teams) {
         if (team.chargedAt == TimePoint{} || (!all && now - team.chargedAt >= ActiveTime))
@@ -431,13 +439,14 @@
 std::vector<QuotaLevel> QuotaGate::levelsForNewPeers(TimePoint now)
 {
     const bool isDue =
-        m_ledger.newPeerAt() != TimePoint{} && now - m_ledger.newPeerAt() < NewPeerTime;
+        m_ledger->newPeerAt() != TimePoint{} && now - m_ledger->newPeerAt() < NewPeerTime;
     if (!isDue || mode(now) == QuotaMode::Alone)
         return {};
-    std::vector<QuotaLevel> levels = m_ledger.allLevels(now);
-    std::erase_if(levels, [&](const QuotaLevel &it) { return m_ledger.awaitsLevel(it.team, now); });
+    std::vector<QuotaLevel> levels = m_ledger->allLevels(now);
+    std::erase_if(levels,
+                  [&](const QuotaLevel &it) { return m_ledger->awaitsLevel(it.team, now); });
     for (QuotaLevel &it : levels) {
-        const double level = view(it.team, m_teams[it.team], *m_ledger.quota(it.team), now);
+        const double level = view(it.team, m_teams[it.team], *m_ledger->quota(it.team), now);
         it.level = static_cast<int64_t>(std::floor(level));
     }
     return levels;
--- a/src/policy/quotagate.h
+++ b/src/policy/quotagate.h
@@ -81,6 +81,8 @@
 
     QuotaMode mode(core::TimePoint now);
     QuotaDecision decide(uint64_t team, double tokens, core::TimePoint now);
+    /** What decide() would return; changes neither this object nor the ledger. */
+    QuotaDecision preview(uint64_t team, double tokens, core::TimePoint now) const;
     /** Charges a request that is admitted or waits. */
     QuotaHold charge(uint64_t team, double tokens, const QuotaDecision &decision,
                      core::TimePoint now);
@@ -120,7 +122,7 @@
     double aloneLevel(Team &own, const QuotaRate &quota) const;
     QuotaDecision decideAlone(Team &own, uint64_t team, double tokens, core::TimePoint now);
 
-    QuotaLedger &m_ledger;
+    QuotaLedger *m_ledger; ///< Never null.
     QuotaRole m_role = QuotaRole::Mesh;
     std::unordered_map<uint64_t, Team> m_teams;
     uint64_t m_round = 0;    ///< Number of statements, or of marks.
--- a/src/serving/promptscheduler.h
+++ b/src/serving/promptscheduler.h
@@ -35,6 +35,19 @@
     std::function<void()> onDeadlineUnreachable; ///< The request can no longer meet its deadline.
 };
 
+/** What would happen to a prompt that arrives now. */
+struct PromptPreview
+{
+    size_t waiting = 0; ///< Prompts of the service that wait at this gateway.
+    core::Milliseconds expectedWait{};
+    uint32_t priority = 0;                       ///< At the engine.
+    std::optional<policy::PrefillChoice> choice; ///< Nothing: it would wait.
+    bool noUsableEngine = false;                 ///< It would be run without a prefill.
+    bool limited = false;                        ///< It would wait as engines are at their limits.
+    /** Whether each endpoint of the service may be sent further prompts. */
+    std::vector<bool> hasRoom;
+};
+
 /** Queues the requests of each service and dispatches them to engines that have capacity, in the
  * order of the prompt queue. */
 class PromptScheduler
@@ -55,6 +68,12 @@
     core::Milliseconds expectedWait(const std::string &service,
                                     const policy::WaitingPrompt &prompt) const;
     size_t waitingCount() const;
+    /** Returns what would happen to a request that arrives now, and changes nothing: it places the
+     * waiting prompts and this one on copies.
+     * \param random copy of the generator, which the real dispatch would use. */
+    PromptPreview preview(const std::string &service, policy::WaitingPrompt prompt,
+                          const std::vector<policy::PrefixLink> &chain, core::TimePoint now,
+                          std::mt19937_64 &random) const;
 
 private:
     struct Entry
--- a/src/serving/teamquotas.cpp
+++ b/src/serving/teamquotas.cpp
@@ -256,13 +256,35 @@
     const TimePoint now = core::BootClock::now();
     policy::RateMeter &refused = m_refused.try_emplace(team, DemandTime).first->second;
     refused.note(tokens, now);
+    std::uniform_real_distribution<double> random(0, retrySpread(team, refused, now));
+    return decision.retryIn
+        + std::chrono::ceil<Milliseconds>(std::chrono::duration<double>(random(m_random)));
+}
+
+double TeamQuotas::retrySpread(uint64_t team, const policy::RateMeter &refused, TimePoint now) const
+{
     const policy::QuotaRate *quota = m_ledger.quota(team);
     const double excess =
         quota ? refused.rate(now) * m_ledger.memberCount(now) / quota->perSecond : 0;
-    const double spread = std::clamp(excess * SpreadPerExcess, MinRetrySpread, MaxRetrySpread);
-    std::uniform_real_distribution<double> random(0, spread);
-    return decision.retryIn
-        + std::chrono::ceil<Milliseconds>(std::chrono::duration<double>(random(m_random)));
+    return std::clamp(excess * SpreadPerExcess, MinRetrySpread, MaxRetrySpread);
+}
+
+std::optional<TeamQuotas::Preview> TeamQuotas::preview(const TeamConfig &team,
+                                                       const RequestMetadata &request) const
+{
+    const uint64_t hash = hashOf(team.name);
+    const policy::QuotaRate *quota = team.quota ? m_ledger.quota(hash) : nullptr;
+    if (!quota)
+        return std::nullopt;
+    const TimePoint now = core::BootClock::now();
+    const double tokens = tokensOf(*team.quota, request);
+    const auto known = m_refused.find(hash);
+    policy::RateMeter refused =
+        known == m_refused.end() ? policy::RateMeter(DemandTime) : known->second;
+    refused.note(tokens, now);
+    const std::chrono::duration<double> spread(retrySpread(hash, refused, now));
+    return Preview{*quota, tokens, m_gate.preview(hash, tokens, now),
+                   std::chrono::ceil<Milliseconds>(spread)};
 }
 
 std::string TeamQuotas::labelOf(const std::string &team)
--- a/src/serving/teamquotas.h
+++ b/src/serving/teamquotas.h
@@ -61,6 +61,16 @@
     /** Charges a request to its team. Calls \a onAnswer immediately or, if other gateways may have
      * charged the same tokens, within about half a second. */
     void admit(const TeamConfig &team, const RequestMetadata &request, OnAnswer onAnswer);
+    /** What admit() would decide now, without a charge. */
+    struct Preview
+    {
+        policy::QuotaRate quota;
+        double tokens = 0; ///< That the request would be charged.
+        policy::QuotaDecision decision;
+        core::Milliseconds retrySpread{}; ///< A random part of it is added to decision.retryIn.
+    };
+    /** \return nothing if the team has no quota. */
+    std::optional<Preview> preview(const TeamConfig &team, const RequestMetadata &request) const;
     /** Returns the tokens of a request that has ended without having run. */
     void refund(const QuotaCharge &charge);
 
@@ -82,6 +92,7 @@
                    const std::string &request, const policy::QuotaDecision &decision);
     core::Milliseconds retryDelay(uint64_t team, double tokens,
                                   const policy::QuotaDecision &decision);
+    double retrySpread(uint64_t team, const policy::RateMeter &refused, core::TimePoint now) const;
     std::string labelOf(const std::string &team);
 
     std::string m_name;
