--- a/src/http/message.h
+++ b/src/http/message.h
@@ -150,6 +150,7 @@
 inline constexpr uint32_t FirstRedirect = 300;
 inline constexpr uint32_t BadRequest = 400;
 inline constexpr uint32_t Unauthorized = 401;
+inline constexpr uint32_t Forbidden = 403;
 inline constexpr uint32_t NotFound = 404;
 inline constexpr uint32_t RequestTimeout = 408;
 inline constexpr uint32_t Conflict = 409;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -23,6 +23,11 @@
 
 class ServerConnection;
 
+/** Whether a client that has connected to an address of this machine runs on it: a loopback
+ * address, or the address of the server itself, which connections over the loopback interface have
+ * by default. The kernel drops packets from outside with either as their source. */
+bool isLocalClient(const boost::asio::ip::address &client, const boost::asio::ip::address &server);
+
 /** Limits on the size and duration of requests, and on idle connections. */
 struct ServerLimits
 {
@@ -67,6 +72,8 @@
     bool outputFull() const;
     /** Sets a callback that is invoked once, when a source that has paused may continue. */
     void onDrained(std::function<void()> callback) const;
+    /** Whether the client runs on this machine, see isLocalClient(). */
+    bool clientIsLocal() const;
     /** Whether the connection carried another request before this one. */
     bool connectionReused() const;
 
--- a/src/serving/admission.cpp
+++ b/src/serving/admission.cpp
@@ -10,16 +10,9 @@
 
 namespace jujube::serving {
 
-namespace {
-
 using core::Milliseconds;
 using core::TimePoint;
 
-constexpr Milliseconds NoConfigRetryAfter{1'000};
-constexpr Milliseconds StoppingRetryAfter{200}; ///< Other gateways are ready.
-
-} // namespace
-
 void Gateway::refuse(const http::Responder &responder, const http::Head &request, uint32_t status,
                      const std::string &why, Milliseconds retryAfter)
 {
@@ -55,30 +48,25 @@
                std::string(facts.status().message()));
         return;
     }
-    const Route *route = config->findRoute(facts->host, facts->path);
-    if (!route) {
+    const RequestClass found = config->classify(facts->host, facts->path, facts->apiKey);
+    if (!found.route) {
         refuse(responder, request.head, http::status::NotFound,
                "no route for " + facts->host + facts->path);
         return;
     }
-    AdmittedRequest admitted;
-    admitted.rank = route->rank;
-    const TeamConfig *team = nullptr;
-    if (config->requiresKeys) {
-        team = facts->apiKey.empty() ? nullptr : config->findTeamByKey(facts->apiKey);
-        if (!team && !route->allowAnonymous) {
-            refuse(responder, request.head, http::status::Unauthorized, "unknown key");
-            return;
-        }
-        if (team) {
-            admitted.team = team->name;
-            admitted.rank = team->rank.value_or(route->rank);
-        }
+    if (found.keyRefused) {
+        refuse(responder, request.head, http::status::Unauthorized, "unknown key");
+        return;
     }
+    AdmittedRequest admitted;
+    admitted.rank = found.rank;
+    const TeamConfig *team = found.team;
+    if (team)
+        admitted.team = team->name;
     admitted.message = std::move(request);
     admitted.metadata = std::move(*facts);
     admitted.config = config;
-    admitted.route = route;
+    admitted.route = found.route;
     admitted.arrivedAt = now;
     if (team && team->quota)
         admitWithinQuota(*team, std::move(admitted), std::move(responder));
@@ -106,17 +94,17 @@
 
 void Gateway::startSession(AdmittedRequest admitted, http::Responder responder)
 {
-    admitted.service = pickWeightedService(*admitted.route);
+    admitted.service = pickWeightedService(*admitted.route, m_random);
     Session::create(m_sessionServices, std::move(admitted), std::move(responder))->start();
 }
 
-std::string Gateway::pickWeightedService(const Route &route)
+std::string pickWeightedService(const Route &route, std::mt19937_64 &random)
 {
     double sum = 0;
     for (const SplitTarget &it : route.targets)
         sum += it.weight;
     std::uniform_real_distribution<double> draw(0, sum);
-    double point = draw(m_random);
+    double point = draw(random);
     for (const SplitTarget &it : route.targets) {
         point -= it.weight;
         if (point < 0 && it.weight > 0)
--- a/src/serving/endpoints.cpp
+++ b/src/serving/endpoints.cpp
@@ -372,11 +372,8 @@
     view.usualPace = endpoint.pace.usual(now);
     view.isPrefillEngine = endpoint.prefills();
     view.held = endpoint.isHeld(now);
-    const auto state = endpoint.health.state(now);
-    view.probe = state == policy::OutlierDetector::State::ProbeDue;
-    view.usable = endpoint.acceptsWork() && now >= endpoint.pausedUntil && !endpoint.inBackoff(now)
-        && endpoint.limit.admits(now)
-        && (state == policy::OutlierDetector::State::Healthy || view.probe);
+    view.probe = endpoint.health.state(now) == policy::OutlierDetector::State::ProbeDue;
+    view.usable = !obstaclesOf(endpoint, now).any();
     return view;
 }
 
--- a/src/serving/endpoints.h
+++ b/src/serving/endpoints.h
@@ -201,6 +201,19 @@
 EndpointPtr longestPrefixHolder(const std::vector<EndpointPtr> &endpoints,
                                 const std::vector<policy::PrefixLink> &prompt);
 
+/** Reasons why an endpoint gets no new work. */
+struct Obstacles
+{
+    bool draining = false; ///< It shuts down or was removed.
+    bool paused = false;
+    bool backoff = false; ///< It has asked for a back-off.
+    bool limit = false;   ///< This gateway has used its share of the endpoint's limit.
+    bool ejected = false; ///< And no probe is due.
+
+    bool any() const { return draining || paused || backoff || limit || ejected; }
+};
+Obstacles obstaclesOf(const Endpoint &endpoint, core::TimePoint now);
+
 /** \return the view of an endpoint for a placement. */
 policy::PlacementCandidate placementViewOf(const Endpoint &endpoint,
                                            const std::vector<policy::PrefixLink> &prompt,
--- a/src/serving/fleetconfig.cpp
+++ b/src/serving/fleetconfig.cpp
@@ -20,6 +20,23 @@
     return it == teamByKey.end() ? nullptr : &teams[it->second];
 }
 
+RequestClass FleetConfig::classify(std::string_view host, std::string_view path,
+                                   std::string_view key) const
+{
+    RequestClass result;
+    result.route = findRoute(host, path);
+    if (!result.route)
+        return result;
+    result.rank = result.route->rank;
+    if (!requiresKeys)
+        return result;
+    result.team = key.empty() ? nullptr : findTeamByKey(key);
+    result.keyRefused = !result.team && !result.route->allowAnonymous;
+    if (result.team)
+        result.rank = result.team->rank.value_or(result.rank);
+    return result;
+}
+
 std::string_view stageName(Stage stage)
 {
     switch (stage) {
--- a/src/serving/fleetconfig.h
+++ b/src/serving/fleetconfig.h
@@ -103,6 +103,15 @@
     core::Milliseconds idleTimeout{15'000};
 };
 
+/** Route, team and rank of a request. */
+struct RequestClass
+{
+    const Route *route = nullptr;     ///< Null: no route matches.
+    const TeamConfig *team = nullptr; ///< Null: none.
+    uint32_t rank = 5;
+    bool keyRefused = false; ///< The route needs a key, and the request has none or an unknown one.
+};
+
 /** One version of the configuration; immutable once published. */
 struct FleetConfig
 {
@@ -118,6 +127,7 @@
     const Route *findRoute(std::string_view host, std::string_view path) const;
     /** \return null if the key is unknown. */
     const TeamConfig *findTeamByKey(std::string_view key) const;
+    RequestClass classify(std::string_view host, std::string_view path, std::string_view key) const;
 };
 
 enum class EndpointState { Ready, Draining };
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -17,7 +17,6 @@
 using ErrorCode = boost::system::error_code;
 
 constexpr const char *GatewayPrefix = "jujube/gateway/";
-constexpr uint16_t MetricsPort = 9464; // Has to match deploy/system.toml.
 constexpr Milliseconds TickInterval{200};
 constexpr Milliseconds TokenRateWindow{2'000}; ///< Shorter than swings of the request mix.
 // Limits all gateways together to about 2.5 watch calls per second.
@@ -152,11 +151,8 @@
                         responder.send(head, {});
                     }),
       m_metricsServer(io,
-                      [](const http::Request &request, const http::Responder &responder) {
-                          http::Head head;
-                          head.status = http::status::Ok;
-                          head.fields.add("Content-Type", "text/plain; version=0.0.4");
-                          responder.send(head, core::renderMetrics());
+                      [this](const http::Request &request, const http::Responder &responder) {
+                          answerMetricsRequest(request, responder);
                       }),
       m_loadProber(
           io, m_httpClient, m_endpoints, [this]() { return m_config.load(); },
--- a/src/serving/gateway.h
+++ b/src/serving/gateway.h
@@ -21,6 +21,16 @@
 
 namespace jujube::serving {
 
+/** Port of the metrics and of explanations. Has to match deploy/system.toml. */
+inline constexpr uint16_t MetricsPort = 9464;
+
+// Retry-After of refusals before a session.
+inline constexpr core::Milliseconds NoConfigRetryAfter{1'000};
+inline constexpr core::Milliseconds StoppingRetryAfter{200}; ///< Other gateways are ready.
+
+/** Draws the service that a request of a route goes to, by the weights of its targets. */
+std::string pickWeightedService(const Route &route, std::mt19937_64 &random);
+
 /** Connects the components of a gateway process and runs them on one event loop. */
 class Gateway
 {
@@ -47,7 +57,7 @@
     void startSession(AdmittedRequest admitted, http::Responder responder);
     void refuse(const http::Responder &responder, const http::Head &request, uint32_t status,
                 const std::string &why, core::Milliseconds retryAfter = {});
-    std::string pickWeightedService(const Route &route);
+    void answerMetricsRequest(const http::Request &request, const http::Responder &responder);
 
     GossipMessage composeGossip();
     std::vector<GossipLimit> knownLimits() const;
--- a/src/serving/main.cpp
+++ b/src/serving/main.cpp
@@ -3,8 +3,10 @@
  */
 
 #include "core/eventlog.h"
+#include "core/text.h"
 #include "launcher/gatewaymain.h"
 #include "platform/settings.h"
+#include "serving/explaincommand.h"
 #include "serving/gateway.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -18,6 +20,22 @@
     settings, "",
     "path of the settings file; default: the value of the platform's environment variable");
 DEFINE_bool(check, false, "validate the settings file and exit");
+DEFINE_bool(explain, false,
+            "ask a running gateway where a request would go now, and why, and exit");
+DEFINE_string(host, "", "explain: host of the request");
+DEFINE_string(path, "", "explain: path of the request");
+DEFINE_string(key, "", "explain: API key of the request");
+DEFINE_string(tokens, "", "explain: PROMPT,MAX, tokens of the prompt and of the longest output");
+DEFINE_string(hint, "", "explain: output tokens as estimated by the client");
+DEFINE_string(prefix, "", "explain: ID:TOKENS,..., blocks of the prompt with hexadecimal ids");
+DEFINE_string(address, "",
+              "explain: IP:PORT of the gateway's metrics; default: by the settings file");
+DEFINE_bool(json, false, "explain: answer in JSON");
+
+namespace GFLAGS_NAMESPACE {
+// Called at an invalid flag. The library exports it without a declaration in its headers.
+extern void (*gflags_exitfunc)(int); // NOLINT(readability-identifier-naming)
+} // namespace GFLAGS_NAMESPACE
 
 namespace {
 
@@ -41,6 +59,30 @@
     return path ? path : "";
 }
 
+// Runs the command --explain. \return the exit status.
+int explain(int argc, char **argv)
+{
+    using jujube::serving::ExplainStatus;
+    constexpr jujube::core::Milliseconds timeout{3'000};
+    if (argc > 1) {
+        std::cerr << "jujube-gateway: unexpected argument " << argv[1] << '\n';
+        return ExitUsage;
+    }
+    std::string address = FLAGS_address;
+    if (address.empty()) {
+        const auto settings = jujube::platform::loadSettings(settingsPath());
+        if (!settings.ok()) {
+            std::cerr << "jujube-gateway: " << settings.status().message() << '\n';
+            return ExitUsage;
+        }
+        address = jujube::core::concat(settings->ip, ":", jujube::serving::MetricsPort);
+    }
+    const jujube::serving::ExplainQuery query{FLAGS_host, FLAGS_path,   FLAGS_key, FLAGS_tokens,
+                                              FLAGS_hint, FLAGS_prefix, FLAGS_json};
+    return static_cast<int>(
+        jujube::serving::runExplainCommand(query, address, timeout, std::cout, std::cerr));
+}
+
 // Handles SIGHUP by a reload, SIGTERM and SIGINT by a drain.
 void handleSignals(boost::asio::signal_set &signals, jujube::serving::Gateway &gateway,
                    boost::asio::io_context &io)
@@ -67,7 +109,10 @@
 int runGateway(int argc, char **argv)
 {
     gflags::SetUsageMessage("routes client requests to the endpoints of the fleet");
+    GFLAGS_NAMESPACE::gflags_exitfunc = [](int status) { std::exit(status == 0 ? 0 : ExitUsage); };
     gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (FLAGS_explain)
+        return explain(argc, argv);
     const auto settings = jujube::platform::loadSettings(settingsPath());
     if (!settings.ok()) {
         std::cerr << "jujube-gateway: " << settings.status().message() << '\n';
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -62,14 +62,29 @@
     if (m_request.metadata.timeLeft)
         limit = std::min(limit, *m_request.metadata.timeLeft);
     m_deadline = m_arrivedAt + limit;
-    for (const PrefixBlock &part : m_request.metadata.prefixBlocks)
-        policy::appendPrefixLink(m_chain, part.id, part.tokens);
-    m_promptInfo.tokens = m_request.metadata.promptTokens;
+    m_chain = prefixChain(m_request.metadata);
+    m_promptInfo = promptInfo(m_request.metadata, m_chain);
     m_sharedBlocks =
         QuarantineKeeper::sharedBlocks(m_request.service, m_request.metadata.prefixBlocks);
+}
+
+std::vector<policy::PrefixLink> prefixChain(const RequestMetadata &request)
+{
+    std::vector<policy::PrefixLink> chain;
+    for (const PrefixBlock &part : request.prefixBlocks)
+        policy::appendPrefixLink(chain, part.id, part.tokens);
+    return chain;
+}
+
+policy::PromptInfo promptInfo(const RequestMetadata &request,
+                              const std::vector<policy::PrefixLink> &chain)
+{
+    policy::PromptInfo info;
+    info.tokens = request.promptTokens;
     // The last block belongs to this request alone; the one before is the last that requests share.
-    if (m_chain.size() > 1)
-        m_promptInfo.prefixHash = m_chain[m_chain.size() - 2].hash;
+    if (chain.size() > 1)
+        info.prefixHash = chain[chain.size() - 2].hash;
+    return info;
 }
 
 Session::~Session()
@@ -167,13 +182,14 @@
             m_request.metadata.expectedOutputTokens, m_request.metadata.maxOutputTokens};
 }
 
-double Session::expectedOutputTokens() const
+double expectedOutputTokens(const policy::OutputRequest &request,
+                            const policy::PlacementSettings &placement,
+                            const policy::OutputLengthEstimator &outputLengths)
 {
     // Without an estimate from the client: answers use about half of their token limit.
-    if (!m_services.placement.predictsByPace)
-        return m_request.metadata.expectedOutputTokens.value_or(m_request.metadata.maxOutputTokens
-                                                                / 2);
-    return m_services.outputLengths.estimate(outputRequest()).expected;
+    if (!placement.predictsByPace)
+        return request.hint.value_or(request.maxOutputTokens / 2);
+    return outputLengths.estimate(request).expected;
 }
 
 // Sends the prompt to its assigned engine, which prefills it for a decode engine or runs the whole
@@ -185,7 +201,8 @@
     m_assignedAt = core::BootClock::now();
     m_prefillPlan = plan;
     m_services.recordPrefillTokens(plan.choice.uncachedTokens);
-    m_expectedOutputTokens = expectedOutputTokens();
+    m_expectedOutputTokens =
+        expectedOutputTokens(outputRequest(), m_services.placement, m_services.outputLengths);
     m_services.recordExpectedOutputTokens(m_expectedOutputTokens);
     if (!plan.engine->prefills()) {
         m_prefillTried = true;
--- a/src/serving/session.h
+++ b/src/serving/session.h
@@ -67,6 +67,26 @@
     std::set<std::shared_ptr<Session>> open{}; ///< Sessions that have not ended.
 };
 
+/** Chains the prefix blocks of a request's prompt. */
+std::vector<policy::PrefixLink> prefixChain(const RequestMetadata &request);
+/** Properties of a request's prompt. \param chain see prefixChain(). */
+policy::PromptInfo promptInfo(const RequestMetadata &request,
+                              const std::vector<policy::PrefixLink> &chain);
+
+/** Output tokens that are expected of a request before it runs. */
+double expectedOutputTokens(const policy::OutputRequest &request,
+                            const policy::PlacementSettings &placement,
+                            const policy::OutputLengthEstimator &outputLengths);
+
+/** Bounds of the Retry-After of a refusal for lack of room; the value is random within them. */
+struct RetryAfterRange
+{
+    core::Milliseconds least{};
+    core::Milliseconds spread{};
+};
+RetryAfterRange retryAfterRange(const EndpointTable &endpoints, const std::string &service,
+                                core::TimePoint now);
+
 /** A client request whose route is known and whose API key, if it needs one, is valid. */
 struct AdmittedRequest
 {
@@ -110,7 +130,6 @@
     void queuePrompt();
     void dispatchPrompt(const PrefillPlan &plan);
     policy::OutputRequest outputRequest() const;
-    double expectedOutputTokens() const;
     void recordOutputLength();
     void sendRun();
     void sendRunTo(const EndpointPtr &endpoint);
--- a/src/serving/sessionend.cpp
+++ b/src/serving/sessionend.cpp
@@ -189,11 +189,17 @@
 
 Milliseconds Session::retryAfterDelay()
 {
-    std::uniform_int_distribution<int64_t> spread(0, RetryAfterSpread.count());
-    const auto backoff =
-        m_services.endpoints.remainingBackoff(m_request.service, core::BootClock::now());
-    return std::max(MinRetryAfter, backoff.value_or(Milliseconds(0)))
-        + Milliseconds(spread(m_services.random));
+    const RetryAfterRange range =
+        retryAfterRange(m_services.endpoints, m_request.service, core::BootClock::now());
+    std::uniform_int_distribution<int64_t> spread(0, range.spread.count());
+    return range.least + Milliseconds(spread(m_services.random));
+}
+
+RetryAfterRange retryAfterRange(const EndpointTable &endpoints, const std::string &service,
+                                TimePoint now)
+{
+    const auto backoff = endpoints.remainingBackoff(service, now);
+    return {std::max(MinRetryAfter, backoff.value_or(Milliseconds(0))), RetryAfterSpread};
 }
 
 } // namespace jujube::serving
