--- a/src/policy/requestcost.cpp
+++ b/src/policy/requestcost.cpp
@@ -24,4 +24,11 @@
     return cost;
 }
 
+double RequestCost::engineTime(double prefillTokensPerMs, double fullStepMs, uint32_t slots) const
+{
+    const double prefillMs = prefillTokensPerMs > 0 ? prefillTokens / prefillTokensPerMs : 0;
+    const double decodeMs = slots > 0 ? outputTokens * std::max(0.0, fullStepMs) / slots : 0;
+    return prefillMs + decodeMs;
+}
+
 } // namespace jujube::policy
--- a/src/policy/requestcost.h
+++ b/src/policy/requestcost.h
@@ -15,6 +15,10 @@
     static RequestCost of(uint32_t promptTokens, uint32_t cachedTokens,
                           double expectedOutputTokens);
 
+    /** Engine time in ms: that of the prefill, and the part of a full batch's decode steps.
+     * \param fullStepMs duration of a decode step if all \a slots of the engine are in use. */
+    double engineTime(double prefillTokensPerMs, double fullStepMs, uint32_t slots) const;
+
     uint32_t prefillTokens = 0; ///< Prompt tokens that no cache holds.
     double outputTokens = 0;    ///< Tokens to generate.
     uint64_t memoryTokens = 0;  ///< KV cache that it takes, in whole blocks.
--- a/src/serving/nodesettings.h
+++ b/src/serving/nodesettings.h
@@ -41,6 +41,8 @@
     core::Milliseconds quotaWindow{8'000}; ///< Sliding window in which quotas of teams hold.
     double quotaOverrun = 0; ///< Share by which the use of a quota may exceed it in a window.
     double quotaSlack = 0;   ///< Tokens by which it may exceed the quota besides.
+    /** Callers compete for capacity: teams get equal shares of engine time while prompts wait. */
+    bool contention = false;
 };
 
 } // namespace jujube::serving
--- a/test/error/platformcodec.cpp
+++ b/test/error/platformcodec.cpp
@@ -84,6 +84,21 @@
     cr_assert_eq(settings->firstInternalPort, 7780);
 }
 
+// Shares of teams apply where the list names them only: elsewhere nothing may change.
+Test(settings_of_the_platform, name_contention_in_the_contracts)
+{
+    const auto contention = [](const std::string &contracts) {
+        const auto settings = settingsFrom(contracts + ValidSettings);
+        cr_assert(settings.ok());
+        return settings->contention;
+    };
+    cr_assert_not(contention(""));
+    cr_assert_not(contention("Contracts = []"));
+    cr_assert_not(contention("Contracts = [\"quota\", 3]"));
+    cr_assert_not(contention("Contracts = \"pressure\""));
+    cr_assert(contention("Contracts = [\"quota\", \"pressure\"]"));
+}
+
 Test(settings_of_the_platform, name_every_error)
 {
     const auto settings =
