List of engine time by team in full gossip messages

Cause: a team that asks at all gateways is within its share at each of them. Change: GatewayNews.teamUse with the 64 largest sums, at most one list in 0.8 s. Malformed figures are left out one by one, entries beyond 64 ignored.

--- a/src/serving/gossip.cpp
+++ b/src/serving/gossip.cpp
@@ -48,6 +48,17 @@
         gossip.heardPeers.push_back(peer);
 }
 
+// A malformed figure is left out alone, as the others of its list are still of use.
+void readTeamUse(const schema::GatewayNews::Reader &reader, GossipMessage &gossip)
+{
+    for (const auto it : reader.getTeamUse()) {
+        const GossipTeamUse use{it.getService(), {it.getTeam(), it.getEngineMs()}};
+        if (gossip.teamUse.size() < policy::TeamShares::MaxListedTeams
+            && policy::TeamShares::isValid(use.use))
+            gossip.teamUse.push_back(use);
+    }
+}
+
 // A share without a report has no figure set.
 std::optional<ReportedLoad> readReport(const schema::LoadShare::Reader &share)
 {
@@ -121,9 +132,22 @@
     for (const uint64_t block : reader.getQuarantinedBlocks())
         gossip.blocks.quarantined.push_back(block);
     readQuotas(reader, gossip);
+    readTeamUse(reader, gossip);
     return gossip;
 }
 
+void writeTeamUse(const std::vector<GossipTeamUse> &teamUse, schema::GatewayNews::Builder root)
+{
+    if (teamUse.empty())
+        return;
+    auto uses = root.initTeamUse(static_cast<uint32_t>(teamUse.size()));
+    for (uint32_t i = 0; i < uses.size(); ++i) {
+        uses[i].setService(teamUse[i].service);
+        uses[i].setTeam(teamUse[i].use.team);
+        uses[i].setEngineMs(static_cast<float>(teamUse[i].use.engineMs));
+    }
+}
+
 // Empty lists are left out, as most deployments have no quotas.
 void writeQuotas(const GossipMessage &gossip, schema::GatewayNews::Builder root)
 {
@@ -234,6 +258,7 @@
     }
     writeBlocks(gossip.blocks, root);
     writeQuotas(gossip, root);
+    writeTeamUse(gossip.teamUse, root);
     return packedBytes(message);
 }
 
--- a/src/serving/gossip.h
+++ b/src/serving/gossip.h
@@ -6,6 +6,7 @@
 
 #include "policy/blockquarantine.h"
 #include "policy/quotaledger.h"
+#include "policy/teamshares.h"
 #include "serving/endpoints.h"
 #include "serving/storetypes.h"
 #include "serving/tokenrates.h"
@@ -49,6 +50,13 @@
     policy::SpeedEvidence evidence;
 };
 
+/** Engine time that the sender gave to a team of a service lately. */
+struct GossipTeamUse
+{
+    uint64_t service = 0; ///< Hash of the service's name.
+    policy::TeamUse use;
+};
+
 /** Purpose of a message. */
 enum class GossipKind {
     Full,    ///< The full state of a gateway, sent to every peer.
@@ -76,6 +84,7 @@
     std::vector<GossipPrefixBlock> prefixBlocks;
     std::vector<GossipLimit> limits;
     std::vector<GossipEngineSpeed> engineSpeeds; ///< In full messages, about once per second.
+    std::vector<GossipTeamUse> teamUse;          ///< The largest ones; sent as engineSpeeds.
     double requestsPerSecond = 0;                ///< Requests of clients that the sender receives.
     policy::BlockReport blocks;                  ///< Blocks that are suspected of crashing engines.
     std::vector<policy::QuotaCount> quotaCounts; ///< Tokens charged to teams by the sender.
--- a/src/serving/peermesh.cpp
+++ b/src/serving/peermesh.cpp
@@ -35,8 +35,9 @@
 constexpr Milliseconds IdleLoadInterval{120};
 constexpr Milliseconds LargeGossipInterval{1'000};
 constexpr Milliseconds LargePeerTimeout{3'500};
-// Evidence on engine speeds has a half-life of ten seconds; small deployments broadcast far more
-// often. Less than the interval of full broadcasts in large ones, so that each carries it.
+// Evidence on engine speeds has a half-life of ten seconds, uses by teams one of 3.5 s; small
+// deployments broadcast far more often. Less than the interval of full broadcasts in large ones, so
+// that each carries it.
 constexpr Milliseconds SpeedInterval{800};
 constexpr Milliseconds RelayDuration{70}; ///< Two or three rounds of the hub.
 constexpr size_t MaxRelayedBlocks = 80;
@@ -317,6 +318,8 @@
     const TimePoint now = core::BootClock::now();
     if (m_handler.engineSpeeds && now - m_speedsSentAt >= SpeedInterval) {
         gossip.engineSpeeds = m_handler.engineSpeeds();
+        if (m_handler.teamUse)
+            gossip.teamUse = m_handler.teamUse();
         m_speedsSentAt = now;
     }
     gossip.processorShare = m_processorShare;
--- a/src/serving/peermesh.h
+++ b/src/serving/peermesh.h
@@ -45,6 +45,8 @@
         std::function<std::vector<policy::QuotaLevel>(const std::string &peer)> quotaLevels{};
         /** Evidence on engine speeds that full messages carry. */
         std::function<std::vector<GossipEngineSpeed>()> engineSpeeds{};
+        /** Use of engine time by teams that full messages carry. */
+        std::function<std::vector<GossipTeamUse>()> teamUse{};
     };
 
     PeerMesh(boost::asio::io_context &io, http::Client &httpClient, EndpointTable &endpoints,
--- a/src/wire/news.capnp
+++ b/src/wire/news.capnp
@@ -30,6 +30,9 @@
 # Evidence of one gateway on the speed of an engine.
 struct SpeedSample { endpoint @0 :UInt64; meanLogRatio @1 :Float32; weight @2 :Float32; }
 
+# Engine time that the sender gave to a team of a service lately, as a decayed sum.
+struct TeamUse { service @0 :UInt64; team @1 :UInt64; engineMs @2 :Float32; }
+
 struct TeamCount { team @0 :Text; count @1 :UInt32; }
 
 # A prefix block that was sent to an endpoint, as the hash that chains it to all preceding blocks.
@@ -73,6 +76,7 @@
   quotaLevels @24 :List(QuotaLevel); # in summaries only
   heardPeers @25 :List(UInt64);      # hashes of the names of peers heard recently; without a hub only
   engineSpeeds @26 :List(SpeedSample);
+  teamUse @27 :List(TeamUse);        # the largest; replaces the sender's last list
   counts @20 :Bool;          # windows of departed gateways only; no other field applies
   parts @8 :List(PartSent);  # blocks sent recently; repeated because datagrams may be lost
 }
