Equal shares of engine time for teams while prompts wait

Cause: with one of ten teams asking for ten times its load and capacity for two thirds of all prompts, the others lost 30% and more of theirs. Change: with contention, the ordering key of a prompt is multiplied by the overuse of its team while prompts wait. A prompt of a team at twice its share is refused on arrival if the team's own prompts, at the rate at which it is served, already exceed the deadline: by the key alone none was refused, as each new prompt goes before the late ones of its team. Log prompt.delayed, gauge jujube_team_overuse, counter jujube_overuse_refusals_total. Late prompts of the others still go behind prompts in time of a team below four times its share.

--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -77,6 +77,13 @@
     metrics.gauges[series(name, labels)] = value;
 }
 
+void removeGauge(std::string_view name, std::string_view labels)
+{
+    Registry &metrics = registry();
+    const std::lock_guard guard(metrics.mutex);
+    metrics.gauges.erase(series(name, labels));
+}
+
 void recordDuration(std::string_view name, std::string_view labels, std::chrono::nanoseconds value)
 {
     const double ms = std::chrono::duration<double, std::milli>(value).count();
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -17,6 +17,9 @@
 /** Sets a gauge; \a labels as in incrementCounter(). */
 void setGauge(std::string_view name, std::string_view labels, double value);
 
+/** Removes a gauge, so that labels which come and go do not accumulate. */
+void removeGauge(std::string_view name, std::string_view labels);
+
 /** Records one duration in a histogram with logarithmic buckets from 0.1 ms to 100 s. */
 void recordDuration(std::string_view name, std::string_view labels, std::chrono::nanoseconds value);
 
--- a/src/policy/promptqueue.cpp
+++ b/src/policy/promptqueue.cpp
@@ -16,6 +16,9 @@
 // The permitted backlog of an engine is a time, so a fast one may hold more tokens. A wrong
 // slowdown must neither gather the work of all gateways at one engine nor let it run dry.
 constexpr double MaxBacklogFactor = 2;
+// Overuse from which a prompt may be refused for the wait of its own team. Below it, the wait of
+// the few prompts that most teams have at one gateway is too uncertain.
+constexpr double MinRefusedOveruse = 2;
 constexpr size_t MaxSecondChoices = 4; ///< Each costs as much as the first choice of a prompt.
 
 uint32_t enginePriority(double key)
@@ -50,8 +53,16 @@
 
 } // namespace
 
+PromptQueue::PromptQueue(PromptQueueSettings settings)
+    : m_settings(settings),
+      m_teamShares(settings.sharesByTeam ? std::make_unique<TeamShares>() : nullptr)
+{
+}
+
 void PromptQueue::add(WaitingPrompt prompt)
 {
+    if (m_teamShares)
+        m_teamShares->addWaiting(TeamShares::hashOf(prompt.team));
     const auto tokens = static_cast<double>(prompt.info.tokens);
     const auto [mean, added] = m_meanTokens.try_emplace(prompt.routeName, tokens);
     if (!added)
@@ -61,7 +72,20 @@
 
 bool PromptQueue::remove(uint64_t id)
 {
-    return std::erase_if(m_waiting, [id](const WaitingPrompt &it) { return it.id == id; }) > 0;
+    const auto it = std::find_if(m_waiting.begin(), m_waiting.end(),
+                                 [id](const WaitingPrompt &prompt) { return prompt.id == id; });
+    if (it == m_waiting.end())
+        return false;
+    if (m_teamShares)
+        m_teamShares->removeWaiting(TeamShares::hashOf(it->team));
+    m_waiting.erase(it);
+    m_promptsWait = m_promptsWait && !m_waiting.empty();
+    return true;
+}
+
+double PromptQueue::overuse(const std::string &team, core::TimePoint now) const
+{
+    return m_teamShares && m_promptsWait ? m_teamShares->overuse(TeamShares::hashOf(team), now) : 1;
 }
 
 bool PromptQueue::hasRoom(const PlacementCandidate &engine) const
@@ -85,14 +109,18 @@
     return slots == 0 || activeRequests < slots * m_settings.maxDecodeSlotUse;
 }
 
-double PromptQueue::orderingKey(const WaitingPrompt &prompt, core::TimePoint now) const
+double PromptQueue::sizeKey(const WaitingPrompt &prompt) const
 {
     const auto mean = m_meanTokens.find(prompt.routeName);
     const double tokens =
         mean == m_meanTokens.end() ? static_cast<double>(prompt.info.tokens) : mean->second;
+    return tokens * std::pow(m_settings.rankFactor, prompt.rank);
+}
+
+double PromptQueue::orderingKey(const WaitingPrompt &prompt, core::TimePoint now) const
+{
     const bool late = now + m_settings.firstTokenDelay > prompt.firstTokenDueAt;
-    return tokens * std::pow(m_settings.rankFactor, prompt.rank)
-        * (late ? m_settings.lateFactor : 1);
+    return sizeKey(prompt) * (late ? m_settings.lateFactor : 1) * overuse(prompt.team, now);
 }
 
 // Without this, slow engines are idle while all long prompts wait for the fast ones.
@@ -150,8 +178,11 @@
         }
         if (!choice)
             continue;
-        PromptDispatch dispatch{std::move(*it), *choice, enginePriority(order[i].first)};
+        const double byTeam = overuse(it->team, now);
+        PromptDispatch dispatch{std::move(*it), *choice, enginePriority(order[i].first), byTeam};
         m_waiting.erase(it);
+        if (m_teamShares)
+            m_teamShares->removeWaiting(TeamShares::hashOf(dispatch.prompt.team));
         return dispatch;
     }
     return std::nullopt;
@@ -174,10 +205,20 @@
 {
     const double key = orderingKey(prompt, now);
     double ahead = 0;
+    double aheadOfTeam = 0;
+    const double size = sizeKey(prompt);
     for (const WaitingPrompt &it : m_waiting) {
         if (orderingKey(it, now) <= key)
             ahead += it.info.tokens;
+        if (it.team == prompt.team && sizeKey(it) <= size)
+            aheadOfTeam += it.info.tokens;
     }
+    // The prompts of other teams that are still to come go before those of a team far beyond its
+    // share. Its prompts advance at the rate at which the team is served, and what is late now was
+    // in time before.
+    if (overuse(prompt.team, now) >= MinRefusedOveruse)
+        ahead = std::max(ahead,
+                         aheadOfTeam / m_teamShares->share(TeamShares::hashOf(prompt.team), now));
     constexpr double msPerSecond = 1000;
     return core::Milliseconds(static_cast<int64_t>(msPerSecond * ahead / tokensPerSecond));
 }
--- a/src/policy/promptqueue.h
+++ b/src/policy/promptqueue.h
@@ -5,10 +5,12 @@
  */
 
 #include "policy/placement.h"
+#include "policy/teamshares.h"
 
 #include <functional>
 #include <list>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -22,6 +24,8 @@
     uint64_t id = 0;
     std::string routeName; ///< Route of the request; prompts of one route have similar sizes.
     uint32_t rank = 0;     ///< Urgency; 0 is the most urgent.
+    std::string team;
+    double expectedOutputTokens = 0;
     PromptInfo info;
     core::TimePoint arrivedAt{};
     core::TimePoint firstTokenDueAt{};   ///< Arrival plus the objective for the first token.
@@ -47,6 +51,9 @@
     /** Prompts examined per call when the first ones wait for a busy engine. */
     size_t maxScannedPrompts = 24;
     core::Milliseconds firstTokenDelay{150}; ///< Time from the end of prefill to the first token.
+    /** Whether prompts of teams beyond an equal share of the engine time go later while prompts
+     * wait. */
+    bool sharesByTeam = false;
 };
 
 /** A prompt taken from the queue, with the engine chosen for it. */
@@ -56,6 +63,8 @@
     PrefillChoice choice;
     /** For the engine's queue: from 0, served first, to LowestEnginePriority. */
     uint32_t priority = 0;
+    /** Overuse of the prompt's team by which it was ordered; 1: it was not delayed by that. */
+    double overuse = 1;
 };
 
 /** Queue of the prompts that wait for prefill at one gateway.
@@ -65,11 +74,15 @@
  * first come, first served. A prompt that misses its objective is moved behind those that can still
  * meet theirs, but stays ahead of much larger ones, because it can still be answered before its
  * deadline.
+ *
+ * With PromptQueueSettings::sharesByTeam, the key is multiplied by the overuse of the prompt's team
+ * while prompts wait: from a round of dispatches that leaves some until the queue is empty. The
+ * limit of the overuse and the expiry of prompts keep every team served.
  */
 class PromptQueue
 {
 public:
-    explicit PromptQueue(PromptQueueSettings settings) : m_settings(settings) { }
+    explicit PromptQueue(PromptQueueSettings settings);
 
     void add(WaitingPrompt prompt);
     /** Removes the prompt of a request that ended. Returns false if it is not queued. */
@@ -86,6 +99,8 @@
                                            const CachedTokens &cached,
                                            const PlacementSettings &placement, core::TimePoint now,
                                            std::mt19937_64 &random);
+    /** Ends a round of dispatches: the prompts that are left wait for an engine. */
+    void endRound() { m_promptsWait = !m_waiting.empty(); }
     /** Removes the prompts that cannot meet their deadline and returns their ids. */
     std::vector<uint64_t> takeExpired(core::TimePoint now);
     /** Returns the expected time until a prompt that arrives now would be dispatched.
@@ -95,6 +110,11 @@
     core::Milliseconds expectedWait(const WaitingPrompt &prompt, double tokensPerSecond,
                                     core::TimePoint now) const;
 
+    /** Factor by which the overuse of a team raises the keys of its prompts now. */
+    double overuse(const std::string &team, core::TimePoint now) const;
+    /** Null without PromptQueueSettings::sharesByTeam. */
+    TeamShares *teamShares() const { return m_teamShares.get(); }
+
     size_t size() const { return m_waiting.size(); }
     double waitingTokens() const;
 
@@ -108,11 +128,15 @@
                                                const PromptInfo &info,
                                                const PlacementSettings &placement,
                                                std::mt19937_64 &random) const;
+    /** The part of the ordering key that does not change while a prompt waits. */
+    double sizeKey(const WaitingPrompt &prompt) const;
     double orderingKey(const WaitingPrompt &prompt, core::TimePoint now) const;
 
     PromptQueueSettings m_settings;
     std::list<WaitingPrompt> m_waiting; ///< In order of arrival.
     std::map<std::string, double> m_meanTokens;
+    std::unique_ptr<TeamShares> m_teamShares;
+    bool m_promptsWait = false; ///< The last round of dispatches left prompts in the queue.
 };
 
 } // namespace jujube::policy
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -74,7 +74,8 @@
            [this]() { return m_usage.windowAt(m_wallClock.at(core::BootClock::now())); },
            [this]() { return knownLimits(); },
            [this](const std::string &peer) { return m_quotas.levelsFor(peer); },
-           [this]() { return engineSpeeds(); }}),
+           [this]() { return engineSpeeds(); },
+           [this]() { return m_promptScheduler.teamUse(); }}),
       m_feed(m_httpClient, m_settings.name, [this](const StorePage &state) { onPeerState(state); }),
       m_promptScheduler(io, m_endpoints, m_placement, m_random,
                         [this]() { return m_peers.aliveCount(); }),
@@ -167,6 +168,10 @@
 {
     m_placement.domain = m_settings.domain;
     m_placement.predictsByPace = false;
+    if (m_settings.contention)
+        m_promptScheduler.shareByTeam([this](const std::string &service, uint32_t slots) {
+            return m_decodeSteps[service].stepMs(slots);
+        });
     http::ServerLimits withoutBody;
     withoutBody.maxBodyBytes = 0;
     m_readyServer.setLimits(withoutBody);
@@ -354,6 +359,7 @@
         m_placement.gateways = m_peers.aliveCount();
         m_placement.colocatedPrefill = m_colocatedPrefill.model();
         logPredictions(now);
+        m_promptScheduler.updateTeamGauges();
         if (m_mirror->complete() && m_mirror->reachable() && !m_draining) {
             if (!m_registered && !m_registering)
                 registerSelf();
--- a/src/serving/gatewaygossip.cpp
+++ b/src/serving/gatewaygossip.cpp
@@ -144,6 +144,8 @@
     const TimePoint now = core::BootClock::now();
     for (const GossipLimit &it : gossip.limits)
         m_endpoints.mergeLimit(it.endpoint, {it.perSecond, now - it.age});
+    if (!gossip.teamUse.empty())
+        m_promptScheduler.mergeTeamUse(endpointHash(gossip.name), gossip.teamUse);
     const uint64_t sender = gossip.engineSpeeds.empty() ? 0 : endpointHash(gossip.name);
     for (const GossipEngineSpeed &it : gossip.engineSpeeds) {
         if (const EndpointPtr endpoint = m_endpoints.findByHash(it.endpoint))
--- a/src/serving/promptscheduler.cpp
+++ b/src/serving/promptscheduler.cpp
@@ -31,12 +31,18 @@
 {
 }
 
+PromptScheduler::ServiceQueue &PromptScheduler::queueOf(const std::string &service)
+{
+    return m_serviceQueues.try_emplace(service, m_queueSettings).first->second;
+}
+
 uint64_t PromptScheduler::add(const std::string &service, policy::WaitingPrompt prompt,
                               std::vector<policy::PrefixLink> chain, PromptCallbacks callbacks)
 {
-    ServiceQueue &serviceQueue = m_serviceQueues[service];
+    ServiceQueue &serviceQueue = queueOf(service);
     prompt.id = ++m_nextId;
-    serviceQueue.entries.emplace(prompt.id, Entry{std::move(chain), std::move(callbacks), {}, {}});
+    serviceQueue.entries.emplace(
+        prompt.id, Entry{std::move(chain), std::move(callbacks), core::BootClock::now(), {}, {}});
     serviceQueue.queue.add(std::move(prompt));
     scheduleDispatch();
     return m_nextId;
@@ -44,7 +50,7 @@
 
 void PromptScheduler::remove(const std::string &service, uint64_t id)
 {
-    ServiceQueue &serviceQueue = m_serviceQueues[service];
+    ServiceQueue &serviceQueue = queueOf(service);
     serviceQueue.queue.remove(id);
     serviceQueue.entries.erase(id);
 }
@@ -83,6 +89,7 @@
                                    TimePoint now)
 {
     while (serviceQueue.queue.size() > 0 && dispatchOne(service, serviceQueue, now)) { }
+    serviceQueue.queue.endRound();
 }
 
 // Looking up every prefix block at every engine is the largest cost on a small VM while prompts
@@ -135,6 +142,10 @@
     plan.priority = dispatch->priority;
     plan.aheadTokens = views[dispatch->choice.index].backlogTokens;
     const Entry entry = takeEntry(serviceQueue, dispatch->prompt.id);
+    if (m_fullStepMs) {
+        chargeTeam(service, serviceQueue, *dispatch, views, now);
+        plan.teamDelay = teamDelayToLog(dispatch->overuse, entry.queuedAt, now);
+    }
     if (plan.choice.fetch) {
         if (const EndpointPtr holder = longestPrefixHolder(engines, entry.chain);
             holder && holder != plan.engine)
@@ -158,6 +169,12 @@
     });
 }
 
+double PromptScheduler::prefillTokensPerMs() const
+{
+    return m_placement.predictsByPace ? m_placement.prefill.tokensPerMs
+                                      : m_placement.disaggregatedPrefill.tokensPerMs;
+}
+
 Milliseconds PromptScheduler::expectedWait(const std::string &service,
                                            const policy::WaitingPrompt &prompt) const
 {
@@ -174,11 +191,8 @@
             engines += m_placement.predictsByPace ? 1 / it->slowdown.factor().value_or(1) : 1;
     }
     constexpr double msPerSecond = 1000;
-    const double tokensPerMs = m_placement.predictsByPace
-        ? m_placement.prefill.tokensPerMs
-        : m_placement.disaggregatedPrefill.tokensPerMs;
-    const double rate =
-        tokensPerMs * msPerSecond * (engines > 0 ? engines : 1) / std::max(1U, m_gatewayCount());
+    const double rate = prefillTokensPerMs() * msPerSecond * (engines > 0 ? engines : 1)
+        / std::max(1U, m_gatewayCount());
     return serviceQueue->second.queue.expectedWait(prompt, rate, core::BootClock::now());
 }
 
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -123,6 +123,8 @@
     policy::WaitingPrompt prompt;
     prompt.routeName = m_request.route->name;
     prompt.rank = m_request.rank;
+    prompt.team = m_request.team;
+    prompt.expectedOutputTokens = expectedOutputTokens();
     prompt.info = m_promptInfo;
     prompt.arrivedAt = m_arrivedAt;
     prompt.firstTokenDueAt = m_arrivedAt + m_request.route->latencyObjective;
@@ -130,6 +132,8 @@
     prompt.failedEngines = m_avoidedEndpoints;
     const Milliseconds wait = m_services.promptScheduler.expectedWait(m_request.service, prompt);
     if (core::BootClock::now() + wait > prompt.deadlineAt) {
+        if (m_services.promptScheduler.overuses(m_request.service, prompt.team))
+            core::incrementCounter("jujube_overuse_refusals_total");
         fail(http::status::ServiceUnavailable,
              "the expected wait for an engine exceeds the deadline", retryAfterDelay());
         return;
@@ -184,6 +188,12 @@
         return;
     m_assignedAt = core::BootClock::now();
     m_prefillPlan = plan;
+    if (plan.teamDelay)
+        core::Event("prompt.delayed")
+            .with("request", m_request.metadata.id)
+            .with("team", m_request.team)
+            .with("overuse", plan.teamDelay->overuse)
+            .with("waited_ms", plan.teamDelay->waited.count());
     m_services.recordPrefillTokens(plan.choice.uncachedTokens);
     m_expectedOutputTokens = expectedOutputTokens();
     m_services.recordExpectedOutputTokens(m_expectedOutputTokens);
