Greedy team in the soak

Cause: shares of teams had no test with processes and faults. Checked: no smaller share of the others' prompts than of the greedy team's is served, with a tolerance of a tenth.

--- a/test/fakes/fakeendpoint.cpp
+++ b/test/fakes/fakeendpoint.cpp
@@ -54,7 +54,7 @@
                        {"Address", wire::qstring(m_address)},
                        {"Zone", wire::qstring(zone)},
                        {"Version", "v1"},
-                       {"Slots", 64},
+                       {"Slots", qint64(m_slots)},
                        {"State", wire::qstring(state)},
                        {"ColdLeftMs", 0},
                        {"born", qint64(m_bornMs)},
--- a/test/fakes/fakeendpoint.h
+++ b/test/fakes/fakeendpoint.h
@@ -102,6 +102,8 @@
     bool crashed() const { return m_crashed; }
     /** Starts again after a crash, as another incarnation. */
     absl::Status restart(std::string id);
+    /** Sets the slots in later store entries. */
+    void setSlots(uint32_t slots) { m_slots = slots; }
     void setEventCount(uint32_t events) { m_eventCount = events; }
     void setEventGap(core::Milliseconds gap) { m_eventGap = gap; }
 
@@ -156,6 +158,7 @@
     uint32_t m_faultInterval = 1;
     uint32_t m_faultTurn = 0; ///< Requests since the last fault.
     uint32_t m_eventCount = 3;
+    uint32_t m_slots = 64;
     core::Milliseconds m_eventGap{5};
     std::string m_crashingBlock;
     std::function<void()> m_onCrash;
--- a/test/soak/gatewayprocess.cpp
+++ b/test/soak/gatewayprocess.cpp
@@ -41,6 +41,8 @@
 absl::Status GatewayProcess::writeSettings() const
 {
     std::ofstream out(settingsPath());
+    if (m_config.contention)
+        out << "Contracts = [\"pressure\"]\n";
     out << "NodeName = \"" << m_config.name << "\"\nZone = \"a\"\nIp = \"" << m_config.ip
         << "\"\nInternalPorts = [" << InternalPort << ", " << InternalPort
         << "]\n[Listen]\nFront = \"" << m_config.clientAddress << "\"\nReady = \""
--- a/test/soak/gatewayprocess.h
+++ b/test/soak/gatewayprocess.h
@@ -40,6 +40,7 @@
     std::string storeAddress;
     std::string platformAddress;
     RetryBudgetLimits retryLimits{};
+    bool contention = false;            ///< Teams get equal shares while prompts wait.
     std::optional<QuotaRule> quotaRule; ///< Nothing: the settings do not state it.
 };
 
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -9,6 +9,7 @@
 #include "core/eventlog.h"
 #include "serving/loopmonitor.h"
 #include "soak/faults.h"
+#include "soak/greedyteam.h"
 #include "soak/invariants.h"
 #include "soak/limitschedule.h"
 #include "soak/quotaschedule.h"
@@ -31,6 +32,7 @@
 DEFINE_bool(limits, false, "also let endpoints name limits of requests");
 DEFINE_bool(retries, false, "also use up the retry budgets, beside kills and reloads in series");
 DEFINE_bool(quotas, false, "also give teams quotas that change, and exceed them at times");
+DEFINE_bool(teams, false, "also let one team ask for far more than its share of scarce engines");
 DEFINE_uint32(callers, 60, "number of concurrent clients");
 
 namespace {
@@ -89,6 +91,13 @@
         loadSettings.drawTeam = [&quotas](std::mt19937_64 &random) {
             return quotas->drawTeam(random);
         };
+    std::optional<soak::GreedyTeam> greedy;
+    if (FLAGS_teams) {
+        greedy.emplace(deployment);
+        loadSettings.drawTeam = [&greedy](std::mt19937_64 &random) {
+            return greedy->drawTeam(random);
+        };
+    }
     soak::LoadGenerator load(io, std::move(loadSettings));
     // The fakes and the clients run on this loop, so a delay of the loop delays them.
     serving::LoopMonitor loop(io);
@@ -109,6 +118,8 @@
             for (soak::InvariantResult &it : quotas->check(load))
                 results.push_back(std::move(it));
         }
+        if (greedy)
+            results.push_back(greedy->check(load));
         return results;
     };
     const size_t startUpDisturbance =
@@ -121,6 +132,8 @@
         limits.start();
     if (quotas)
         quotas->start();
+    if (greedy)
+        greedy->start(core::BootClock::now());
     // A breach may be visible for a moment only, so checks run all the time and the first breach
     // ends the phase with faults.
     size_t breaches = 0;
@@ -132,6 +145,8 @@
         limits.stop();
     if (quotas)
         quotas->stop();
+    if (greedy)
+        greedy->stop(core::BootClock::now());
     runFor(io, RecoveryTime);
     const core::TimePoint recovered = core::BootClock::now();
     runFor(io, SteadyTime);
@@ -173,6 +188,11 @@
                      "which --quotas does not take into account\n");
         return 2;
     }
+    if (FLAGS_teams && FLAGS_quotas) {
+        std::fprintf(stderr, "soak-gateway: --teams and --quotas draw teams differently\n");
+        return 2;
+    }
+    settings.contention = FLAGS_teams;
     if (FLAGS_quotas)
         settings.quotaRule = soak::QuotaSchedule::Rule;
     const auto deployment = soak::SoakDeployment::create(io, std::move(settings));
--- a/test/soak/soakdeployment.cpp
+++ b/test/soak/soakdeployment.cpp
@@ -97,6 +97,7 @@
         config.platformAddress = address(1, PlatformPort);
         config.retryLimits = m_retryLimits = settings.retryLimits;
         config.quotaRule = settings.quotaRule;
+        config.contention = settings.contention;
         m_gateways.push_back(
             std::make_unique<GatewayProcess>(settings.program, settings.folder, config));
         m_inRotation.push_back(true);
@@ -209,6 +210,15 @@
     }
 }
 
+void SoakDeployment::setSlots(uint32_t slots)
+{
+    for (SoakedEndpoint &it : m_endpoints) {
+        it.fake->setSlots(slots);
+        if (!it.state.empty() && it.service == "model")
+            registerEndpoint(it, std::string(it.state));
+    }
+}
+
 void SoakDeployment::registerEndpoint(SoakedEndpoint &endpoint, const std::string &state)
 {
     endpoint.state = state;
--- a/test/soak/soakdeployment.h
+++ b/test/soak/soakdeployment.h
@@ -47,6 +47,7 @@
     bool crashingPrompts = false; ///< Engines crash on prompts with CrashingBlock.
     RetryBudgetLimits retryLimits{};
     std::optional<QuotaRule> quotaRule{};
+    bool contention = false; ///< Teams get equal shares while prompts wait.
 };
 
 /** Gateways as child processes, fakes in this process, and relays between them. */
@@ -83,6 +84,8 @@
     void registerEndpoint(SoakedEndpoint &endpoint, const std::string &state = "ready");
     /** Erases the store entry of an endpoint. */
     void unregisterEndpoint(SoakedEndpoint &endpoint);
+    /** Sets the slots of each engine. */
+    void setSlots(uint32_t slots);
     /** Writes the entries of endpoints whose stage was changed by an order. */
     void refreshEntries();
     /** Removes the entries of incarnations that have ended, as their leases would. */
