--- a/src/serving/explain.cpp
+++ b/src/serving/explain.cpp
@@ -65,6 +65,8 @@
     policy::WaitingPrompt prompt;
     prompt.routeName = route.name;
     prompt.rank = explanation.rank;
+    prompt.team = explanation.team;
+    prompt.expectedOutputTokens = explanation.cost.outputTokens;
     prompt.info = info;
     prompt.arrivedAt = now;
     prompt.firstTokenDueAt = now + route.latencyObjective;
@@ -234,15 +236,16 @@
     if (const auto left = services.quarantine.timeLeft(blocks); left && !explanation.refusal)
         explanation.refusal = {
             http::status::ServiceUnavailable, "the prompt crashes engines", *left, {}};
+    const policy::OutputRequest output{explanation.service, explanation.route, explanation.team,
+                                       request.expectedOutputTokens, request.maxOutputTokens};
+    explanation.cost.outputTokens =
+        expectedOutputTokens(output, services.placement, services.outputLengths);
     explainChoices(explanation, services, request, *found.route, now, random);
     const uint32_t reusable = explanation.prefill
         ? request.promptTokens - std::min(request.promptTokens, explanation.prefill->uncachedTokens)
         : explanation.fetchableTokens;
-    const policy::OutputRequest output{explanation.service, explanation.route, explanation.team,
-                                       request.expectedOutputTokens, request.maxOutputTokens};
-    explanation.cost = policy::RequestCost::of(
-        request.promptTokens, reusable,
-        expectedOutputTokens(output, services.placement, services.outputLengths));
+    explanation.cost =
+        policy::RequestCost::of(request.promptTokens, reusable, explanation.cost.outputTokens);
     return explanation;
 }
 
--- a/src/serving/promptpreview.cpp
+++ b/src/serving/promptpreview.cpp
@@ -30,7 +30,7 @@
     const auto &engines = m_endpoints.ofService(service);
     const auto serviceQueue = m_serviceQueues.find(service);
     policy::PromptQueue queue = serviceQueue == m_serviceQueues.end()
-        ? policy::PromptQueue(policy::PromptQueueSettings())
+        ? policy::PromptQueue(m_queueSettings)
         : serviceQueue->second.queue;
     PromptPreview preview;
     preview.waiting = queue.size();
