Blocks at engines that cannot be reached are not fetched from

Cause: a send records that the engine caches the prompt, also if the connection then fails. Change: an engine with failed connections since its last answer, or at whose address another instance answers, holds nothing for others.

--- a/src/policy/connectfailures.h
+++ b/src/policy/connectfailures.h
@@ -25,6 +25,8 @@
     core::Milliseconds note(core::TimePoint now);
     /** Records that the endpoint has answered. */
     void reset();
+    /** Whether an attempt has failed since the last answer. */
+    bool failing() const { return m_pauses > 0; }
 
 private:
     uint32_t m_pauses = 0; ///< Without an answer in between.
--- a/src/serving/endpointhealth.cpp
+++ b/src/serving/endpointhealth.cpp
@@ -73,10 +73,12 @@
         core::Event("endpoint.leaving").with("endpoint", endpoint.record.id);
     // The process that was addressed has ended, although its entry may stay for a second or more.
     if (!answer.otherInstance.empty() && answer.otherInstance != endpoint.record.id
-        && !std::exchange(endpoint.leaving, true))
+        && !std::exchange(endpoint.replaced, true)) {
+        endpoint.leaving = true;
         core::Event("endpoint.replaced")
             .with("endpoint", endpoint.record.id)
             .with("instance", answer.otherInstance);
+    }
     if ((answer.requestLimit || answer.endsLimit)
         && endpoint.limit.observe(answer.requestLimit, now))
         logLimit(endpoint, "answer");
--- a/src/serving/endpoints.cpp
+++ b/src/serving/endpoints.cpp
@@ -321,7 +321,7 @@
     uint32_t most = 0;
     uint64_t age = 0;
     for (const EndpointPtr &it : endpoints) {
-        const uint32_t tokens = it->removed ? 0 : it->prefixCache.cachedTokens(prompt);
+        const uint32_t tokens = !it->isReachable() ? 0 : it->prefixCache.cachedTokens(prompt);
         if (tokens == 0 || tokens < most)
             continue;
         // Among equal holders, the blocks that were used most recently are the least likely to have
--- a/src/serving/endpoints.h
+++ b/src/serving/endpoints.h
@@ -70,6 +70,9 @@
     {
         return !removed && !leaving && record.state == EndpointState::Ready;
     }
+    /** Whether others can probably fetch cached blocks from it. What a prompt that was sent to it
+     * would have left in its cache is assumed to be there, even if the connection failed. */
+    bool isReachable() const { return !removed && !replaced && !connectFailures.failing(); }
     /** Whether a back-off that the endpoint asked for has not expired. */
     bool inBackoff(core::TimePoint now) const { return now < backoffUntil; }
     /** Sends no new work to the endpoint for a time, as after a refusal or during a change of
@@ -109,6 +112,7 @@
     uint32_t connections = 0;           ///< In use by this gateway.
     bool removed = false;               ///< From the table.
     bool leaving = false;               ///< Announced its shutdown; final for this incarnation.
+    bool replaced = false;              ///< Another instance answers at its address.
     policy::RequestLimit limit;         ///< That the endpoint names in its answers.
     core::TimePoint backoffUntil{};     ///< End of the back-off that the endpoint asked for.
     /** No new work until then: its stage changes, it has refused a request, or it is suspected. */
--- a/src/serving/explain.cpp
+++ b/src/serving/explain.cpp
@@ -162,7 +162,8 @@
     std::vector<policy::PlacementCandidate> views;
     for (const EndpointPtr &it : endpoints) {
         views.push_back(placementViewOf(*it, chain, now));
-        info.fetchableTokens = std::max(info.fetchableTokens, views.back().cachedTokens);
+        if (it->isReachable())
+            info.fetchableTokens = std::max(info.fetchableTokens, views.back().cachedTokens);
     }
     policy::applyHolds(views);
     policy::PlacementQuery query{info, explanation.needsPrefill && !preview.noUsableEngine,
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -164,6 +164,7 @@
 {
     m_placement.domain = m_settings.domain;
     m_placement.predictsByPace = false;
+    m_placement.avoidsUnreachable = m_settings.contention;
     if (m_settings.contention)
         m_promptScheduler.shareByTeam([this](const std::string &service, uint32_t slots) {
             return m_decodeSteps[service].stepMs(slots);
--- a/src/serving/promptpreview.cpp
+++ b/src/serving/promptpreview.cpp
@@ -57,7 +57,7 @@
         std::vector<uint32_t> tokens;
         tokens.reserve(engines.size());
         for (const EndpointPtr &engine : engines)
-            tokens.push_back(engine->prefixCache.cachedTokens(links));
+            tokens.push_back(engine->isReachable() ? engine->prefixCache.cachedTokens(links) : 0);
         return tokens;
     };
     while (const auto dispatch = queue.takeNext(views, cached, m_placement, now, random)) {
--- a/src/serving/promptscheduler.cpp
+++ b/src/serving/promptscheduler.cpp
@@ -103,7 +103,12 @@
         for (const EndpointPtr &it : engines)
             entry.cached.push_back(it->prefixCache.cachedTokens(entry.chain));
     }
-    return entry.cached;
+    std::vector<uint32_t> cached = entry.cached;
+    for (size_t i = 0; i < engines.size(); ++i) {
+        if (!engines[i]->isReachable())
+            cached[i] = 0;
+    }
+    return cached;
 }
 
 // Dispatches one queued prompt. \return false if no engine can take a prompt now.
