--- a/test/soak/greedyteam.cpp
+++ b/test/soak/greedyteam.cpp
@@ -2,6 +2,7 @@
 
 #include "core/text.h"
 
+#include <algorithm>
 #include <array>
 
 namespace jujube::soak {
@@ -11,7 +12,10 @@
 using core::TimePoint;
 
 constexpr const char *Greedy = "team-g";
-constexpr std::array Others{"team-a", "team-b", "team-c"};
+// Many enough that the greedy team reaches the largest overuse: below it, late prompts of the
+// others go behind its prompts in time.
+constexpr std::array Others{"team-a", "team-b", "team-c", "team-d", "team-e",
+                            "team-f", "team-h", "team-i", "team-j"};
 constexpr double GreedyShare = 0.7; ///< Of all requests while it is active.
 // About half of what the prompts of 60 callers need.
 constexpr uint32_t ScarceSlots = 6;
@@ -26,8 +30,11 @@
 GreedyTeam::GreedyTeam(SoakDeployment &deployment) : m_deployment(deployment)
 {
     std::string teams;
-    for (const char *name : {Others[1], Others[2], Greedy})
+    const auto add = [&teams](const char *name) {
         core::append(teams, R"(,{"Name":")", name, R"(","ApiKeys":[")", keyOfTeam(name), R"("]})");
+    };
+    std::for_each(Others.begin() + 1, Others.end(), add); // The configuration has the first one.
+    add(Greedy);
     deployment.publishTeams(std::move(teams));
 }
 
