Bound what is held for endpoints that read slowly, and notice those that take nothing

Cause: a request was passed to the kernel in one write, so that nothing was known of how much the endpoint had taken. An endpoint that read nothing held its requests until the kernel's user timeout (2.5 s) ended the connection; one that read 40 KB/s met the same end after 2.8 s.

Change: requests over 16 KB are written as the kernel sends them, with the last byte held back until the others are sent. Failure::NotWhole tells that the peer cannot have received the whole request.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -135,7 +135,7 @@
             return connection;
         connection->close();
     }
-    return ClientConnection::create(m_io, address);
+    return ClientConnection::create(m_io, address, m_slowSends);
 }
 
 void ConnectionPool::release(std::shared_ptr<ClientConnection> connection)
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -17,7 +17,12 @@
 class ConnectionPool
 {
 public:
-    explicit ConnectionPool(boost::asio::io_context &io) : m_io(io) { }
+    /** \param slowSends bounds what the connections hold for slow peers; may be null. */
+    explicit ConnectionPool(boost::asio::io_context &io,
+                            std::shared_ptr<SlowSendBudget> slowSends = nullptr)
+        : m_io(io), m_slowSends(std::move(slowSends))
+    {
+    }
 
     /** Returns an idle connection to the address, or a new one that is not connected yet. */
     std::shared_ptr<ClientConnection> acquire(const std::string &address);
@@ -28,6 +33,7 @@
 
 private:
     boost::asio::io_context &m_io;
+    std::shared_ptr<SlowSendBudget> m_slowSends;
     std::unordered_map<std::string, std::vector<std::shared_ptr<ClientConnection>>> m_idle;
 };
 
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -3,7 +3,6 @@
 #include "core/socketaddress.h"
 
 #include <boost/asio/ip/address_v4.hpp>
-#include <boost/asio/write.hpp>
 
 #include <algorithm>
 #include <charconv>
@@ -26,11 +25,8 @@
 constexpr core::Milliseconds DefaultIdleTimeout{3'000};
 // Subtracted from an announced idle timeout, to allow for the transit time of a request.
 constexpr core::Milliseconds IdleTimeoutMargin{700};
-// Together they detect an unresponsive peer after about three seconds, which is within the shortest
-// time limit that the system guarantees.
 constexpr int KeepAliveSeconds = 1;
 constexpr int KeepAliveProbes = 2;
-constexpr int UserTimeoutMs = 2'500;
 
 core::Milliseconds reuseTimeout(const Fields &fields)
 {
@@ -58,17 +54,29 @@
     setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &KeepAliveSeconds, sizeof(KeepAliveSeconds));
     setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &KeepAliveSeconds, sizeof(KeepAliveSeconds));
     setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &KeepAliveProbes, sizeof(KeepAliveProbes));
-    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &UserTimeoutMs, sizeof(UserTimeoutMs));
+    const auto userTimeoutMs = static_cast<unsigned>(UserTimeout.count());
+    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMs, sizeof(userTimeoutMs));
 }
 
-std::shared_ptr<ClientConnection> ClientConnection::create(asio::io_context &io,
-                                                           const std::string &address)
+std::shared_ptr<ClientConnection>
+ClientConnection::create(asio::io_context &io, const std::string &address,
+                         const std::shared_ptr<SlowSendBudget> &budget)
 {
-    return std::shared_ptr<ClientConnection>(new ClientConnection(io, address));
+    return std::shared_ptr<ClientConnection>(new ClientConnection(io, address, budget));
 }
 
-ClientConnection::ClientConnection(asio::io_context &io, std::string address)
-    : m_socket(io), m_timer(io), m_address(std::move(address))
+ClientConnection::ClientConnection(asio::io_context &io, std::string address,
+                                   const std::shared_ptr<SlowSendBudget> &budget)
+    : m_socket(io),
+      m_timer(io),
+      m_address(std::move(address)),
+      m_slowShare(budget, m_address, [this]() {
+          // The request is ended later, as this is called while another connection is checked.
+          asio::post(m_socket.get_executor(), [weak = weak_from_this()]() {
+              if (const auto self = weak.lock())
+                  self->giveUpSend("the memory for endpoints that read slowly is used up");
+          });
+      })
 {
 }
 
@@ -83,6 +91,10 @@
     m_exchangeActive = true;
     ++m_exchangeCount;
     m_writeStarted = false;
+    m_answerBegun = false;
+    m_requestBytes = bytes.size();
+    m_writtenBytes = 0;
+    m_slowSend.reset();
     m_headDelivered = false;
     m_skippedBytes = 0;
     m_headRequest = headRequest;
@@ -90,7 +102,7 @@
     m_handler = std::make_shared<ExchangeHandler>(std::move(handler));
     resetParser();
     if (m_open)
-        write();
+        startWriting();
     else
         connect(connectTimeout);
 }
@@ -126,23 +138,10 @@
     m_open = true;
     m_timer.cancel();
     setTcpOptions(m_socket);
-    write();
+    startWriting();
     read();
 }
 
-void ClientConnection::write()
-{
-    m_writeActive = true;
-    m_writeStarted = true;
-    const auto self = shared_from_this();
-    asio::async_write(m_socket, asio::buffer(m_output), [self](const ErrorCode &ec, size_t) {
-        self->m_writeActive = false;
-        self->m_output = {}; // An idle connection would keep the memory.
-        if (ec && !self->m_closed && self->m_exchangeActive)
-            self->fail(Failure::ConnectionLost, ec.message());
-    });
-}
-
 void ClientConnection::resetParser()
 {
     m_skippingResponse = false;
@@ -168,6 +167,7 @@
         if (self->m_closed)
             return;
         if (!ec) {
+            self->m_answerBegun = true;
             self->m_input.append(self->m_readBuffer.data(), n);
             self->processInput();
             if (!self->m_closed)
@@ -250,6 +250,7 @@
     const bool keep = head.keepAlive && !head.closeDelimited && !m_writeActive && m_input.empty();
     m_reuseDeadline = core::BootClock::now() + reuseTimeout(head.fields);
     m_exchangeActive = false;
+    endWatch();
     resumeReading();
     const auto self = shared_from_this();
     const auto handler = std::exchange(m_handler, {});
@@ -264,9 +265,15 @@
         return;
     const auto self = shared_from_this();
     const auto handler = std::exchange(m_handler, {});
+    if (!m_writeStarted) {
+        failure = Failure::NotSent;
+    } else if (requestIncomplete()) {
+        failure = Failure::NotWhole;
+        discardUnsent();
+    }
     closeSocket();
     if (handler)
-        handler->onFailure(m_writeStarted ? failure : Failure::NotSent, why);
+        handler->onFailure(failure, why);
 }
 
 void ClientConnection::close()
@@ -277,10 +284,16 @@
 }
 
 void ClientConnection::reset()
+{
+    discardUnsent();
+    close();
+}
+
+// What the kernel holds is not sent after the socket is closed.
+void ClientConnection::discardUnsent()
 {
     ErrorCode ec;
     m_socket.set_option(asio::socket_base::linger(true, 0), ec);
-    close();
 }
 
 void ClientConnection::closeSocket()
@@ -289,6 +302,8 @@
     m_open = false;
     m_exchangeActive = false;
     m_handler = {};
+    m_watching = false;
+    m_slowShare.set(0, {});
     ErrorCode ec;
     m_timer.cancel();
     m_socket.close(ec);
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -6,6 +6,7 @@
 
 #include "core/clock.h"
 #include "http/message.h"
+#include "http/outputbudget.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -14,16 +15,25 @@
 #include <array>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace jujube::http {
 
 /** How an exchange failed. */
 enum class Failure {
     NotSent,        ///< No byte of the request left this process: the peer cannot have acted on it.
+    NotWhole,       ///< Its end never left this process: the peer cannot have received the whole.
     ConnectionLost, ///< The connection ended or timed out before the response was complete.
     Malformed,      ///< The received bytes are not a valid response.
 };
 
+/** A request that its peer has not taken whole. */
+struct SlowSend
+{
+    size_t unsentBytes = 0; ///< Bytes that the peer has not acknowledged.
+    core::Milliseconds stalledFor{};
+};
+
 /** Callbacks of one exchange. None of them is invoked after ClientConnection::close(). */
 struct ExchangeHandler
 {
@@ -40,8 +50,10 @@
 class ClientConnection : public std::enable_shared_from_this<ClientConnection>
 {
 public:
-    static std::shared_ptr<ClientConnection> create(boost::asio::io_context &io,
-                                                    const std::string &address);
+    /** \param budget bounds what is held for slow peers; may be null. */
+    static std::shared_ptr<ClientConnection>
+    create(boost::asio::io_context &io, const std::string &address,
+           const std::shared_ptr<SlowSendBudget> &budget = nullptr);
     ~ClientConnection();
 
     /** Sends a request, and connects first if the connection is not open.
@@ -67,6 +79,12 @@
         return m_open && !m_exchangeActive && m_reuseDeadline > core::BootClock::now();
     }
     bool isOpen() const { return m_open; }
+    /** Whether the peer certainly has not received the whole request of this exchange, and cannot
+     * receive it after reset(). False if the peer has begun to answer. */
+    bool requestIncomplete() const { return !m_answerBegun && m_writtenBytes < m_requestBytes; }
+    /** What the peer has not taken of the request that was given up because it takes too little;
+     * nothing if the exchange ended otherwise. */
+    const std::optional<SlowSend> &slowSend() const { return m_slowSend; }
     /** Whether the connection has carried another exchange before the current one. */
     bool reused() const { return m_exchangeCount > 1; }
     const std::string &address() const { return m_address; }
@@ -74,17 +92,29 @@
     void onIdleClose(std::function<void()> callback) { m_onIdleClose = std::move(callback); }
 
 private:
-    ClientConnection(boost::asio::io_context &io, std::string address);
+    ClientConnection(boost::asio::io_context &io, std::string address,
+                     const std::shared_ptr<SlowSendBudget> &budget);
 
     void connect(core::Milliseconds timeout);
     void handleConnected();
+    void startWriting();
     void write();
+    void writeLastByte();
+    void handleWritten();
+    /** Checks regularly, until all is sent, whether the peer takes the request. */
+    void watchSend();
+    void checkSend();
+    void endWatch();
+    void giveUpSend(const std::string &why);
+    size_t unackedBytes();
+    size_t unsentKernelBytes();
     void read();
     void processInput();
     void parseResponses();
     void resetParser();
     void finishExchange();
     void fail(Failure failure, const std::string &why);
+    void discardUnsent();
     void closeSocket();
 
     boost::asio::ip::tcp::socket m_socket;
@@ -107,10 +137,28 @@
     bool m_headDelivered = false;
     bool m_skippingResponse = false; ///< The response being read answers another request.
     size_t m_skippedBytes = 0;       ///< Bytes of such responses during this exchange.
+    bool m_answerBegun = false;      ///< Bytes were received during this exchange.
+
+    // State of the request that is being sent.
+    size_t m_requestBytes = 0;
+    size_t m_writtenBytes = 0; ///< Passed to the kernel.
+    size_t m_takenBytes = 0;   ///< Acknowledged by the peer at the last check.
+    core::TimePoint m_takenAt{};
+    uint32_t m_stalledChecks = 0; ///< In a row, without a byte taken.
+    uint32_t m_slowChecks = 0;    ///< In a row, with little taken.
+    bool m_watching = false;
+    SlowSendShare m_slowShare;
+    std::optional<SlowSend> m_slowSend;
+
     bool m_readActive = false;
     bool m_readPaused = false; ///< The consumer of the body applies back pressure.
 };
 
+/** Time for which a peer may leave sent data unacknowledged. Together with the keep-alive probes it
+ * detects an unresponsive peer after about three seconds, which is within the shortest time limit
+ * that the system guarantees. */
+inline constexpr core::Milliseconds UserTimeout{2'500};
+
 /** Disables Nagle's algorithm and sets keep-alive and user timeouts, so that a peer that vanished
  * without a reset is detected. */
 void setTcpOptions(boost::asio::ip::tcp::socket &socket);
--- /dev/null
+++ b/src/http/clientoutput.cpp
@@ -0,0 +1,197 @@
+/** \file
+ * Writes the requests of client connections, and watches whether their peers take them.
+ */
+
+#include "http/clientconnection.h"
+
+#include "http/transferrate.h"
+
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <linux/sockios.h>
+#include <netinet/tcp.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
+namespace jujube::http {
+
+namespace {
+
+namespace asio = boost::asio;
+using ErrorCode = boost::system::error_code;
+
+// The kernel takes no more while it holds this much that it has not sent yet. What is sent and not
+// acknowledged does not count, so this does not limit the rate.
+constexpr int MaxUnsentKernelBytes = 64 << 10;
+// The last byte of a larger request stays in this process until the kernel has sent the others.
+// Smaller ones fit the receive buffer of an idle connection.
+constexpr size_t MaxWholeWriteBytes = 16UL << 10U;
+constexpr core::Milliseconds CheckInterval{250};
+// A peer that has taken nothing for 2 s does not read. Checks are counted instead of the time, as
+// this process may itself be paused.
+constexpr uint32_t ChecksUntilStalled = 8;
+// The pause of a peer that reads may be longer than the time between two checks.
+constexpr uint32_t ChecksUntilSlow = 2;
+constexpr uint64_t MsPerSecond = 1'000;
+constexpr size_t SlowBytesPerCheck =
+    MinTransferBytesPerSecond * static_cast<uint64_t>(CheckInterval.count()) / MsPerSecond;
+
+void setTcpOption(int fd, int option, int value)
+{
+    setsockopt(fd, IPPROTO_TCP, option, &value, sizeof(value));
+}
+
+size_t queueBytes(int fd, unsigned long query)
+{
+    int bytes = 0;
+    return ioctl(fd, query, &bytes) == 0 && bytes > 0 ? static_cast<size_t>(bytes) : 0;
+}
+
+} // namespace
+
+size_t ClientConnection::unackedBytes()
+{
+    return queueBytes(m_socket.native_handle(), SIOCOUTQ);
+}
+
+size_t ClientConnection::unsentKernelBytes()
+{
+    return queueBytes(m_socket.native_handle(), SIOCOUTQNSD);
+}
+
+void ClientConnection::startWriting()
+{
+    m_writeActive = true;
+    m_writeStarted = true;
+    write();
+}
+
+void ClientConnection::write()
+{
+    size_t end = m_requestBytes;
+    if (m_requestBytes > MaxWholeWriteBytes) {
+        if (m_writtenBytes == 0)
+            setTcpOption(m_socket.native_handle(), TCP_NOTSENT_LOWAT, MaxUnsentKernelBytes);
+        end = std::max(m_writtenBytes + 1, m_requestBytes - 1);
+    }
+    const auto self = shared_from_this();
+    m_socket.async_write_some(asio::buffer(m_output.data() + m_writtenBytes, end - m_writtenBytes),
+                              [self](const ErrorCode &ec, size_t n) {
+                                  self->m_writtenBytes += n;
+                                  if (!ec && !self->m_closed && self->m_exchangeActive) {
+                                      self->handleWritten();
+                                      return;
+                                  }
+                                  self->m_writeActive = false;
+                                  self->m_output = {};
+                                  if (ec && !self->m_closed && self->m_exchangeActive)
+                                      self->fail(Failure::ConnectionLost, ec.message());
+                              });
+}
+
+void ClientConnection::handleWritten()
+{
+    const size_t left = m_requestBytes - m_writtenBytes;
+    if (left == 0) {
+        m_writeActive = false;
+        m_output = {}; // An idle connection would keep the memory.
+        if (unsentKernelBytes() > 0)
+            watchSend();
+        return;
+    }
+    watchSend();
+    if (left == 1 && m_requestBytes > MaxWholeWriteBytes)
+        writeLastByte();
+    else
+        write();
+}
+
+// As long as the kernel has not sent the rest, the peer cannot have received the whole request, and
+// never will if the connection is reset.
+void ClientConnection::writeLastByte()
+{
+    const int fd = m_socket.native_handle();
+    if (unsentKernelBytes() == 0) {
+        setTcpOption(fd, TCP_NOTSENT_LOWAT, MaxUnsentKernelBytes);
+        write();
+        return;
+    }
+    setTcpOption(fd, TCP_NOTSENT_LOWAT, 1); // Writable as soon as all is sent.
+    const auto self = shared_from_this();
+    m_socket.async_wait(asio::socket_base::wait_write, [self](const ErrorCode &ec) {
+        if (!ec && !self->m_closed && self->m_exchangeActive)
+            self->writeLastByte();
+    });
+}
+
+void ClientConnection::watchSend()
+{
+    if (std::exchange(m_watching, true))
+        return;
+    m_takenBytes = 0;
+    m_takenAt = core::BootClock::now();
+    m_stalledChecks = 0;
+    m_slowChecks = 0;
+    // The kernel's limit would also end connections whose peer takes some data, but keeps its
+    // window nearly closed.
+    setTcpOption(m_socket.native_handle(), TCP_USER_TIMEOUT, 0);
+    checkSend();
+}
+
+void ClientConnection::checkSend()
+{
+    m_timer.expires_after(CheckInterval);
+    m_timer.async_wait([weak = weak_from_this()](const ErrorCode &ec) {
+        const auto self = weak.lock();
+        if (ec || !self || !self->m_watching)
+            return;
+        const size_t unsent =
+            self->m_requestBytes - self->m_writtenBytes + self->unsentKernelBytes();
+        if (unsent == 0 || self->m_answerBegun) {
+            self->endWatch();
+            return;
+        }
+        const core::TimePoint now = core::BootClock::now();
+        const size_t unacked = self->unackedBytes();
+        const size_t taken = self->m_writtenBytes - std::min(self->m_writtenBytes, unacked);
+        const size_t progress = taken - std::min(taken, self->m_takenBytes);
+        if (progress > 0 || unacked == 0) {
+            self->m_takenAt = now;
+            self->m_stalledChecks = 0;
+        } else if (++self->m_stalledChecks >= ChecksUntilStalled) {
+            self->giveUpSend("the endpoint takes nothing of the request");
+            return;
+        }
+        self->m_takenBytes = taken;
+        self->m_slowChecks = progress < SlowBytesPerCheck ? self->m_slowChecks + 1 : 0;
+        const bool slow = self->m_slowChecks >= ChecksUntilSlow;
+        self->m_slowShare.set(slow ? self->m_output.size() + unacked : 0, now);
+        self->checkSend();
+    });
+}
+
+void ClientConnection::endWatch()
+{
+    if (!std::exchange(m_watching, false))
+        return;
+    m_timer.cancel();
+    m_slowShare.set(0, {});
+    setTcpOption(m_socket.native_handle(), TCP_USER_TIMEOUT, static_cast<int>(UserTimeout.count()));
+}
+
+// The peer may have received the whole request if only the kernel holds a part of it: by the time
+// of the reset it may have been sent.
+void ClientConnection::giveUpSend(const std::string &why)
+{
+    if (m_closed || !m_watching)
+        return;
+    const size_t unacked = unackedBytes();
+    m_slowSend = SlowSend{
+        m_requestBytes - m_writtenBytes + unacked,
+        std::chrono::duration_cast<core::Milliseconds>(core::BootClock::now() - m_takenAt)};
+    discardUnsent();
+    fail(Failure::ConnectionLost, why);
+}
+
+} // namespace jujube::http
--- a/src/http/outputbudget.cpp
+++ b/src/http/outputbudget.cpp
@@ -1,6 +1,9 @@
 #include "http/outputbudget.h"
 
 #include <algorithm>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
 
 namespace jujube::http {
 
@@ -46,4 +49,55 @@
     return m_bytes + std::min(RefillBytes, most / 2) <= most;
 }
 
+void SlowSendBudget::enforce()
+{
+    while (m_usedBytes > m_maxBytes) {
+        SlowSendShare *share = nextToGiveUp();
+        if (!share)
+            return;
+        share->release();
+        share->m_onGivenUp();
+    }
+}
+
+// The peer that holds the most is given up first, so that one peer cannot displace requests to
+// others. Exceeding the bound is rare, so a search is cheaper than sums that are kept up to date.
+SlowSendShare *SlowSendBudget::nextToGiveUp() const
+{
+    std::unordered_map<std::string_view, size_t> byPeer;
+    for (const SlowSendShare *it : m_shares)
+        byPeer[it->m_peer] += it->m_bytes;
+    const auto best = std::max_element(
+        m_shares.begin(), m_shares.end(), [&](const SlowSendShare *a, const SlowSendShare *b) {
+            const size_t ofA = byPeer[a->m_peer];
+            const size_t ofB = byPeer[b->m_peer];
+            return ofA != ofB ? ofA < ofB : a->m_slowSince > b->m_slowSince;
+        });
+    return best == m_shares.end() ? nullptr : *best;
+}
+
+void SlowSendShare::set(size_t bytes, core::TimePoint now)
+{
+    if (!m_budget)
+        return;
+    if (bytes == 0) {
+        release();
+        return;
+    }
+    if (m_bytes == 0)
+        m_slowSince = now;
+    m_budget->m_usedBytes = m_budget->m_usedBytes - m_bytes + bytes;
+    m_bytes = bytes;
+    m_budget->m_shares.insert(this);
+    m_budget->enforce();
+}
+
+void SlowSendShare::release()
+{
+    if (m_bytes == 0)
+        return;
+    m_budget->m_usedBytes -= std::exchange(m_bytes, 0);
+    m_budget->m_shares.erase(this);
+}
+
 } // namespace jujube::http
--- a/src/http/outputbudget.h
+++ b/src/http/outputbudget.h
@@ -1,11 +1,17 @@
 #pragma once
 
 /** \file
- * Defines the bound on the output that the client connections of a process hold together.
+ * Defines the bounds on the output that the connections of a process hold together: on answers for
+ * slow clients, and on requests for slow endpoints.
  */
 
+#include "core/clock.h"
+
 #include <cstddef>
+#include <functional>
 #include <memory>
+#include <string>
+#include <unordered_set>
 
 namespace jujube::http {
 
@@ -67,4 +73,66 @@
     size_t m_bytes = 0;
 };
 
+class SlowSendShare;
+
+/** Bounds the bytes of requests that all connections together hold for peers that read slowly.
+ *
+ * Requests to peers that read do not count, however large they are. A request is held whole, so
+ * it cannot pause: if the bound is exceeded, requests to the peer that holds the most are given up.
+ */
+class SlowSendBudget
+{
+public:
+    explicit SlowSendBudget(size_t maxBytes) : m_maxBytes(maxBytes) { }
+
+    size_t usedBytes() const { return m_usedBytes; }
+    size_t maxBytes() const { return m_maxBytes; }
+
+private:
+    friend class SlowSendShare;
+
+    /** Gives up requests until the rest is within the bound. */
+    void enforce();
+    /** \return the share that has been slow for the longest, of the peer with the most bytes. */
+    SlowSendShare *nextToGiveUp() const;
+
+    size_t m_maxBytes;
+    size_t m_usedBytes = 0;
+    std::unordered_set<SlowSendShare *> m_shares; ///< That hold bytes.
+};
+
+/** The bytes that one connection holds for a slow peer; they are returned at the end of the
+ * object's life. */
+class SlowSendShare
+{
+public:
+    /** \param budget may be null: there is no bound.
+     * \param peer its address.
+     * \param onGivenUp invoked from set() of any share of the budget; must not end the request
+     * before that returns. */
+    SlowSendShare(std::shared_ptr<SlowSendBudget> budget, std::string peer,
+                  std::function<void()> onGivenUp)
+        : m_budget(std::move(budget)), m_peer(std::move(peer)), m_onGivenUp(std::move(onGivenUp))
+    {
+    }
+    ~SlowSendShare() { release(); }
+    SlowSendShare(const SlowSendShare &) = delete;
+    SlowSendShare &operator=(const SlowSendShare &) = delete;
+
+    /** Sets the bytes held; 0 if the peer reads. */
+    void set(size_t bytes, core::TimePoint now);
+    size_t bytes() const { return m_bytes; }
+
+private:
+    friend class SlowSendBudget;
+
+    void release();
+
+    std::shared_ptr<SlowSendBudget> m_budget;
+    std::string m_peer;
+    std::function<void()> m_onGivenUp;
+    core::TimePoint m_slowSince{};
+    size_t m_bytes = 0;
+};
+
 } // namespace jujube::http
