State truthfully that a request did not run if its endpoint did not take it whole

A send that ended before its request was whole counts as a lost answer for the endpoint's health, and as not run: it may be repeated at another endpoint from the retry budget.

--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -40,6 +40,8 @@
 constexpr uint64_t RequestMemoryDivisor = 4;
 constexpr uint64_t AnswerMemoryDivisor = 8;
 constexpr uint64_t OutputMemoryDivisor = 16;
+// Requests that wait for endpoints which read slowly take at most half of the memory for requests.
+constexpr uint64_t SlowSendMemoryDivisor = 2 * RequestMemoryDivisor;
 constexpr double PrefixCacheShare = 0.7; ///< Of the KV cache; running requests use the rest.
 
 } // namespace
@@ -51,7 +53,8 @@
       m_run(m_random()),
       m_wallClock(core::BootClock::now(), core::wallTime()),
       m_httpClient(io),
-      m_pool(io),
+      m_pool(io, std::make_shared<http::SlowSendBudget>(m_settings.memoryBytes
+                                                        / SlowSendMemoryDivisor)),
       m_store(m_httpClient, m_settings.storeAddress),
       m_quarantine(m_store, m_settings.name),
       m_usage(m_settings.usageWindow),
--- a/src/serving/session.h
+++ b/src/serving/session.h
@@ -153,10 +153,14 @@
     /** Takes one repeated send from the service's retry budget. \return false if none is left. */
     bool spendRetryBudget();
     bool mayRunAgain() const;
+    /** Whether an endpoint may be running the request: it may have received the whole of it. */
+    bool runInProgress() const;
     /** Counts the request for its team's usage, once. */
     void countForUsage();
     void recordEndpointAnswer(bool failed);
     void recordLostAnswer();
+    /** Logs and counts an endpoint that took too little of the request. */
+    void recordSlowSend() const;
     /** Whether a run that was lost now may be the cause of the loss. */
     bool mayHaveCrashedEndpoint() const;
     void releaseCacheHandle();
--- a/src/serving/sessionanswer.cpp
+++ b/src/serving/sessionanswer.cpp
@@ -6,6 +6,7 @@
 
 #include "core/eventlog.h"
 #include "core/metrics.h"
+#include "core/text.h"
 #include "platform/requestcodec.h"
 
 #include <algorithm>
@@ -332,6 +333,7 @@
 
 void Session::onFailure(http::Failure failure, const std::string &why)
 {
+    recordSlowSend();
     if (m_purpose == Purpose::Prefill) {
         recordLostAnswer();
         handlePrefillFailure(failure != http::Failure::NotSent, why);
@@ -340,7 +342,9 @@
     if (failure == http::Failure::ConnectionLost && mayHaveCrashedEndpoint())
         m_services.quarantine.recordCrash(m_sharedBlocks, m_endpoint->record,
                                           m_request.metadata.id);
-    handleRunFailure(failure == http::Failure::NotSent, failure != http::Failure::NotSent, why);
+    // An endpoint does not run a request that it has not received whole.
+    const bool notRun = failure == http::Failure::NotSent || failure == http::Failure::NotWhole;
+    handleRunFailure(notRun, failure != http::Failure::NotSent, why);
 }
 
 // An engine that crashes on a prompt does so when it begins to answer. Runs that had sent an event
@@ -362,10 +366,10 @@
         .with("blocks", sharedBlockIds())
         .with("why", why);
     m_avoidedEndpoints.insert(m_endpoint->record.id);
-    if (!notRun || !sent)
-        recordLostAnswer();
-    else
+    if (notRun && m_answer.notRun)
         recordRefusal(*m_endpoint, core::BootClock::now());
+    else
+        recordLostAnswer();
     endSend(false);
     if (m_finished)
         return;
@@ -386,7 +390,8 @@
             fail(http::status::BadGateway, "the run failed and its retry was refused");
         else
             fail(http::status::ServiceUnavailable,
-                 "the endpoint refused the request and the retry budget is spent",
+                 core::concat("the endpoint did not run the request (", why,
+                              ") and the retry budget is spent"),
                  retryAfterDelay());
         return;
     }
--- a/src/serving/sessionend.cpp
+++ b/src/serving/sessionend.cpp
@@ -120,18 +120,26 @@
     finish("client-left", 0);
 }
 
+bool Session::runInProgress() const
+{
+    return m_connection && m_purpose == Purpose::Run && !m_connection->requestIncomplete();
+}
+
 void Session::onDeadline()
 {
-    const bool sent = (m_connection && m_purpose == Purpose::Run) || m_mayHaveRun;
-    giveUp(sent ? "no answer before the deadline"
-                : "no endpoint accepted the request before the deadline");
+    giveUp(runInProgress() || m_mayHaveRun
+               ? "no answer before the deadline"
+               : "no endpoint accepted the request before the deadline");
 }
 
 void Session::giveUp(const std::string &why)
 {
     if (m_finished)
         return;
-    const bool running = m_connection && m_purpose == Purpose::Run;
+    const bool running = runInProgress();
+    // The end of the send discards the rest of an incomplete request.
+    if (m_connection && m_purpose == Purpose::Run && !running)
+        --m_runs;
     endSend(false);
     if (m_streaming) {
         m_responder.abort();
--- a/src/serving/sessionevidence.cpp
+++ b/src/serving/sessionevidence.cpp
@@ -1,10 +1,11 @@
 /** \file
- * Records what a session's sends show of the speed of engines.
+ * Records what a session's sends show of the speed of endpoints.
  */
 
 #include "serving/session.h"
 
 #include "core/eventlog.h"
+#include "core/metrics.h"
 
 #include <algorithm>
 #include <cmath>
@@ -103,6 +104,19 @@
                               core::BootClock::now());
 }
 
+void Session::recordSlowSend() const
+{
+    if (!m_connection || !m_connection->slowSend())
+        return;
+    const http::SlowSend &send = *m_connection->slowSend();
+    core::incrementCounter("jujube_slow_endpoints_total");
+    core::Event("endpoint.slow")
+        .with("request", m_request.metadata.id)
+        .with("endpoint", m_endpoint->record.id)
+        .with("unsent", send.unsentBytes)
+        .with("for_ms", send.stalledFor.count());
+}
+
 // Only the whole output of a request counts: a resumed stream lacks the events before it.
 void Session::recordOutputLength()
 {
