--- a/test/support/deployment.cpp
+++ b/test/support/deployment.cpp
@@ -218,6 +218,14 @@
     return connection;
 }
 
+size_t Deployment::runCount(const std::string &requestId) const
+{
+    size_t runs = 0;
+    for (const auto &it : m_endpoints)
+        runs += it->runCount(requestId);
+    return runs;
+}
+
 uint32_t Deployment::readinessStatus(size_t gateway)
 {
     uint32_t status = 0;
--- a/test/support/deployment.h
+++ b/test/support/deployment.h
@@ -84,6 +84,8 @@
     void sendAndDisconnect(const std::string &method, const std::string &target,
                            const std::string &id, const std::vector<http::Field> &more = {},
                            size_t gateway = 0) const;
+    /** Number of times a request was started at any endpoint. */
+    size_t runCount(const std::string &requestId) const;
     /** HTTP status of the gateway's readiness check; 0: no response. */
     uint32_t readinessStatus(size_t gateway = 0);
     void runFor(core::Milliseconds time);
