--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -53,8 +53,9 @@
       m_run(m_random()),
       m_wallClock(core::BootClock::now(), core::wallTime()),
       m_httpClient(io),
-      m_pool(io, std::make_shared<http::SlowSendBudget>(m_settings.memoryBytes
-                                                        / SlowSendMemoryDivisor)),
+      m_pool(
+          io,
+          std::make_shared<http::SlowSendBudget>(m_settings.memoryBytes / SlowSendMemoryDivisor)),
       m_store(m_httpClient, m_settings.storeAddress),
       m_quarantine(m_store, m_settings.name),
       m_usage(m_settings.usageWindow),
