Soak: slow readers on both sides (--slow-readers)

48 clients send bodies of 20 KB to 4 MB to a service of their own, two of whose three endpoints read at 0, 4 or 40 KB/s or quickly, in turn at random, and read answers of 512 KB at 10 or 100 KB/s or quickly; the memory of each gateway is set to 120 MB. Checks beside the existing ones: runs, status and time of the large requests, at least 97 % of the other requests answered in undisturbed times, resident memory of each gateway process below its setting.

--- a/test/fakes/fakeendpoint.cpp
+++ b/test/fakes/fakeendpoint.cpp
@@ -168,7 +168,8 @@
     received.team = field("Tenant");
     received.method = request.head.method;
     received.target = request.head.target;
-    received.body = request.body;
+    if (m_keepsBodies)
+        received.body = request.body;
     received.lastEventId = field("Last-Event-Id");
     received.cacheSource = field("Kv-Source");
     received.fetchFrom = field("Kv-Fetch");
--- a/test/fakes/fakeendpoint.h
+++ b/test/fakes/fakeendpoint.h
@@ -84,6 +84,8 @@
     {
         m_responseFields = std::move(fields);
     }
+    /** Sets whether the bodies of received requests are kept. */
+    void setKeepsBodies(bool keeps) { m_keepsBodies = keeps; }
     void setBodySize(size_t bytes) { m_bodySize = bytes; }
     /** Bytes of endless responses written so far. */
     size_t endlessBytes() const { return m_endlessBytes; }
@@ -171,6 +173,7 @@
     std::string m_healthPath;
     size_t m_healthChecks = 0;
     bool m_silentHealth = false;
+    bool m_keepsBodies = true;
     size_t m_bodySize = 0; ///< In bytes; 0: a short text with the request id.
     size_t m_endlessBytes = 0;
     uint64_t m_orderCount = 0;
--- a/test/soak/gatewayprocess.cpp
+++ b/test/soak/gatewayprocess.cpp
@@ -52,6 +52,8 @@
     if (const auto &rule = m_config.quotaRule)
         out << "QuotaWindowS = " << rule->window.count() << "\nQuotaOverrun = " << rule->overrun
             << "\nQuotaSlack = " << rule->slack << '\n';
+    if (m_config.memoryMb > 0)
+        out << "[Limits]\nMemoryMb = " << m_config.memoryMb << '\n';
     out.close();
     return out ? absl::OkStatus() : absl::UnavailableError("cannot write " + settingsPath());
 }
@@ -100,6 +102,17 @@
     return hasInMask("SigCgt:", number);
 }
 
+size_t GatewayProcess::highestResidentBytes() const
+{
+    constexpr std::string_view field = "VmHWM:";
+    std::ifstream file(core::concat("/proc/", m_pid, "/status"));
+    for (std::string line; m_pid > 0 && std::getline(file, line);) {
+        if (line.starts_with(field))
+            return std::stoull(line.substr(field.size())) * 1024;
+    }
+    return 0;
+}
+
 // Reads a signal mask in the status of the process.
 bool GatewayProcess::hasInMask(const std::string &mask, int number) const
 {
--- a/test/soak/gatewayprocess.h
+++ b/test/soak/gatewayprocess.h
@@ -41,6 +41,7 @@
     std::string platformAddress;
     RetryBudgetLimits retryLimits{};
     std::optional<QuotaRule> quotaRule; ///< Nothing: the settings do not state it.
+    uint64_t memoryMb = 0;              ///< 0: the settings do not state it.
 };
 
 /** A child process that runs a gateway. Signals go only to the process that start() started. */
@@ -60,6 +61,8 @@
     /** Reaps the process if it has exited. \return its wait status in that case. */
     std::optional<int> pollExit();
     bool running() const { return m_pid > 0; }
+    /** Most memory that the process has had resident since its start; 0 if it is not running. */
+    size_t highestResidentBytes() const;
     /** Whether the process holds a signal back until it has a handler for it. */
     bool blocks(int number) const;
     /** Whether the process has a handler for a signal. */
--- a/test/soak/main.cpp
+++ b/test/soak/main.cpp
@@ -13,6 +13,7 @@
 #include "soak/limitschedule.h"
 #include "soak/quotaschedule.h"
 #include "soak/retrybudget.h"
+#include "soak/slowreaders.h"
 
 #include <gflags/gflags.h>
 
@@ -31,6 +32,7 @@
 DEFINE_bool(limits, false, "also let endpoints name limits of requests");
 DEFINE_bool(retries, false, "also use up the retry budgets, beside kills and reloads in series");
 DEFINE_bool(quotas, false, "also give teams quotas that change, and exceed them at times");
+DEFINE_bool(slow_readers, false, "also let some clients and some endpoints read slowly");
 DEFINE_uint32(callers, 60, "number of concurrent clients");
 
 namespace {
@@ -101,6 +103,14 @@
         faults = soak::withRetryPressure(std::move(faults), FLAGS_seed, length);
     soak::FaultInjector injector(io, deployment, std::move(faults));
     soak::LimitSchedule limits(io, deployment, FLAGS_seed);
+    std::optional<soak::SlowReaders> slowReaders;
+    if (FLAGS_slow_readers) {
+        slowReaders.emplace(io, deployment, FLAGS_seed);
+        if (const absl::Status status = slowReaders->create(); !status.ok()) {
+            std::fprintf(stderr, "soak-gateway: %s\n", std::string(status.message()).c_str());
+            return 2;
+        }
+    }
     const auto checkAll = [&]() {
         auto results = soak::checkInvariants(load, deployment, core::BootClock::now());
         results.push_back(limits.check(load));
@@ -109,6 +119,11 @@
             for (soak::InvariantResult &it : quotas->check(load))
                 results.push_back(std::move(it));
         }
+        if (slowReaders) {
+            slowReaders->noteMemory();
+            for (soak::InvariantResult &it : slowReaders->check(load))
+                results.push_back(std::move(it));
+        }
         return results;
     };
     const size_t startUpDisturbance =
@@ -121,6 +136,8 @@
         limits.start();
     if (quotas)
         quotas->start();
+    if (slowReaders)
+        slowReaders->start();
     // A breach may be visible for a moment only, so checks run all the time and the first breach
     // ends the phase with faults.
     size_t breaches = 0;
@@ -137,6 +154,8 @@
     runFor(io, SteadyTime);
     const double successShare = soak::successShareSince(load, recovered);
     load.stop();
+    if (slowReaders)
+        slowReaders->stop();
     runFor(io, soak::SoakDeployment::RouteTimeout + 1s);
 
     if (breaches == 0)
@@ -173,6 +192,8 @@
                      "which --quotas does not take into account\n");
         return 2;
     }
+    if (FLAGS_slow_readers)
+        settings.memoryMb = soak::SlowReaders::GatewayMemoryMb;
     if (FLAGS_quotas)
         settings.quotaRule = soak::QuotaSchedule::Rule;
     const auto deployment = soak::SoakDeployment::create(io, std::move(settings));
--- a/test/soak/soakdeployment.cpp
+++ b/test/soak/soakdeployment.cpp
@@ -97,6 +97,7 @@
         config.platformAddress = address(1, PlatformPort);
         config.retryLimits = m_retryLimits = settings.retryLimits;
         config.quotaRule = settings.quotaRule;
+        config.memoryMb = settings.memoryMb;
         m_gateways.push_back(
             std::make_unique<GatewayProcess>(settings.program, settings.folder, config));
         m_inRotation.push_back(true);
@@ -196,9 +197,19 @@
 
 void SoakDeployment::putConfig()
 {
-    m_store->put("op/config",
-                 test::configJson(m_configVersion, R"(["key-a"])",
-                                  static_cast<uint32_t>(RouteTimeout.count()), m_moreTeams));
+    std::string json = test::configJson(m_configVersion, R"(["key-a"])",
+                                        static_cast<uint32_t>(RouteTimeout.count()), m_moreTeams);
+    for (const auto &[list, items] :
+         {std::pair(R"("Routes":[)", m_moreRoutes), std::pair(R"("Services":[)", m_moreServices)})
+        json.insert(json.find(list) + std::string_view(list).size(), items);
+    m_store->put("op/config", json);
+}
+
+void SoakDeployment::publishService(const std::string &name, std::string route)
+{
+    m_moreRoutes += std::move(route) + ",";
+    m_moreServices += core::concat(R"({"Name":")", name, R"("},)");
+    publishConfig();
 }
 
 void SoakDeployment::refreshEntries()
--- a/test/soak/soakdeployment.h
+++ b/test/soak/soakdeployment.h
@@ -47,6 +47,7 @@
     bool crashingPrompts = false; ///< Engines crash on prompts with CrashingBlock.
     RetryBudgetLimits retryLimits{};
     std::optional<QuotaRule> quotaRule{};
+    uint64_t memoryMb = 0; ///< Of each gateway; 0: their default.
 };
 
 /** Gateways as child processes, fakes in this process, and relays between them. */
@@ -79,6 +80,11 @@
     /** Writes the next version of the configuration with other teams beside team-a. \param teams
      * their JSON objects, each after a comma. */
     void publishTeams(std::string teams);
+    /** Writes the next version of the configuration with a further service. \param route the JSON
+     * object of its route. */
+    void publishService(const std::string &name, std::string route);
+    /** Address of a host in the network of this deployment. */
+    std::string address(uint32_t host, uint16_t port) const;
     /** Writes the store entry of an endpoint with a state. */
     void registerEndpoint(SoakedEndpoint &endpoint, const std::string &state = "ready");
     /** Erases the store entry of an endpoint. */
@@ -101,7 +107,6 @@
     absl::Status addEndpoint(const std::string &service, serving::Stage stage);
     void makeCrashable(size_t index);
     void handleCrash(size_t index);
-    std::string address(uint32_t host, uint16_t port) const;
 
     boost::asio::io_context &m_io;
     std::string m_networkPrefix;
@@ -117,6 +122,8 @@
     Disturbances m_disturbances;
     RetryBudgetLimits m_retryLimits;
     std::string m_moreTeams;
+    std::string m_moreRoutes;   ///< JSON objects, each before a comma.
+    std::string m_moreServices; ///< The same.
     uint64_t m_configVersion = 0;
 };
 
