--- a/src/serving/main.cpp
+++ b/src/serving/main.cpp
@@ -32,11 +32,6 @@
               "explain: IP:PORT of the gateway's metrics; default: by the settings file");
 DEFINE_bool(json, false, "explain: answer in JSON");
 
-namespace GFLAGS_NAMESPACE {
-// Called at an invalid flag. The library exports it without a declaration in its headers.
-extern void (*gflags_exitfunc)(int); // NOLINT(readability-identifier-naming)
-} // namespace GFLAGS_NAMESPACE
-
 namespace {
 
 constexpr int ExitFailure = 1;
@@ -109,7 +104,6 @@
 int runGateway(int argc, char **argv)
 {
     gflags::SetUsageMessage("routes client requests to the endpoints of the fleet");
-    GFLAGS_NAMESPACE::gflags_exitfunc = [](int status) { std::exit(status == 0 ? 0 : ExitUsage); };
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     if (FLAGS_explain)
         return explain(argc, argv);
