Choose the endpoint at which a run ends soonest

Cause: a run is placed by the number of streams alone; a third of the engines of Archive take 1.7 times the usual time, and streams with 24 and with 380 tokens left count the same. Change: DecodeBacklog predicts the end of a run from the streams at an engine, their remaining tokens and the engine's factor; chooseRunner uses it and leaves out engines without memory for the run. Nothing calls chooseRunner yet.

--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -1,6 +1,7 @@
 #include "policy/placement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <xxhash.h>
 
@@ -75,7 +76,7 @@
 } // namespace
 
 // The smoothed slowness of an engine that prefills its own prompts contains its usual pace.
-static double runFactor(const PlacementCandidate &endpoint)
+double runFactor(const PlacementCandidate &endpoint)
 {
     return endpoint.usualPace == 1 ? endpoint.slowness * endpoint.pace : endpoint.pace;
 }
@@ -103,7 +104,8 @@
         const PlacementCandidate &engine = engines[i];
         if (!engine.usable
             || (!engine.isPrefillEngine
-                && engine.running >= engine.slots * settings.maxColocatedSlotUse))
+                && (engine.running >= engine.slots * settings.maxColocatedSlotUse
+                    || !hasMemoryFor(engine, prompt.memory))))
             continue;
         const bool fetch = prompt.fetchableTokens > engine.cachedTokens + settings.minFetchTokens;
         const uint32_t reusableTokens = fetch ? prompt.fetchableTokens : engine.cachedTokens;
@@ -160,6 +162,161 @@
     return choice;
 }
 
+namespace {
+
+// Load figures are not recent enough to tell smaller differences. The more gateways decide on the
+// same figures, the more runs reach the best engine before the figures change.
+constexpr double RunTieShare = 0.02;
+constexpr double MaxRunTieShare = 0.1;
+// The remaining slots are for runs that other gateways have sent since their last message, as a
+// wait for a slot delays the first token. With 0.9 twice as many runs waited
+// (docs/design/work-left.md).
+constexpr double SoonFullSlotShare = 0.75;
+// Between the messages of gateways an engine may hold somewhat more than the limit, but not this.
+constexpr double MaxHeldShare = 2;
+
+/** How well an endpoint suits a run, apart from the time; lower is better. */
+enum class Fit { Free, LastSlots, NoFreeSlot, NoMemory };
+
+DecodeBacklog backlogOf(const PlacementCandidate &endpoint, const DecodeStepEstimator &steps,
+                        double usualRemaining)
+{
+    return {{endpoint.running, endpoint.remainingTokens, endpoint.reported, endpoint.reportsWaiting,
+             endpoint.slots},
+            steps,
+            usualRemaining,
+            runFactor(endpoint)};
+}
+
+// Requests that the endpoint states beyond those known hold as much as the known ones on average.
+double heldTokensOf(const PlacementCandidate &endpoint, const MemoryNeed &need)
+{
+    if (endpoint.running <= 0)
+        return 0;
+    double known = endpoint.heldTokens;
+    // The endpoint would have failed long ago, so the figure is wrong.
+    if (known > static_cast<double>(need.limit) * MaxHeldShare)
+        known = std::min(known, endpoint.running * static_cast<double>(need.tokens));
+    const double stated = std::min(endpoint.reported, static_cast<double>(endpoint.slots));
+    return known * std::max(1.0, stated / endpoint.running);
+}
+
+MemoryNeed twice(const MemoryNeed &need)
+{
+    return {need.tokens * 2, need.limit};
+}
+
+// Gateways that decide on the same figures may send similar requests at the same time, so an
+// endpoint with memory for two is preferred.
+Fit fitOf(const PlacementCandidate &endpoint, const DecodeBacklog &backlog, const MemoryNeed &need)
+{
+    if (!hasMemoryFor(endpoint, need))
+        return Fit::NoMemory;
+    if (backlog.full())
+        return Fit::NoFreeSlot;
+    const bool soonFull = backlog.streams() >= endpoint.slots * SoonFullSlotShare
+        || !hasMemoryFor(endpoint, twice(need));
+    return soonFull ? Fit::LastSlots : Fit::Free;
+}
+
+// Mean tokens left of a stream over all endpoints, for those that do not state it; half of the run
+// if none does, as streams are in all states between their first and their last token.
+double usualRemainingTokens(const std::vector<PlacementCandidate> &endpoints, double outputTokens)
+{
+    double tokens = 0;
+    double streams = 0;
+    for (const PlacementCandidate &it : endpoints) {
+        if (it.isPrefillEngine || it.remainingTokens <= 0)
+            continue;
+        tokens += it.remainingTokens;
+        streams += it.running;
+    }
+    return streams > 0 ? tokens / streams : outputTokens / 2;
+}
+
+// The earlier rule, applied to the endpoints with memory for the run.
+std::optional<size_t> chooseLeastLoadedWithMemory(std::vector<PlacementCandidate> endpoints,
+                                                  const MemoryNeed &need, std::string_view domain,
+                                                  const PlacementSettings &settings,
+                                                  std::mt19937_64 &random)
+{
+    const bool spare = std::any_of(endpoints.begin(), endpoints.end(), [&](const auto &it) {
+        return it.usable && hasMemoryFor(it, twice(need));
+    });
+    for (PlacementCandidate &it : endpoints)
+        it.usable = it.usable && hasMemoryFor(it, spare ? twice(need) : need);
+    return chooseLeastLoadedEndpoint(endpoints, domain, settings, random);
+}
+
+} // namespace
+
+bool hasMemoryFor(const PlacementCandidate &endpoint, const MemoryNeed &need)
+{
+    return !need.limited()
+        || heldTokensOf(endpoint, need) + static_cast<double>(need.tokens)
+        <= static_cast<double>(need.limit);
+}
+
+bool runnersHaveMemory(const std::vector<PlacementCandidate> &engines, const MemoryNeed &need)
+{
+    if (!need.limited())
+        return true;
+    bool any = false;
+    bool fits = false;
+    double free = 0;
+    for (const PlacementCandidate &it : engines) {
+        if (it.isPrefillEngine) {
+            free -= heldTokensOf(it, need);
+        } else if (it.usable) {
+            any = true;
+            fits = fits || hasMemoryFor(it, need);
+            free += std::max(0.0, static_cast<double>(need.limit) - heldTokensOf(it, need));
+        }
+    }
+    return !any || (fits && free >= static_cast<double>(need.tokens));
+}
+
+RunChoice chooseRunner(const std::vector<PlacementCandidate> &endpoints, const RunInfo &run,
+                       std::string_view domain, const DecodeStepEstimator &steps,
+                       const PlacementSettings &settings, std::mt19937_64 &random)
+{
+    RunChoice choice;
+    const double usualRemaining = usualRemainingTokens(endpoints, run.outputTokens);
+    Fit bestFit = Fit::NoMemory;
+    double best = std::numeric_limits<double>::max();
+    const double tieShare =
+        std::min(RunTieShare * std::sqrt(std::max(1U, settings.gateways)), MaxRunTieShare);
+    std::uniform_real_distribution<double> tie(1, 1 + tieShare);
+    for (size_t i = 0; i < endpoints.size(); ++i) {
+        const PlacementCandidate &endpoint = endpoints[i];
+        if (!endpoint.usable)
+            continue;
+        const DecodeBacklog backlog = backlogOf(endpoint, steps, usualRemaining);
+        const Fit fit = fitOf(endpoint, backlog, run.memory);
+        choice.waitsForMemory = true;
+        if (fit == Fit::NoMemory || fit > bestFit)
+            continue;
+        const double score = backlog.finishMs(run.outputTokens) * tie(random)
+            * (endpoint.domain == domain ? 1 : 1 + settings.crossDomainSlotPenalty);
+        if (fit < bestFit || score < best) {
+            bestFit = fit;
+            best = score;
+            choice.index = i;
+        }
+    }
+    if (!choice.index)
+        return choice;
+    choice.waitsForMemory = false;
+    if (!settings.predictsByPace || bestFit == Fit::NoFreeSlot)
+        choice.index = chooseLeastLoadedWithMemory(endpoints, run.memory, domain, settings, random);
+    if (!choice.index)
+        return choice;
+    const DecodeBacklog backlog = backlogOf(endpoints[*choice.index], steps, usualRemaining);
+    choice.expectedTime = wholeMs(backlog.finishMs(run.outputTokens));
+    choice.workLeftTokens = backlog.remainingTokens();
+    return choice;
+}
+
 void applyHolds(std::vector<PlacementCandidate> &endpoints)
 {
     const bool othersHaveRoom =
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -5,6 +5,7 @@
  */
 
 #include "core/clock.h"
+#include "policy/decodebacklog.h"
 #include "policy/prefilldurationestimator.h"
 
 #include <cstdint>
@@ -33,9 +34,15 @@
     double usualPace = 1; ///< Low quantile of the reported paces.
     /** Prefills prompts that others decode; otherwise only those that it decodes. */
     bool isPrefillEngine = false;
-    bool usable = true; ///< Accepts new requests.
-    bool probe = false; ///< Ejected and due for a probe request.
-    bool held = false;  ///< Has just registered and may be assigned another stage shortly.
+    bool usable = true;         ///< Accepts new requests.
+    bool probe = false;         ///< Ejected and due for a probe request.
+    bool held = false;          ///< Has just registered and may be assigned another stage shortly.
+    double remainingTokens = 0; ///< Output tokens that its streams still have to produce.
+    double heldTokens = 0;      ///< KV cache of its requests; of a prefill engine, what they need.
+    /** Requests that the endpoint itself states, waiting ones included. The excess over running
+     * fades with the age of the report. */
+    double reported = 0;
+    bool reportsWaiting = false; ///< States that requests wait for a slot.
 };
 
 /** Properties of a prompt that its placement depends on. */
@@ -45,6 +52,7 @@
     uint64_t prefixHash = 0; ///< Hash of the last block that is shared with other prompts; 0: none.
     uint32_t fetchableTokens = 0; ///< Tokens held by some endpoint that others can fetch them from.
     uint32_t priority = 0;        ///< At the engine; 0 is served first.
+    MemoryNeed memory{};          ///< Of its run.
 };
 
 /** Linear model of the time from sending a prompt to its first token, without the wait for prompts
@@ -61,6 +69,8 @@
      * once an endpoint has stated a pace. Without paces, learned slowdowns alone measured slightly
      * worse than one smoothed ratio (docs/POLICY.md). */
     bool predictsByPace = true;
+    /** Whether requests are only sent to engines whose memory has room for them. */
+    bool limitsEngineMemory = false;
     // Initial values, which are updated from observed requests.
     /** Time to the first token through a prefill engine, if predictsByPace is not set. */
     PrefillTimeModel disaggregatedPrefill{60, 75};
@@ -106,6 +116,9 @@
  * so that wrong figures never take an engine out of use. */
 double prefillFactor(const PlacementCandidate &engine);
 
+/** Factor by which a run on an endpoint takes longer than usual at this moment. */
+double runFactor(const PlacementCandidate &endpoint);
+
 /** Chooses the engine with the lowest predicted time to the first token, among prefill engines and
  * decode engines that prefill the prompt themselves. Returns nothing if no engine is usable. */
 std::optional<PrefillChoice> choosePrefillEngine(const std::vector<PlacementCandidate> &engines,
@@ -120,6 +133,37 @@
                                                 const PlacementSettings &settings,
                                                 std::mt19937_64 &random);
 
+/** What the placement of a run depends on. */
+struct RunInfo
+{
+    double outputTokens = 0; ///< Expected.
+    MemoryNeed memory;
+};
+
+/** Endpoint chosen for a run. */
+struct RunChoice
+{
+    std::optional<size_t> index;       ///< Nothing: no endpoint is usable, or none has memory.
+    bool waitsForMemory = false;       ///< Usable endpoints exist, and all are short of memory.
+    core::Milliseconds expectedTime{}; ///< From the send to the end of the run.
+    double workLeftTokens = 0;         ///< Of the streams at the endpoint.
+};
+
+/** Whether an endpoint has memory for a request besides those that it has. */
+bool hasMemoryFor(const PlacementCandidate &endpoint, const MemoryNeed &need);
+
+/** Whether an endpoint that can run a request has memory for it, besides the prompts that are in
+ * prefill and need memory there soon; true if there is no such endpoint at all. */
+bool runnersHaveMemory(const std::vector<PlacementCandidate> &engines, const MemoryNeed &need);
+
+/** Chooses the endpoint at which a run ends soonest.
+ *
+ * Endpoints without memory for it are left out, and those without a free slot unless none has one.
+ * If all seem full, or if predictsByPace is not set, chooseLeastLoadedEndpoint() decides. */
+RunChoice chooseRunner(const std::vector<PlacementCandidate> &endpoints, const RunInfo &run,
+                       std::string_view domain, const DecodeStepEstimator &steps,
+                       const PlacementSettings &settings, std::mt19937_64 &random);
+
 /** Marks the held endpoints as unusable, unless no other decode engine has a free slot. */
 void applyHolds(std::vector<PlacementCandidate> &endpoints);
 
