Exchange the remaining and held tokens of requests

Cause: a gateway knows only how many requests the others have at an engine. Change: OutstandingLoad carries remaining output tokens and held memory, gossip sends them, the hub and the mesh sum them, and the view for a placement contains them and what the engine itself reported beyond them.

--- a/src/serving/endpoints.cpp
+++ b/src/serving/endpoints.cpp
@@ -363,8 +363,13 @@
     view.id = endpoint.record.id;
     view.domain = endpoint.record.domain;
     view.slots = endpoint.record.slots;
-    view.running = endpoint.ownLoad.running + endpoint.peerLoad.running;
-    view.backlogTokens = endpoint.ownLoad.backlogTokens + endpoint.peerLoad.backlogTokens;
+    OutstandingLoad load = endpoint.ownLoad;
+    load += endpoint.peerLoad;
+    view.running = load.running;
+    view.backlogTokens = load.backlogTokens;
+    view.remainingTokens = load.remainingTokens;
+    view.heldTokens = load.heldTokens;
+    addReportedLoad(view, endpoint, now);
     view.cachedTokens = endpoint.prefixCache.cachedTokens(prompt);
     view.slowness = endpoint.slowness;
     view.slowdown = endpoint.slowdown.factor();
--- a/src/serving/endpoints.h
+++ b/src/serving/endpoints.h
@@ -28,6 +28,11 @@
 {
     uint32_t running = 0;       ///< Requests in progress.
     uint32_t backlogTokens = 0; ///< Prompt tokens sent and not prefilled yet.
+    // Both are 0 where placement does not use them (policy::PlacementSettings::limitsEngineMemory).
+    uint32_t remainingTokens = 0; ///< Output tokens that the requests still have to produce.
+    uint32_t heldTokens = 0;      ///< KV cache that they hold or, in prefill, will need.
+
+    OutstandingLoad &operator+=(const OutstandingLoad &other);
 };
 
 /** Load that an endpoint has reported, with the age of the report. */
@@ -201,6 +206,11 @@
 EndpointPtr longestPrefixHolder(const std::vector<EndpointPtr> &endpoints,
                                 const std::vector<policy::PrefixLink> &prompt);
 
+/** Adds the requests that an endpoint has reported beyond those that the gateways know of, and
+ * whether it has reported waiting ones, if the report is recent. */
+void addReportedLoad(policy::PlacementCandidate &view, const Endpoint &endpoint,
+                     core::TimePoint now);
+
 /** \return the view of an endpoint for a placement. */
 policy::PlacementCandidate placementViewOf(const Endpoint &endpoint,
                                            const std::vector<policy::PrefixLink> &prompt,
--- a/src/serving/loadexchange.cpp
+++ b/src/serving/loadexchange.cpp
@@ -143,6 +143,26 @@
     }
 }
 
+void LoadAggregator::Sum::add(const GossipLoadShare &share, int sign)
+{
+    running += sign * static_cast<int64_t>(share.load.running);
+    backlogTokens += sign * static_cast<int64_t>(share.load.backlogTokens);
+    remainingTokens += sign * static_cast<int64_t>(share.load.remainingTokens);
+    heldTokens += sign * static_cast<int64_t>(share.load.heldTokens);
+    changing += share.changing ? sign : 0;
+    failing += share.failing ? sign : 0;
+    leaving += share.leaving ? sign : 0;
+}
+
+OutstandingLoad LoadAggregator::Sum::load() const
+{
+    const auto limited = [](int64_t value) {
+        return static_cast<uint32_t>(std::clamp<int64_t>(value, 0, UINT32_MAX));
+    };
+    return {limited(running), limited(backlogTokens), limited(remainingTokens),
+            limited(heldTokens)};
+}
+
 void LoadAggregator::addToSums(const GossipMessage &gossip, int sign)
 {
     if (sign > 0)
@@ -151,11 +171,7 @@
         m_rates -= gossip.rates;
     for (const GossipLoadShare &share : gossip.shares) {
         Sum &sum = m_sums[share.endpoint];
-        sum.running += sign * static_cast<int64_t>(share.load.running);
-        sum.backlogTokens += sign * static_cast<int64_t>(share.load.backlogTokens);
-        sum.changing += share.changing ? sign : 0;
-        sum.failing += share.failing ? sign : 0;
-        sum.leaving += share.leaving ? sign : 0;
+        sum.add(share, sign);
         if (sum.empty())
             m_sums.erase(share.endpoint);
     }
@@ -165,14 +181,8 @@
 {
     auto sums = m_sums;
     if (const auto it = m_loads.find(name); it != m_loads.end()) {
-        for (const GossipLoadShare &share : it->second.gossip.shares) {
-            Sum &sum = sums[share.endpoint];
-            sum.running -= static_cast<int64_t>(share.load.running);
-            sum.backlogTokens -= static_cast<int64_t>(share.load.backlogTokens);
-            sum.changing -= share.changing ? 1 : 0;
-            sum.failing -= share.failing ? 1 : 0;
-            sum.leaving -= share.leaving ? 1 : 0;
-        }
+        for (const GossipLoadShare &share : it->second.gossip.shares)
+            sums[share.endpoint].add(share, -1);
     }
     std::vector<GossipLoadShare> shares;
     shares.reserve(sums.size());
@@ -180,13 +190,8 @@
         const auto report = reportOf(endpoint);
         if (report || sum.running > 0 || sum.backlogTokens > 0 || sum.changing > 0
             || sum.failing > 0 || sum.leaving > 0)
-            shares.push_back({endpoint,
-                              {static_cast<uint32_t>(std::max<int64_t>(0, sum.running)),
-                               static_cast<uint32_t>(std::max<int64_t>(0, sum.backlogTokens))},
-                              sum.changing > 0,
-                              sum.failing > 0,
-                              sum.leaving > 0,
-                              report});
+            shares.push_back(
+                {endpoint, sum.load(), sum.changing > 0, sum.failing > 0, sum.leaving > 0, report});
     }
     // The last request of an endpoint can have ended after its report.
     for (const auto &[endpoint, report] : m_reports) {
--- a/src/serving/peermesh.cpp
+++ b/src/serving/peermesh.cpp
@@ -216,11 +216,8 @@
     for (const auto &[name, peer] : m_peers) {
         if (!peer.alive)
             continue;
-        for (const GossipLoadShare &share : peer.gossip.shares) {
-            OutstandingLoad &sum = sums[share.endpoint];
-            sum.running += share.load.running;
-            sum.backlogTokens += share.load.backlogTokens;
-        }
+        for (const GossipLoadShare &share : peer.gossip.shares)
+            sums[share.endpoint] += share.load;
     }
     std::vector<GossipLoadShare> shares;
     shares.reserve(sums.size());
