Place runs by the work left and keep engines within their memory

Change: sessions keep the remaining and held tokens of their sends as events arrive, where the gateway predicts by pace. Runs go through chooseRunner. A request that no engine can hold gets 503 at once; one that fits nowhere now waits. request.sent names the expected time and the work left, jujube_run_time_ratio compares it with the time taken. Step times are also learned at usual speed, as the estimator of the stages contains the pace. Conclusion: deployments without pace keep the earlier rule, as the figures are not kept there.

--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -22,7 +22,7 @@
 struct Latency
 {
     LatencyHistogram histogram = bh::make_histogram(LogAxis(BucketCount, LowestMs, HighestMs));
-    double sumMs = 0;
+    double sum = 0;
     uint64_t count = 0;
 };
 
@@ -57,7 +57,7 @@
                cumulative, "\n");
     }
     append(out, name, "_bucket{", labels, separator, "le=\"+Inf\"} ", latency.count, "\n");
-    append(out, series(name + "_sum", labels), " ", latency.sumMs, "\n");
+    append(out, series(name + "_sum", labels), " ", latency.sum, "\n");
     append(out, series(name + "_count", labels), " ", latency.count, "\n");
 }
 
@@ -79,12 +79,16 @@
 
 void recordDuration(std::string_view name, std::string_view labels, std::chrono::nanoseconds value)
 {
-    const double ms = std::chrono::duration<double, std::milli>(value).count();
+    recordRatio(name, labels, std::chrono::duration<double, std::milli>(value).count());
+}
+
+void recordRatio(std::string_view name, std::string_view labels, double value)
+{
     Registry &metrics = registry();
     const std::lock_guard guard(metrics.mutex);
     Latency &latency = metrics.latencies[std::string(name)][std::string(labels)];
-    latency.histogram(ms);
-    latency.sumMs += ms;
+    latency.histogram(value);
+    latency.sum += value;
     ++latency.count;
 }
 
--- a/src/core/metrics.h
+++ b/src/core/metrics.h
@@ -20,6 +20,9 @@
 /** Records one duration in a histogram with logarithmic buckets from 0.1 ms to 100 s. */
 void recordDuration(std::string_view name, std::string_view labels, std::chrono::nanoseconds value);
 
+/** Records one value without a unit in a histogram with the same buckets, from 0.1. */
+void recordRatio(std::string_view name, std::string_view labels, double value);
+
 /** All metrics in the Prometheus text format. */
 std::string renderMetrics();
 
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -135,6 +135,9 @@
           [this](const std::string &service) -> policy::DecodeStepEstimator & {
               return m_decodeSteps[service];
           },
+          [this](const std::string &service) -> policy::DecodeStepEstimator & {
+              return m_runSteps[service];
+          },
           std::make_shared<http::BufferBudget>(m_settings.memoryBytes / AnswerMemoryDivisor),
           [this](const QuotaCharge &charge) { m_quotas.refund(charge); }},
       m_config(nullptr),
@@ -349,6 +352,7 @@
         m_placement.handOver = m_handOver.model();
         m_placement.disaggregatedPrefill = m_disaggregatedPrefill.model();
         m_placement.predictsByPace = m_endpoints.statesPace();
+        m_placement.limitsEngineMemory = m_placement.predictsByPace;
         if (m_placement.predictsByPace)
             m_endpoints.updateSlowdowns(now);
         m_placement.gateways = m_peers.aliveCount();
--- a/src/serving/gateway.h
+++ b/src/serving/gateway.h
@@ -89,6 +89,7 @@
     policy::PrefillRateEstimator m_prefillRate;
     policy::OutputLengthEstimator m_outputLengths;
     std::map<std::string, policy::DecodeStepEstimator> m_decodeSteps; ///< By name of the service.
+    std::map<std::string, policy::DecodeStepEstimator> m_runSteps;    ///< At usual speed; the same.
     policy::RateMeter m_promptTokens;
     policy::RateMeter m_outputTokens;
     policy::RateMeter m_requestRate; ///< Of clients' requests.
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -7,6 +7,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
+#include <cmath>
 
 namespace jujube::serving {
 
@@ -93,7 +94,8 @@
             self->onDeadline();
     });
     m_services.retryBudget(m_request.service).noteRequest(m_arrivedAt);
-    startNextStep();
+    if (estimateWork())
+        startNextStep();
 }
 
 void Session::startNextStep()
@@ -188,6 +190,7 @@
     m_expectedOutputTokens = expectedOutputTokens();
     m_services.recordExpectedOutputTokens(m_expectedOutputTokens);
     if (!plan.engine->prefills()) {
+        expectRunAt(*plan.engine, plan.choice.predictedFirstToken);
         m_prefillTried = true;
         sendRunTo(plan.engine);
         return;
@@ -253,8 +256,18 @@
     policy::applyHolds(views);
     const std::string &domain =
         m_prefillEngine ? m_prefillEngine->record.domain : m_services.domain;
-    const auto index =
-        policy::chooseLeastLoadedEndpoint(views, domain, m_services.placement, m_services.random);
+    m_runChoice = {};
+    if (m_plannedOutputTokens > 0)
+        m_runChoice = policy::chooseRunner(
+            views,
+            {policy::expectedRemainingTokens(m_plannedOutputTokens, streamedTokens()),
+             m_promptInfo.memory},
+            domain, m_services.runSteps(m_request.service), m_services.placement,
+            m_services.random);
+    else
+        m_runChoice.index = policy::chooseLeastLoadedEndpoint(views, domain, m_services.placement,
+                                                              m_services.random);
+    const auto index = m_runChoice.index;
     if (!index)
         return nullptr;
     if (views[*index].probe)
@@ -265,6 +278,10 @@
 void Session::sendRun()
 {
     const EndpointPtr endpoint = m_runSends < MaxSends ? chooseRunner() : nullptr;
+    if (!endpoint && m_runSends < MaxSends && m_runChoice.waitsForMemory) {
+        waitForMemory();
+        return;
+    }
     if (!endpoint) {
         if (m_streaming)
             finishStream(false);
@@ -320,6 +337,7 @@
     m_endpoint = endpoint;
     m_sentAt = core::BootClock::now();
     m_lastEventAt = {};
+    m_earlierEvents += m_events.count();
     m_events = {};
     clearAnswer();
     m_head = {};
@@ -328,6 +346,7 @@
     ++endpoint->ownLoad.running;
     endpoint->hadRequests = true;
     endpoint->ownLoad.backlogTokens += m_sentBacklogTokens;
+    updateWork();
     m_services.onLoadChanged();
     metadata.endpointId = endpoint->record.id;
     metadata.timeLeft = timeLeft();
@@ -335,8 +354,8 @@
     if (m_request.route->statesPromptBlocks)
         metadata.priority = enginePriority();
     const http::Head head = platform::encodeForEndpoint(m_request.message.head, metadata);
-    core::Event("request.sent")
-        .with("request", m_request.metadata.id)
+    core::Event event("request.sent");
+    event.with("request", m_request.metadata.id)
         .with("for", purpose == Purpose::Prefill ? "prefill" : "run")
         .with("endpoint", endpoint->record.id)
         .with("sends", m_runSends)
@@ -345,6 +364,9 @@
         .with("backlog", endpoint->ownLoad.backlogTokens + endpoint->peerLoad.backlogTokens)
         .with("predicted_ms", m_prefillPlan.choice.predictedFirstToken.count())
         .with("left_ms", metadata.timeLeft.count());
+    if (purpose == Purpose::Run && m_plannedOutputTokens > 0)
+        event.with("expected_ms", m_runChoice.expectedTime.count())
+            .with("work_left", std::llround(m_runChoice.workLeftTokens));
     m_connection = m_services.pool.acquire(endpoint->record.address);
     const auto self = shared_from_this();
     http::ExchangeHandler handler;
@@ -367,6 +389,7 @@
         m_services.onLoadChanged();
         --m_endpoint->ownLoad.running;
         m_endpoint->ownLoad.backlogTokens -= std::exchange(m_sentBacklogTokens, 0);
+        removeWork();
         m_endpoint = nullptr;
     }
     if (const auto connection = std::exchange(m_connection, nullptr)) {
--- a/src/serving/session.h
+++ b/src/serving/session.h
@@ -62,6 +62,8 @@
     PrefixBlockGossip &prefixBlockGossip;
     QuarantineKeeper &quarantine;
     std::function<policy::DecodeStepEstimator &(const std::string &service)> decodeSteps;
+    /** Step times of an engine of usual speed; learned where placement predicts runs. */
+    std::function<policy::DecodeStepEstimator &(const std::string &service)> runSteps;
     std::shared_ptr<http::BufferBudget> answerBudget; ///< Of answers that are buffered here.
     std::function<void(const QuotaCharge &)> refundQuota;
     std::set<std::shared_ptr<Session>> open{}; ///< Sessions that have not ended.
@@ -116,6 +118,20 @@
     void sendRunTo(const EndpointPtr &endpoint);
     uint32_t enginePriority() const;
     EndpointPtr chooseRunner();
+    /** Tries a run again shortly, as all engines are short of memory for it. */
+    void waitForMemory();
+    /** Determines what the run needs, where placement depends on it. \return false if the request
+     * has ended, as no engine can hold it. */
+    bool estimateWork();
+    /** Records at the endpoint of the send what the request still has to produce and holds. */
+    void updateWork();
+    /** Removes this from the endpoint. */
+    void removeWork();
+    /** Output tokens that this request's runs have sent. */
+    double streamedTokens() const;
+    void recordRunTime();
+    /** Determines the expected time of a run at the engine that was assigned to its prompt. */
+    void expectRunAt(const Endpoint &endpoint, core::Milliseconds firstToken);
     void send(Purpose purpose, const EndpointPtr &endpoint, SendMetadata metadata);
     /** Ends the send in progress; its connection returns to the pool or is closed. */
     void endSend(bool keepConnection);
@@ -203,6 +219,12 @@
     PrefillPlan m_prefillPlan;        ///< Without an engine: no plan.
     uint32_t m_sentBacklogTokens = 0; ///< This send's part of the endpoint's backlog.
     EventCounter m_events;            ///< Events of this send's answer.
+    uint64_t m_earlierEvents = 0;     ///< Events of earlier sends' answers.
+    /** Expected output of the request; 0: placement does not depend on it. */
+    double m_plannedOutputTokens = 0;
+    uint32_t m_tokensPerEvent = 1;
+    OutstandingLoad m_sentWork; ///< This send's part of the endpoint's remaining and held tokens.
+    policy::RunChoice m_runChoice; ///< Of the last placement of a run.
     http::Head m_head;
     AnswerMetadata m_answer;
     double m_expectedOutputTokens = 0;
--- a/src/serving/sessionanswer.cpp
+++ b/src/serving/sessionanswer.cpp
@@ -160,6 +160,7 @@
     recordStepTime(body);
     const bool firstEvent = m_events.count() == 0;
     m_events.add(body);
+    updateWork();
     if (firstEvent && m_events.count() > 0)
         m_services.quarantine.recordSuccess(m_sharedBlocks);
     if (m_request.route->resumable) {
@@ -269,6 +270,7 @@
     if (m_streaming && success && m_answer.hasSignature) {
         recordEndpointAnswer(false);
         recordOutputLength();
+        recordRunTime();
         endSend(true);
         finishStream(true);
         return;
--- a/src/serving/sessionevidence.cpp
+++ b/src/serving/sessionevidence.cpp
@@ -45,6 +45,10 @@
     const auto running = static_cast<double>(std::min(
         m_endpoint->ownLoad.running + m_endpoint->peerLoad.running, m_endpoint->record.slots));
     m_services.decodeSteps(m_request.service).note(running, ms / tokens, prefillPending);
+    if (m_plannedOutputTokens > 0) {
+        const double factor = policy::runFactor(placementViewOf(*m_endpoint, {}, now));
+        m_services.runSteps(m_request.service).note(running, ms / tokens / factor, prefillPending);
+    }
 }
 
 // Compares the time to the first token with its prediction, to correct later predictions.
