Let gateways use scarce memory of engines in turns

Cause: gateways learn of each other's requests after up to 200 ms. Change: out of turn a gateway uses an equal part of the memory up to 0.75 of the limit, counting the tokens that it has sent lately. The rest is used in turns, which follow from the time of day, the engine and the names of the gateways.

--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -172,6 +172,9 @@
 // wait for a slot delays the first token. With 0.9 twice as many runs waited
 // (docs/design/work-left.md).
 constexpr double SoonFullSlotShare = 0.75;
+constexpr double LargeRequestShare = 0.04;
+constexpr double LargeTieShare = 0.5;
+constexpr double OutOfTurnShare = 0.75;
 // Between the messages of gateways an engine may hold somewhat more than the limit, but not this.
 constexpr double MaxHeldShare = 2;
 
@@ -201,22 +204,44 @@
     return known * std::max(1.0, stated / endpoint.running);
 }
 
-MemoryNeed twice(const MemoryNeed &need)
+// Gateways do not know what the others have sent since their last message. Out of turn, each uses
+// an equal part of what is free up to a share of the limit. In its turn a gateway may use the rest
+// besides. Together they stay within the limit.
+bool mayUseMemory(const PlacementCandidate &endpoint, const RunInfo &run,
+                  const PlacementSettings &settings)
 {
-    return {need.tokens * 2, need.limit};
+    const MemoryNeed &need = run.memory;
+    const MemoryTurns &turns = settings.memoryTurns;
+    if (!hasMemoryFor(endpoint, need))
+        return false;
+    if (!need.limited() || turns.others() == 0)
+        return true;
+    const double limit = static_cast<double>(need.limit);
+    const double unseen = endpoint.unseenTokens + static_cast<double>(need.tokens);
+    const double ofOthers = unseen * static_cast<double>(turns.others());
+    if (heldTokensOf(endpoint, need) + ofOthers + static_cast<double>(need.tokens)
+        <= limit * OutOfTurnShare)
+        return true;
+    const bool within = endpoint.unseenTokens <= 0 || unseen <= limit * (1 - OutOfTurnShare);
+    return within && turns.hasTurn(endpoint.id, run.wallTime);
 }
 
-// Gateways that decide on the same figures may send similar requests at the same time, so an
-// endpoint with memory for two is preferred.
-Fit fitOf(const PlacementCandidate &endpoint, const DecodeBacklog &backlog, const MemoryNeed &need)
+// Large requests are spread over the endpoints instead of being sent to the best one, as a few of
+// them exceed its memory.
+bool isLarge(const MemoryNeed &need)
 {
-    if (!hasMemoryFor(endpoint, need))
+    return need.limited()
+        && static_cast<double>(need.tokens) > static_cast<double>(need.limit) * LargeRequestShare;
+}
+
+Fit fitOf(const PlacementCandidate &endpoint, const DecodeBacklog &backlog, const RunInfo &run,
+          const PlacementSettings &settings)
+{
+    if (!mayUseMemory(endpoint, run, settings))
         return Fit::NoMemory;
     if (backlog.full())
         return Fit::NoFreeSlot;
-    const bool soonFull = backlog.streams() >= endpoint.slots * SoonFullSlotShare
-        || !hasMemoryFor(endpoint, twice(need));
-    return soonFull ? Fit::LastSlots : Fit::Free;
+    return backlog.streams() >= endpoint.slots * SoonFullSlotShare ? Fit::LastSlots : Fit::Free;
 }
 
 // Mean tokens left of a stream over all endpoints, for those that do not state it; half of the run
@@ -236,15 +261,15 @@
 
 // The earlier rule, applied to the endpoints with memory for the run.
 std::optional<size_t> chooseLeastLoadedWithMemory(std::vector<PlacementCandidate> endpoints,
-                                                  const MemoryNeed &need, std::string_view domain,
+                                                  const RunInfo &run, std::string_view domain,
                                                   const PlacementSettings &settings,
                                                   std::mt19937_64 &random)
 {
-    const bool spare = std::any_of(endpoints.begin(), endpoints.end(), [&](const auto &it) {
-        return it.usable && hasMemoryFor(it, twice(need));
-    });
-    for (PlacementCandidate &it : endpoints)
-        it.usable = it.usable && hasMemoryFor(it, spare ? twice(need) : need);
+    std::uniform_real_distribution<double> spread(0, isLarge(run.memory) ? LargeTieShare : 0);
+    for (PlacementCandidate &it : endpoints) {
+        it.usable = it.usable && mayUseMemory(it, run, settings);
+        it.running += it.slots * spread(random);
+    }
     return chooseLeastLoadedEndpoint(endpoints, domain, settings, random);
 }
 
@@ -284,15 +309,16 @@
     const double usualRemaining = usualRemainingTokens(endpoints, run.outputTokens);
     Fit bestFit = Fit::NoMemory;
     double best = std::numeric_limits<double>::max();
-    const double tieShare =
-        std::min(RunTieShare * std::sqrt(std::max(1U, settings.gateways)), MaxRunTieShare);
+    const double tieShare = isLarge(run.memory)
+        ? LargeTieShare
+        : std::min(RunTieShare * std::sqrt(std::max(1U, settings.gateways)), MaxRunTieShare);
     std::uniform_real_distribution<double> tie(1, 1 + tieShare);
     for (size_t i = 0; i < endpoints.size(); ++i) {
         const PlacementCandidate &endpoint = endpoints[i];
         if (!endpoint.usable)
             continue;
         const DecodeBacklog backlog = backlogOf(endpoint, steps, usualRemaining);
-        const Fit fit = fitOf(endpoint, backlog, run.memory);
+        const Fit fit = fitOf(endpoint, backlog, run, settings);
         choice.waitsForMemory = true;
         if (fit == Fit::NoMemory || fit > bestFit)
             continue;
@@ -308,7 +334,7 @@
         return choice;
     choice.waitsForMemory = false;
     if (!settings.predictsByPace || bestFit == Fit::NoFreeSlot)
-        choice.index = chooseLeastLoadedWithMemory(endpoints, run.memory, domain, settings, random);
+        choice.index = chooseLeastLoadedWithMemory(endpoints, run, domain, settings, random);
     if (!choice.index)
         return choice;
     const DecodeBacklog backlog = backlogOf(endpoints[*choice.index], steps, usualRemaining);
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -6,6 +6,7 @@
 
 #include "core/clock.h"
 #include "policy/decodebacklog.h"
+#include "policy/memoryturns.h"
 #include "policy/prefilldurationestimator.h"
 
 #include <cstdint>
@@ -43,6 +44,8 @@
      * fades with the age of the report. */
     double reported = 0;
     bool reportsWaiting = false; ///< States that requests wait for a slot.
+    /** Tokens of heldTokens that this gateway has sent, and the others may not know of. */
+    double unseenTokens = 0;
 };
 
 /** Properties of a prompt that its placement depends on. */
@@ -71,6 +74,7 @@
     bool predictsByPace = true;
     /** Whether requests are only sent to engines whose memory has room for them. */
     bool limitsEngineMemory = false;
+    MemoryTurns memoryTurns; ///< In which this gateway may use the last memory of an engine.
     // Initial values, which are updated from observed requests.
     /** Time to the first token through a prefill engine, if predictsByPace is not set. */
     PrefillTimeModel disaggregatedPrefill{60, 75};
@@ -138,6 +142,7 @@
 {
     double outputTokens = 0; ///< Expected.
     MemoryNeed memory;
+    core::Milliseconds wallTime{}; ///< Time of day of the gateways.
 };
 
 /** Endpoint chosen for a run. */
--- a/src/serving/endpoints.h
+++ b/src/serving/endpoints.h
@@ -95,6 +95,7 @@
     uint64_t hash = 0;        ///< Hash of the id, for gossip messages.
     OutstandingLoad ownLoad;  ///< Of this gateway.
     OutstandingLoad peerLoad; ///< Sum over the other gateways.
+    policy::UnseenTokens unseenTokens;
     policy::OutlierDetector health{EndpointHealthSettings};
     policy::ErrorRateTest errors;
     policy::PrefixCacheModel prefixCache;
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -337,8 +337,8 @@
         const TimePoint now = core::BootClock::now();
         syncWithPeers(now);
         m_endpoints.applyHeldBack(now);
-        m_endpoints.shareLimits(m_settings.name,
-                                m_peers.activeGateways(m_requestRate.rate(now), now), now);
+        const auto members = m_peers.activeGateways(m_requestRate.rate(now), now);
+        m_endpoints.shareLimits(m_settings.name, members, now);
         if (const Milliseconds by = m_wallClock.adjust(core::wallTime(), now); by.count() != 0)
             core::Event("wallclock.set").with("by_ms", by.count());
         const auto gateways = static_cast<int64_t>(m_peers.gatewayCount(now));
@@ -353,6 +353,8 @@
         m_placement.disaggregatedPrefill = m_disaggregatedPrefill.model();
         m_placement.predictsByPace = m_endpoints.statesPace();
         m_placement.limitsEngineMemory = m_placement.predictsByPace;
+        if (m_placement.limitsEngineMemory)
+            m_placement.memoryTurns.setMembers(m_settings.name, members);
         if (m_placement.predictsByPace)
             m_endpoints.updateSlowdowns(now);
         m_placement.gateways = m_peers.aliveCount();
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -261,7 +261,7 @@
         m_runChoice = policy::chooseRunner(
             views,
             {policy::expectedRemainingTokens(m_plannedOutputTokens, streamedTokens()),
-             m_promptInfo.memory},
+             m_promptInfo.memory, m_services.wallTime()},
             domain, m_services.runSteps(m_request.service), m_services.placement,
             m_services.random);
     else
--- a/src/serving/sessionwork.cpp
+++ b/src/serving/sessionwork.cpp
@@ -67,6 +67,7 @@
 {
     if (m_plannedOutputTokens <= 0 || !m_endpoint)
         return;
+    const bool begins = m_sentWork.heldTokens == 0;
     removeWork();
     const double streamed = streamedTokens();
     const double rest = policy::expectedRemainingTokens(m_plannedOutputTokens, streamed);
@@ -74,6 +75,8 @@
     m_sentWork.remainingTokens = m_purpose == Purpose::Run ? limitedTokens(rest) : 0;
     m_sentWork.heldTokens = limitedTokens(static_cast<double>(held));
     m_endpoint->ownLoad += m_sentWork;
+    if (begins)
+        m_endpoint->unseenTokens.note(m_sentWork.heldTokens, core::BootClock::now());
 }
 
 void Session::removeWork()
@@ -90,7 +93,7 @@
     if (m_plannedOutputTokens <= 0)
         return;
     const std::vector views{placementViewOf(endpoint, {}, core::BootClock::now())};
-    m_runChoice = policy::chooseRunner(views, {m_plannedOutputTokens, {}}, views.front().domain,
+    m_runChoice = policy::chooseRunner(views, {m_plannedOutputTokens, {}, {}}, views.front().domain,
                                        m_services.runSteps(m_request.service), m_services.placement,
                                        m_services.random);
     if (m_runChoice.index)
