--- a/src/serving/session.h
+++ b/src/serving/session.h
@@ -244,6 +244,7 @@
     bool m_streaming = false;           ///< The head of the answer was sent to the client.
     bool m_relayingLargeAnswer = false; ///< An answer too large to buffer is relayed.
     bool m_countedForUsage = false;
+    bool m_waitedForMemory = false; ///< For a run, while all engines were short of it.
     bool m_mayHaveRun = false;
     /** The client has disconnected; the run is completed all the same. */
     bool m_clientDetached = false;
--- a/src/serving/sessionwork.cpp
+++ b/src/serving/sessionwork.cpp
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace jujube::serving {
 
@@ -103,6 +104,12 @@
 void Session::waitForMemory()
 {
     core::incrementCounter("jujube_memory_waits_total");
+    if (!std::exchange(m_waitedForMemory, true))
+        core::Event("request.waits_for_memory")
+            .with("request", m_request.metadata.id)
+            .with("tokens", m_promptInfo.memory.tokens)
+            .with("limit", m_promptInfo.memory.limit)
+            .with("left_ms", timeLeft().count());
     std::uniform_int_distribution<int64_t> spread(0, MemoryWaitSpread.count());
     m_prefillTimer.expires_after(MemoryWait + Milliseconds(spread(m_services.random)));
     const auto self = shared_from_this();
