--- a/src/policy/explainplacement.cpp
+++ b/src/policy/explainplacement.cpp
@@ -28,7 +28,7 @@
     for (size_t i = 0; i < candidates.size(); ++i) {
         CandidateFigures &figures = explanation.candidates[i];
         figures.isPreferred = preferred == i;
-        if (!mayPrefill(candidates[i], settings))
+        if (!mayPrefill(candidates[i], query.prompt, settings))
             continue;
         figures.prefill = scorePrefill(candidates[i], query.prompt, figures.isPreferred, settings);
         bound.note(figures.prefill->ms(), figures.prefill->spread);
--- a/src/serving/endpoints.h
+++ b/src/serving/endpoints.h
@@ -29,6 +29,11 @@
 {
     uint32_t running = 0;       ///< Requests in progress.
     uint32_t backlogTokens = 0; ///< Prompt tokens sent and not prefilled yet.
+    // Both are 0 where placement does not use them (policy::PlacementSettings::limitsEngineMemory).
+    uint32_t remainingTokens = 0; ///< Output tokens that the requests still have to produce.
+    uint32_t heldTokens = 0;      ///< KV cache that they hold or, in prefill, will need.
+
+    OutstandingLoad &operator+=(const OutstandingLoad &other);
 };
 
 /** Load that an endpoint has reported, with the age of the report. */
@@ -94,6 +99,7 @@
     uint64_t hash = 0;        ///< Hash of the id, for gossip messages.
     OutstandingLoad ownLoad;  ///< Of this gateway.
     OutstandingLoad peerLoad; ///< Sum over the other gateways.
+    policy::UnseenTokens unseenTokens;
     policy::OutlierDetector health{EndpointHealthSettings};
     policy::ErrorRateTest errors;
     policy::ConnectFailures connectFailures;
@@ -220,6 +226,11 @@
 };
 Obstacles obstaclesOf(const Endpoint &endpoint, core::TimePoint now);
 
+/** Adds the requests that an endpoint has reported beyond those that the gateways know of, and
+ * whether it has reported waiting ones, if the report is recent. */
+void addReportedLoad(policy::PlacementCandidate &view, const Endpoint &endpoint,
+                     core::TimePoint now);
+
 /** \return the view of an endpoint for a placement. */
 policy::PlacementCandidate placementViewOf(const Endpoint &endpoint,
                                            const std::vector<policy::PrefixLink> &prompt,
