Take out the limit on the memory of engines

Cause: requests waited for room that engines have, as shared prompt blocks were counted once for each request and each gateway assumed that all others send the same request at once. Change: memory turns, unseen and held tokens, the wait for memory and the checks of the queue are removed. A request that alone exceeds 0.95 of an engine's memory still gets 503 at once (policy::exceedsEngineMemory, decided in streamWork). Work left decides only where paces are stated; elsewhere choice and draws are those of chooseLeastLoadedEndpoint. scoreRunByWork scores one endpoint.

--- a/src/policy/decodebacklog.cpp
+++ b/src/policy/decodebacklog.cpp
@@ -15,9 +15,6 @@
 // The largest slowness and the highest pace at once are more likely to be wrong than true.
 constexpr double MinFactor = 0.15;
 constexpr double MaxFactor = 8;
-// The rest of the memory is left for outputs that are longer than expected and for requests that
-// other gateways have sent since their last message.
-constexpr double UsableMemoryShare = 0.95;
 
 } // namespace
 
@@ -68,9 +65,4 @@
     return waitMs() + tokens * m_steps.stepMs(1 + others * shared / tokens) * m_factor;
 }
 
-MemoryNeed MemoryNeed::of(uint64_t tokens, uint64_t cacheTokens)
-{
-    return {tokens, static_cast<uint64_t>(UsableMemoryShare * static_cast<double>(cacheTokens))};
-}
-
 } // namespace jujube::policy
--- a/src/policy/decodebacklog.h
+++ b/src/policy/decodebacklog.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Defines the work that an engine has left, and the memory that a request needs there.
+ * Defines the work that an engine has left.
  */
 
 #include "policy/decodestepestimator.h"
@@ -55,18 +55,4 @@
     bool m_reportsWaiting = false;
 };
 
-/** Memory that a request needs at an engine, and how much of it the requests there may use. */
-struct MemoryNeed
-{
-    /** \param cacheTokens size of an engine's memory; 0: not stated, which means no limit. */
-    static MemoryNeed of(uint64_t tokens, uint64_t cacheTokens);
-
-    bool limited() const { return limit > 0; }
-    /** Whether no engine can ever hold the request. */
-    bool exceedsEngines() const { return limited() && tokens > limit; }
-
-    uint64_t tokens = 0; ///< Prompt and expected output, in whole blocks.
-    uint64_t limit = 0;  ///< Tokens that an engine may hold; 0: no limit.
-};
-
 } // namespace jujube::policy
--- a/src/policy/explainplacement.h
+++ b/src/policy/explainplacement.h
@@ -17,9 +17,10 @@
 {
     std::optional<PrefillScore> prefill; ///< Nothing: it is not considered for the prefill.
     bool isPreferred = false;            ///< For the first prefill of the prompt's prefix.
-    bool mayPrefill = false;     ///< Chosen for the prefill with some values of the random parts.
-    std::optional<RunScore> run; ///< Nothing: it is not considered for the run.
-    bool mayRun = false;         ///< Chosen for the run with some values of the random parts.
+    bool mayPrefill = false;       ///< Chosen for the prefill with some values of the random parts.
+    std::optional<RunScore> run;   ///< Nothing: its share of slots does not count for the run.
+    std::optional<WorkScore> work; ///< Nothing: the work left there does not count for the run.
+    bool mayRun = false;           ///< Chosen for the run with some values of the random parts.
 };
 
 /** A placement and the figures that it is based on. */
@@ -30,6 +31,8 @@
     /** The prefill engine's, if it decodes too. Otherwise what would be chosen on the present
      * figures, although a run is placed once its prompt is prefilled. */
     std::optional<size_t> run;
+    /** Whether the run is placed by work left. If all seem full, it is not. */
+    bool runByWork = false;
 };
 
 /** What is asked of a placement. */
@@ -38,6 +41,9 @@
     PromptInfo prompt;
     bool needsPrefill = false;            ///< Otherwise only an endpoint for the run is chosen.
     std::optional<PrefillChoice> prefill; ///< Engine that the queue has chosen already, if any.
+    /** Expected output of the run; 0: it is not placed by work left. */
+    double outputTokens = 0;
+    DecodeStepEstimator steps{}; ///< At usual speed.
 };
 
 /** Explains a placement by the functions that place requests.
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -90,13 +90,10 @@
     return uncachedPrefix ? engineOfPrefix(engines, prompt.prefixHash) : std::nullopt;
 }
 
-bool mayPrefill(const PlacementCandidate &engine, const PromptInfo &prompt,
-                const PlacementSettings &settings)
+bool mayPrefill(const PlacementCandidate &engine, const PlacementSettings &settings)
 {
     return engine.usable
-        && (engine.isPrefillEngine
-            || (engine.running < engine.slots * settings.maxColocatedSlotUse
-                && hasMemoryFor(engine, prompt.memory)));
+        && (engine.isPrefillEngine || engine.running < engine.slots * settings.maxColocatedSlotUse);
 }
 
 PrefillScore scorePrefill(const PlacementCandidate &engine, const PromptInfo &prompt,
@@ -138,7 +135,7 @@
     std::uniform_real_distribution<double> tie(0, 1);
     for (size_t i = 0; i < engines.size(); ++i) {
         const PlacementCandidate &engine = engines[i];
-        if (!mayPrefill(engine, prompt, settings))
+        if (!mayPrefill(engine, settings))
             continue;
         const PrefillScore figures = scorePrefill(engine, prompt, preferred == i, settings);
         const double ms = figures.ms();
@@ -191,14 +188,6 @@
 // wait for a slot delays the first token. With 0.9 twice as many runs waited
 // (docs/design/work-left.md).
 constexpr double SoonFullSlotShare = 0.75;
-constexpr double LargeRequestShare = 0.04;
-constexpr double LargeTieShare = 0.5;
-constexpr double OutOfTurnShare = 0.75;
-// Between the messages of gateways an engine may hold somewhat more than the limit, but not this.
-constexpr double MaxHeldShare = 2;
-
-/** How well an endpoint suits a run, apart from the time; lower is better. */
-enum class Fit { Free, LastSlots, NoFreeSlot, NoMemory };
 
 DecodeBacklog backlogOf(const PlacementCandidate &endpoint, const DecodeStepEstimator &steps,
                         double usualRemaining)
@@ -210,61 +199,18 @@
             runFactor(endpoint)};
 }
 
-// Requests that the endpoint states beyond those known hold as much as the known ones on average.
-double heldTokensOf(const PlacementCandidate &endpoint, const MemoryNeed &need)
-{
-    if (endpoint.running <= 0)
-        return 0;
-    double known = endpoint.heldTokens;
-    // The endpoint would have failed long ago, so the figure is wrong.
-    if (known > static_cast<double>(need.limit) * MaxHeldShare)
-        known = std::min(known, endpoint.running * static_cast<double>(need.tokens));
-    const double stated = std::min(endpoint.reported, static_cast<double>(endpoint.slots));
-    return known * std::max(1.0, stated / endpoint.running);
-}
-
-// Gateways do not know what the others have sent since their last message. Out of turn, each uses
-// an equal part of what is free up to a share of the limit. In its turn a gateway may use the rest
-// besides. Together they stay within the limit.
-bool mayUseMemory(const PlacementCandidate &endpoint, const RunInfo &run,
-                  const PlacementSettings &settings)
+RunRoom roomOf(const PlacementCandidate &endpoint, const DecodeBacklog &backlog)
 {
-    const MemoryNeed &need = run.memory;
-    const MemoryTurns &turns = settings.memoryTurns;
-    if (!hasMemoryFor(endpoint, need))
-        return false;
-    if (!need.limited() || turns.others() == 0)
-        return true;
-    const double limit = static_cast<double>(need.limit);
-    const double unseen = endpoint.unseenTokens + static_cast<double>(need.tokens);
-    const double ofOthers = unseen * static_cast<double>(turns.others());
-    if (heldTokensOf(endpoint, need) + ofOthers + static_cast<double>(need.tokens)
-        <= limit * OutOfTurnShare)
-        return true;
-    const bool within = endpoint.unseenTokens <= 0 || unseen <= limit * (1 - OutOfTurnShare);
-    return within && turns.hasTurn(endpoint.id, run.wallTime);
-}
-
-// Large requests are spread over the endpoints instead of being sent to the best one, as a few of
-// them exceed its memory.
-bool isLarge(const MemoryNeed &need)
-{
-    return need.limited()
-        && static_cast<double>(need.tokens) > static_cast<double>(need.limit) * LargeRequestShare;
-}
-
-Fit fitOf(const PlacementCandidate &endpoint, const DecodeBacklog &backlog, const RunInfo &run,
-          const PlacementSettings &settings)
-{
-    if (!mayUseMemory(endpoint, run, settings))
-        return Fit::NoMemory;
     if (backlog.full())
-        return Fit::NoFreeSlot;
-    return backlog.streams() >= endpoint.slots * SoonFullSlotShare ? Fit::LastSlots : Fit::Free;
+        return RunRoom::NoFreeSlot;
+    return backlog.streams() >= endpoint.slots * SoonFullSlotShare ? RunRoom::LastSlots
+                                                                   : RunRoom::Free;
 }
 
-// Mean tokens left of a stream over all endpoints, for those that do not state it; half of the run
-// if none does, as streams are in all states between their first and their last token.
+} // namespace
+
+// Half of the run if no endpoint states it, as streams are in all states between their first and
+// their last token.
 double usualRemainingTokens(const std::vector<PlacementCandidate> &endpoints, double outputTokens)
 {
     double tokens = 0;
@@ -278,87 +224,56 @@
     return streams > 0 ? tokens / streams : outputTokens / 2;
 }
 
-// The earlier rule, applied to the endpoints with memory for the run.
-std::optional<size_t> chooseLeastLoadedWithMemory(std::vector<PlacementCandidate> endpoints,
-                                                  const RunInfo &run, std::string_view domain,
-                                                  const PlacementSettings &settings,
-                                                  std::mt19937_64 &random)
+WorkScore scoreRunByWork(const PlacementCandidate &endpoint, double outputTokens,
+                         double usualRemaining, std::string_view domain,
+                         const DecodeStepEstimator &steps, const PlacementSettings &settings)
 {
-    std::uniform_real_distribution<double> spread(0, isLarge(run.memory) ? LargeTieShare : 0);
-    for (PlacementCandidate &it : endpoints) {
-        it.usable = it.usable && mayUseMemory(it, run, settings);
-        it.running += it.slots * spread(random);
-    }
-    return chooseLeastLoadedEndpoint(endpoints, domain, settings, random);
-}
-
-} // namespace
-
-bool hasMemoryFor(const PlacementCandidate &endpoint, const MemoryNeed &need)
-{
-    return !need.limited()
-        || heldTokensOf(endpoint, need) + static_cast<double>(need.tokens)
-        <= static_cast<double>(need.limit);
-}
-
-bool runnersHaveMemory(const std::vector<PlacementCandidate> &engines, const MemoryNeed &need)
-{
-    if (!need.limited())
-        return true;
-    bool any = false;
-    bool fits = false;
-    double free = 0;
-    for (const PlacementCandidate &it : engines) {
-        if (it.isPrefillEngine) {
-            free -= heldTokensOf(it, need);
-        } else if (it.usable) {
-            any = true;
-            fits = fits || hasMemoryFor(it, need);
-            free += std::max(0.0, static_cast<double>(need.limit) - heldTokensOf(it, need));
-        }
-    }
-    return !any || (fits && free >= static_cast<double>(need.tokens));
+    const DecodeBacklog backlog = backlogOf(endpoint, steps, usualRemaining);
+    WorkScore score;
+    score.room = roomOf(endpoint, backlog);
+    score.finishMs = backlog.finishMs(outputTokens);
+    score.workLeftTokens = backlog.remainingTokens();
+    score.ms =
+        score.finishMs * (endpoint.domain == domain ? 1 : 1 + settings.crossDomainSlotPenalty);
+    score.spread = score.ms
+        * std::min(RunTieShare * std::sqrt(std::max(1U, settings.gateways)), MaxRunTieShare);
+    return score;
 }
 
-RunChoice chooseRunner(const std::vector<PlacementCandidate> &endpoints, const RunInfo &run,
+RunChoice chooseRunner(const std::vector<PlacementCandidate> &endpoints, double outputTokens,
                        std::string_view domain, const DecodeStepEstimator &steps,
                        const PlacementSettings &settings, std::mt19937_64 &random)
 {
     RunChoice choice;
-    const double usualRemaining = usualRemainingTokens(endpoints, run.outputTokens);
-    Fit bestFit = Fit::NoMemory;
+    if (!settings.predictsByPace) {
+        choice.index = chooseLeastLoadedEndpoint(endpoints, domain, settings, random);
+        return choice;
+    }
+    const double usualRemaining = usualRemainingTokens(endpoints, outputTokens);
+    const auto scoreOf = [&](const PlacementCandidate &it) {
+        return scoreRunByWork(it, outputTokens, usualRemaining, domain, steps, settings);
+    };
+    RunRoom bestRoom = RunRoom::NoFreeSlot;
     double best = std::numeric_limits<double>::max();
-    const double tieShare = isLarge(run.memory)
-        ? LargeTieShare
-        : std::min(RunTieShare * std::sqrt(std::max(1U, settings.gateways)), MaxRunTieShare);
-    std::uniform_real_distribution<double> tie(1, 1 + tieShare);
+    std::uniform_real_distribution<double> tie(0, 1);
     for (size_t i = 0; i < endpoints.size(); ++i) {
-        const PlacementCandidate &endpoint = endpoints[i];
-        if (!endpoint.usable)
-            continue;
-        const DecodeBacklog backlog = backlogOf(endpoint, steps, usualRemaining);
-        const Fit fit = fitOf(endpoint, backlog, run, settings);
-        choice.waitsForMemory = true;
-        if (fit == Fit::NoMemory || fit > bestFit)
+        if (!endpoints[i].usable)
             continue;
-        const double score = backlog.finishMs(run.outputTokens) * tie(random)
-            * (endpoint.domain == domain ? 1 : 1 + settings.crossDomainSlotPenalty);
-        if (fit < bestFit || score < best) {
-            bestFit = fit;
+        const WorkScore figures = scoreOf(endpoints[i]);
+        const double score = figures.ms + figures.spread * tie(random);
+        if (figures.room < bestRoom || (figures.room == bestRoom && score < best)) {
+            bestRoom = figures.room;
             best = score;
             choice.index = i;
         }
     }
+    if (bestRoom == RunRoom::NoFreeSlot)
+        choice.index = chooseLeastLoadedEndpoint(endpoints, domain, settings, random);
     if (!choice.index)
         return choice;
-    choice.waitsForMemory = false;
-    if (!settings.predictsByPace || bestFit == Fit::NoFreeSlot)
-        choice.index = chooseLeastLoadedWithMemory(endpoints, run, domain, settings, random);
-    if (!choice.index)
-        return choice;
-    const DecodeBacklog backlog = backlogOf(endpoints[*choice.index], steps, usualRemaining);
-    choice.expectedTime = wholeMs(backlog.finishMs(run.outputTokens));
-    choice.workLeftTokens = backlog.remainingTokens();
+    const WorkScore chosen = scoreOf(endpoints[*choice.index]);
+    choice.expectedTime = wholeMs(chosen.finishMs);
+    choice.workLeftTokens = chosen.workLeftTokens;
     return choice;
 }
 
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -6,7 +6,6 @@
 
 #include "core/clock.h"
 #include "policy/decodebacklog.h"
-#include "policy/memoryturns.h"
 #include "policy/prefilldurationestimator.h"
 
 #include <cstdint>
@@ -39,13 +38,10 @@
     bool probe = false;         ///< Ejected and due for a probe request.
     bool held = false;          ///< Has just registered and may be assigned another stage shortly.
     double remainingTokens = 0; ///< Output tokens that its streams still have to produce.
-    double heldTokens = 0;      ///< KV cache of its requests; of a prefill engine, what they need.
     /** Requests that the endpoint itself states, waiting ones included. The excess over running
      * fades with the age of the report. */
     double reported = 0;
     bool reportsWaiting = false; ///< States that requests wait for a slot.
-    /** Tokens of heldTokens that this gateway has sent, and the others may not know of. */
-    double unseenTokens = 0;
 };
 
 /** Properties of a prompt that its placement depends on. */
@@ -55,7 +51,6 @@
     uint64_t prefixHash = 0; ///< Hash of the last block that is shared with other prompts; 0: none.
     uint32_t fetchableTokens = 0; ///< Tokens held by some endpoint that others can fetch them from.
     uint32_t priority = 0;        ///< At the engine; 0 is served first.
-    MemoryNeed memory{};          ///< Of its run.
 };
 
 /** Linear model of the time from sending a prompt to its first token, without the wait for prompts
@@ -75,9 +70,6 @@
     /** Whether endpoints that accept no connection, or at whose address another instance answers,
      * get no further work. */
     bool avoidsUnreachable = false;
-    /** Whether requests are only sent to engines whose memory has room for them. */
-    bool limitsEngineMemory = false;
-    MemoryTurns memoryTurns; ///< In which this gateway may use the last memory of an engine.
     // Initial values, which are updated from observed requests.
     /** Time to the first token through a prefill engine, if predictsByPace is not set. */
     PrefillTimeModel disaggregatedPrefill{60, 75};
@@ -148,8 +140,7 @@
                                       const PromptInfo &prompt);
 
 /** Whether an engine is considered for the prefill of a prompt. */
-bool mayPrefill(const PlacementCandidate &engine, const PromptInfo &prompt,
-                const PlacementSettings &settings);
+bool mayPrefill(const PlacementCandidate &engine, const PlacementSettings &settings);
 
 /** Predicts the prefill of a prompt at an engine. The lowest ms() is chosen. */
 PrefillScore scorePrefill(const PlacementCandidate &engine, const PromptInfo &prompt,
@@ -181,35 +172,42 @@
                                                 const PlacementSettings &settings,
                                                 std::mt19937_64 &random);
 
-/** What the placement of a run depends on. */
-struct RunInfo
+/** How likely a run gets a slot at once; the lower one is preferred whatever the time. */
+enum class RunRoom { Free, LastSlots, NoFreeSlot };
+
+/** What the choice of an endpoint by work left is based on. */
+struct WorkScore
 {
-    double outputTokens = 0; ///< Expected.
-    MemoryNeed memory;
-    core::Milliseconds wallTime{}; ///< Time of day of the gateways.
+    RunRoom room = RunRoom::Free;
+    double finishMs = 0;       ///< From the send to the end of the run.
+    double workLeftTokens = 0; ///< Of the streams at the endpoint.
+    double ms = 0;             ///< finishMs with the penalty for another failure domain.
+    double spread = 0;         ///< A random part in [0, spread) is added to ms.
 };
 
 /** Endpoint chosen for a run. */
 struct RunChoice
 {
-    std::optional<size_t> index;       ///< Nothing: no endpoint is usable, or none has memory.
-    bool waitsForMemory = false;       ///< Usable endpoints exist, and all are short of memory.
-    core::Milliseconds expectedTime{}; ///< From the send to the end of the run.
+    std::optional<size_t> index;       ///< Nothing: no endpoint is usable.
+    core::Milliseconds expectedTime{}; ///< From the send to the end of the run; 0: not predicted.
     double workLeftTokens = 0;         ///< Of the streams at the endpoint.
 };
 
-/** Whether an endpoint has memory for a request besides those that it has. */
-bool hasMemoryFor(const PlacementCandidate &endpoint, const MemoryNeed &need);
+/** Mean tokens left of a stream over all endpoints, for those that do not state it.
+ * \param outputTokens expected output of the run to be placed. */
+double usualRemainingTokens(const std::vector<PlacementCandidate> &endpoints, double outputTokens);
 
-/** Whether an endpoint that can run a request has memory for it, besides the prompts that are in
- * prefill and need memory there soon; true if there is no such endpoint at all. */
-bool runnersHaveMemory(const std::vector<PlacementCandidate> &engines, const MemoryNeed &need);
+/** Scores an endpoint for a run by the work that it has left. Among the endpoints with the best
+ * room, the lowest ms is chosen.
+ * \param usualRemaining result of usualRemainingTokens().
+ * \param domain from which the run is sent. */
+WorkScore scoreRunByWork(const PlacementCandidate &endpoint, double outputTokens,
+                         double usualRemaining, std::string_view domain,
+                         const DecodeStepEstimator &steps, const PlacementSettings &settings);
 
-/** Chooses the endpoint at which a run ends soonest.
- *
- * Endpoints without memory for it are left out, and those without a free slot unless none has one.
- * If all seem full, or if predictsByPace is not set, chooseLeastLoadedEndpoint() decides. */
-RunChoice chooseRunner(const std::vector<PlacementCandidate> &endpoints, const RunInfo &run,
+/** Chooses the endpoint at which a run ends soonest, among those with the best room. If all seem
+ * full, or if predictsByPace is not set, chooseLeastLoadedEndpoint() decides. */
+RunChoice chooseRunner(const std::vector<PlacementCandidate> &endpoints, double outputTokens,
                        std::string_view domain, const DecodeStepEstimator &steps,
                        const PlacementSettings &settings, std::mt19937_64 &random);
 
--- a/src/policy/promptqueue.cpp
+++ b/src/policy/promptqueue.cpp
@@ -163,8 +163,6 @@
     double tokensAhead = 0;
     for (size_t i = 0; i < std::min(order.size(), m_settings.maxScannedPrompts); ++i) {
         const auto it = order[i].second;
-        if (!runnersHaveMemory(engines, it->info.memory))
-            continue;
         const std::vector<uint32_t> tokens = cached(*it);
         for (size_t j = 0; j < engines.size(); ++j)
             engines[j].cachedTokens = tokens[j];
--- a/src/policy/requestcost.cpp
+++ b/src/policy/requestcost.cpp
@@ -9,6 +9,8 @@
 
 constexpr uint64_t BlockTokens = 16; ///< Engines allocate their KV cache in blocks of this size.
 constexpr double MaxOutputTokens = 1e9;
+// The rest of the memory is left for outputs that are longer than expected.
+constexpr double UsableMemoryShare = 0.95;
 
 } // namespace
 
@@ -31,4 +33,17 @@
     return prefillMs + decodeMs;
 }
 
+std::optional<uint64_t> usableMemoryTokens(uint64_t cacheTokens)
+{
+    if (cacheTokens == 0)
+        return std::nullopt;
+    return static_cast<uint64_t>(UsableMemoryShare * static_cast<double>(cacheTokens));
+}
+
+bool exceedsEngineMemory(const RequestCost &cost, uint64_t cacheTokens)
+{
+    const auto usable = usableMemoryTokens(cacheTokens);
+    return usable && cost.memoryTokens > *usable;
+}
+
 } // namespace jujube::policy
--- a/src/policy/requestcost.h
+++ b/src/policy/requestcost.h
@@ -5,6 +5,7 @@
  */
 
 #include <cstdint>
+#include <optional>
 
 namespace jujube::policy {
 
@@ -24,4 +25,12 @@
     uint64_t memoryTokens = 0;  ///< KV cache that it takes, in whole blocks.
 };
 
+/** Tokens that the requests at an engine may hold together.
+ * \param cacheTokens size of the engine's memory; 0: not stated.
+ * \return nothing if the size is not stated. */
+std::optional<uint64_t> usableMemoryTokens(uint64_t cacheTokens);
+
+/** Whether a request needs more memory than an engine has, so that it can never run. */
+bool exceedsEngineMemory(const RequestCost &cost, uint64_t cacheTokens);
+
 } // namespace jujube::policy
--- a/src/serving/endpointload.cpp
+++ b/src/serving/endpointload.cpp
@@ -15,7 +15,6 @@
     running = sum(running, other.running);
     backlogTokens = sum(backlogTokens, other.backlogTokens);
     remainingTokens = sum(remainingTokens, other.remainingTokens);
-    heldTokens = sum(heldTokens, other.heldTokens);
     return *this;
 }
 
--- a/src/serving/endpoints.cpp
+++ b/src/serving/endpoints.cpp
@@ -355,8 +355,6 @@
     view.running = load.running;
     view.backlogTokens = load.backlogTokens;
     view.remainingTokens = load.remainingTokens;
-    view.heldTokens = load.heldTokens;
-    view.unseenTokens = static_cast<double>(endpoint.unseenTokens.sum(now));
     addReportedLoad(view, endpoint, now);
     view.cachedTokens = endpoint.prefixCache.cachedTokens(prompt);
     view.slowness = endpoint.slowness;
--- a/src/serving/endpoints.h
+++ b/src/serving/endpoints.h
@@ -29,9 +29,9 @@
 {
     uint32_t running = 0;       ///< Requests in progress.
     uint32_t backlogTokens = 0; ///< Prompt tokens sent and not prefilled yet.
-    // Both are 0 where placement does not use them (policy::PlacementSettings::limitsEngineMemory).
-    uint32_t remainingTokens = 0; ///< Output tokens that the requests still have to produce.
-    uint32_t heldTokens = 0;      ///< KV cache that they hold or, in prefill, will need.
+    /** Output tokens that the requests still have to produce; 0 where placement does not use it
+     * (policy::PlacementSettings::predictsByPace). */
+    uint32_t remainingTokens = 0;
 
     OutstandingLoad &operator+=(const OutstandingLoad &other);
 };
@@ -99,7 +99,6 @@
     uint64_t hash = 0;        ///< Hash of the id, for gossip messages.
     OutstandingLoad ownLoad;  ///< Of this gateway.
     OutstandingLoad peerLoad; ///< Sum over the other gateways.
-    policy::UnseenTokens unseenTokens;
     policy::OutlierDetector health{EndpointHealthSettings};
     policy::ErrorRateTest errors;
     policy::ConnectFailures connectFailures;
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -343,8 +343,8 @@
         const TimePoint now = core::BootClock::now();
         syncWithPeers(now);
         m_endpoints.applyHeldBack(now);
-        const auto members = m_peers.activeGateways(m_requestRate.rate(now), now);
-        m_endpoints.shareLimits(m_settings.name, members, now);
+        m_endpoints.shareLimits(m_settings.name,
+                                m_peers.activeGateways(m_requestRate.rate(now), now), now);
         if (const Milliseconds by = m_wallClock.adjust(core::wallTime(), now); by.count() != 0)
             core::Event("wallclock.set").with("by_ms", by.count());
         const auto gateways = static_cast<int64_t>(m_peers.gatewayCount(now));
@@ -359,9 +359,6 @@
         m_placement.disaggregatedPrefill = m_disaggregatedPrefill.model();
         m_placement.predictsByPace = m_endpoints.statesPace();
         m_placement.avoidsUnreachable = m_settings.contention || m_placement.predictsByPace;
-        m_placement.limitsEngineMemory = m_placement.avoidsUnreachable;
-        if (m_placement.limitsEngineMemory)
-            m_placement.memoryTurns.setMembers(m_settings.name, members);
         if (m_placement.predictsByPace)
             m_endpoints.updateSlowdowns(now);
         m_placement.gateways = m_peers.aliveCount();
--- a/src/serving/gossip.cpp
+++ b/src/serving/gossip.cpp
@@ -99,13 +99,12 @@
     gossip.prefillTokensPerSecond = reader.getReadTokensPerSecond();
     gossip.rates = {reader.getPromptTokensPerSecond(), reader.getOutputTokensPerSecond()};
     for (const auto it : reader.getShares())
-        gossip.shares.push_back(
-            {it.getEndpoint(),
-             {it.getRunning(), it.getBacklogTokens(), it.getRemainingTokens(), it.getHeldTokens()},
-             it.getChanging(),
-             it.getFailing(),
-             it.getLeaving(),
-             readReport(it)});
+        gossip.shares.push_back({it.getEndpoint(),
+                                 {it.getRunning(), it.getBacklogTokens(), it.getRemainingTokens()},
+                                 it.getChanging(),
+                                 it.getFailing(),
+                                 it.getLeaving(),
+                                 readReport(it)});
     for (const auto it : reader.getWindows()) {
         GossipUsageWindow &window = gossip.windows.emplace_back();
         window.run = it.getRun();
@@ -220,7 +219,6 @@
         shares[i].setRunning(static_cast<uint16_t>(gossip.shares[i].load.running));
         shares[i].setBacklogTokens(gossip.shares[i].load.backlogTokens);
         shares[i].setRemainingTokens(gossip.shares[i].load.remainingTokens);
-        shares[i].setHeldTokens(gossip.shares[i].load.heldTokens);
         shares[i].setChanging(gossip.shares[i].changing);
         shares[i].setFailing(gossip.shares[i].failing);
         shares[i].setLeaving(gossip.shares[i].leaving);
--- a/src/serving/loadexchange.cpp
+++ b/src/serving/loadexchange.cpp
@@ -148,7 +148,6 @@
     running += sign * static_cast<int64_t>(share.load.running);
     backlogTokens += sign * static_cast<int64_t>(share.load.backlogTokens);
     remainingTokens += sign * static_cast<int64_t>(share.load.remainingTokens);
-    heldTokens += sign * static_cast<int64_t>(share.load.heldTokens);
     changing += share.changing ? sign : 0;
     failing += share.failing ? sign : 0;
     leaving += share.leaving ? sign : 0;
@@ -159,8 +158,7 @@
     const auto limited = [](int64_t value) {
         return static_cast<uint32_t>(std::clamp<int64_t>(value, 0, UINT32_MAX));
     };
-    return {limited(running), limited(backlogTokens), limited(remainingTokens),
-            limited(heldTokens)};
+    return {limited(running), limited(backlogTokens), limited(remainingTokens)};
 }
 
 void LoadAggregator::addToSums(const GossipMessage &gossip, int sign)
--- a/src/serving/loadexchange.h
+++ b/src/serving/loadexchange.h
@@ -115,15 +115,14 @@
         int64_t running = 0;
         int64_t backlogTokens = 0;
         int64_t remainingTokens = 0;
-        int64_t heldTokens = 0;
         int32_t changing = 0;
         int32_t failing = 0;
         int32_t leaving = 0;
 
         bool empty() const
         {
-            return running == 0 && backlogTokens == 0 && remainingTokens == 0 && heldTokens == 0
-                && changing == 0 && failing == 0 && leaving == 0;
+            return running == 0 && backlogTokens == 0 && remainingTokens == 0 && changing == 0
+                && failing == 0 && leaving == 0;
         }
         void add(const GossipLoadShare &share, int sign);
         OutstandingLoad load() const;
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -287,11 +287,8 @@
     m_runChoice = {};
     if (m_plannedOutputTokens > 0)
         m_runChoice = policy::chooseRunner(
-            views,
-            {policy::expectedRemainingTokens(m_plannedOutputTokens, streamedTokens()),
-             m_promptInfo.memory, m_services.wallTime()},
-            domain, m_services.runSteps(m_request.service), m_services.placement,
-            m_services.random);
+            views, policy::expectedRemainingTokens(m_plannedOutputTokens, streamedTokens()), domain,
+            m_services.runSteps(m_request.service), m_services.placement, m_services.random);
     else
         m_runChoice.index = policy::chooseLeastLoadedEndpoint(views, domain, m_services.placement,
                                                               m_services.random);
@@ -306,10 +303,6 @@
 void Session::sendRun()
 {
     const EndpointPtr endpoint = m_runSends < MaxSends ? chooseRunner() : nullptr;
-    if (!endpoint && m_runSends < MaxSends && m_runChoice.waitsForMemory) {
-        waitForMemory();
-        return;
-    }
     if (!endpoint) {
         if (m_streaming)
             finishStream(false);
--- a/src/serving/session.h
+++ b/src/serving/session.h
@@ -12,6 +12,7 @@
 #include "policy/placement.h"
 #include "policy/prefillrateestimator.h"
 #include "policy/prefilltimeestimator.h"
+#include "policy/requestcost.h"
 #include "policy/sendbudget.h"
 #include "serving/endpointhealth.h"
 #include "serving/eventframer.h"
@@ -80,6 +81,26 @@
                             const policy::PlacementSettings &placement,
                             const policy::OutputLengthEstimator &outputLengths);
 
+/** Why a request that no engine can hold is refused. */
+inline constexpr char TooLargeForEngines[] = "the request exceeds the memory of the engines";
+
+/** Expected output of a stream and what limits it. */
+struct StreamWork
+{
+    double outputTokens = 0; ///< Expected; 0: placement does not depend on it.
+    uint32_t tokensPerEvent = 1;
+    policy::RequestCost cost;
+    uint64_t memoryLimit = 0; ///< Tokens that an engine can hold; 0: not known.
+    bool tooLarge = false;    ///< No engine can ever hold the request, so it is refused.
+};
+
+/** Determines the work of a request at the engines of its service. A request that is not a stream,
+ * or whose service has no engines, has none. */
+StreamWork streamWork(const FleetConfig &config, const Route &route, uint32_t promptTokens,
+                      const policy::OutputRequest &request,
+                      const policy::PlacementSettings &placement,
+                      const policy::OutputLengthEstimator &outputLengths);
+
 /** Bounds of the Retry-After of a refusal for lack of room; the value is random within them. */
 struct RetryAfterRange
 {
@@ -137,12 +158,10 @@
     void sendRunTo(const EndpointPtr &endpoint);
     uint32_t enginePriority() const;
     EndpointPtr chooseRunner();
-    /** Tries a run again shortly, as all engines are short of memory for it. */
-    void waitForMemory();
-    /** Determines what the run needs, where placement depends on it. \return false if the request
+    /** Determines the expected output, where placement depends on it. \return false if the request
      * has ended, as no engine can hold it. */
     bool estimateWork();
-    /** Records at the endpoint of the send what the request still has to produce and holds. */
+    /** Records at the endpoint of the send what the request still has to produce. */
     void updateWork();
     /** Removes this from the endpoint. */
     void removeWork();
@@ -249,8 +268,8 @@
     /** Expected output of the request; 0: placement does not depend on it. */
     double m_plannedOutputTokens = 0;
     uint32_t m_tokensPerEvent = 1;
-    OutstandingLoad m_sentWork; ///< This send's part of the endpoint's remaining and held tokens.
-    policy::RunChoice m_runChoice; ///< Of the last placement of a run.
+    uint32_t m_sentRemainingTokens = 0; ///< This send's part of the endpoint's remaining tokens.
+    policy::RunChoice m_runChoice;      ///< Of the last placement of a run.
     http::Head m_head;
     AnswerMetadata m_answer;
     double m_expectedOutputTokens = 0;
@@ -271,7 +290,6 @@
     bool m_streaming = false;           ///< The head of the answer was sent to the client.
     bool m_relayingLargeAnswer = false; ///< An answer too large to buffer is relayed.
     bool m_countedForUsage = false;
-    bool m_waitedForMemory = false; ///< For a run, while all engines were short of it.
     bool m_mayHaveRun = false;
     /** The client has disconnected; the run is completed all the same. */
     bool m_clientDetached = false;
