Explain runs by the rule that places them

Cause: where paces are stated, the explanation showed the share of slots, but work left decides. Change: the expected time to finish, the work left and the room of each candidate are those of scoreRunByWork; the share of slots is shown where it decides. The refusal of requests that no engine can hold is explained by the function that refuses them. Conclusion: both use one function for each rule.

--- a/src/serving/explain.cpp
+++ b/src/serving/explain.cpp
@@ -123,7 +123,12 @@
     if (explanation.prefill && explanation.prefill->index == index)
         return "prefills the prompt itself";
     const size_t others = countOthers(explanation, index, [](const auto &it) { return it.mayRun; });
-    return "smallest share of slots in use, weighted by its slowness and failure domain"
+    if (explanation.runByWork)
+        return "shortest expected time to the end of the run, among the engines with the most room"
+            + amongEqual(others);
+    const bool allFull = explanation.candidates[index].figures.work.has_value();
+    return std::string(allFull ? "all decode slots are in use; " : "")
+        + "smallest share of slots in use, weighted by its slowness and failure domain"
         + amongEqual(others);
 }
 
@@ -145,8 +150,8 @@
 
 // Describes the endpoints of the service and places the request.
 void explainChoices(Explanation &explanation, const ExplainServices &services,
-                    const RequestMetadata &request, const Route &route, TimePoint now,
-                    std::mt19937_64 &random)
+                    const RequestMetadata &request, const Route &route, double plannedTokens,
+                    TimePoint now, std::mt19937_64 &random)
 {
     const auto &endpoints = services.endpoints.ofService(explanation.service);
     const auto chain = prefixChain(request);
@@ -167,7 +172,9 @@
     }
     policy::applyHolds(views);
     policy::PlacementQuery query{info, explanation.needsPrefill && !preview.noUsableEngine,
-                                 preview.choice};
+                                 preview.choice, plannedTokens};
+    if (const auto it = services.runSteps.find(explanation.service); it != services.runSteps.end())
+        query.steps = it->second;
     if (!explanation.needsPrefill)
         query.prefill.reset();
     const auto placement = policy::explainPlacement(views, query, services.placement, random);
@@ -183,6 +190,7 @@
     explanation.prefill = placement.prefill;
     explanation.waits = explanation.needsPrefill && !preview.choice && !preview.noUsableEngine;
     explanation.run = placement.run;
+    explanation.runByWork = placement.runByWork;
     explanation.prefillReason =
         explanation.needsPrefill ? prefillReason(explanation, preview) : "not needed";
     explanation.runReason = runReason(explanation);
@@ -241,7 +249,11 @@
                                        request.expectedOutputTokens, request.maxOutputTokens};
     explanation.cost.outputTokens =
         expectedOutputTokens(output, services.placement, services.outputLengths);
-    explainChoices(explanation, services, request, *found.route, now, random);
+    const StreamWork work = streamWork(*services.config, *found.route, request.promptTokens, output,
+                                       services.placement, services.outputLengths);
+    if (work.tooLarge && !explanation.refusal)
+        explanation.refusal = lackOfRoom(services, explanation.service, TooLargeForEngines, now);
+    explainChoices(explanation, services, request, *found.route, work.outputTokens, now, random);
     const uint32_t reusable = explanation.prefill
         ? request.promptTokens - std::min(request.promptTokens, explanation.prefill->uncachedTokens)
         : explanation.fetchableTokens;
--- a/src/serving/explain.h
+++ b/src/serving/explain.h
@@ -10,6 +10,7 @@
 #include "serving/session.h"
 #include "serving/teamquotas.h"
 
+#include <map>
 #include <optional>
 #include <random>
 #include <string>
@@ -29,6 +30,8 @@
     const policy::OutputLengthEstimator &outputLengths;
     const QuarantineKeeper &quarantine;
     const TeamQuotas &quotas;
+    /** At usual speed, by name of the service. */
+    const std::map<std::string, policy::DecodeStepEstimator> &runSteps;
 };
 
 /** Answer that the gateway itself would give. */
@@ -85,6 +88,7 @@
     bool waits = false;                           ///< The prompt waits in the queue.
     std::string prefillReason;
     std::optional<size_t> run; ///< Index in candidates.
+    bool runByWork = false;    ///< Placed by work left.
     std::string runReason;
     std::optional<ExplainedRefusal> refusal;
 };
--- a/src/serving/explainoutput.cpp
+++ b/src/serving/explainoutput.cpp
@@ -66,6 +66,30 @@
                        {"spread", score->spread}};
 }
 
+std::string_view roomName(policy::RunRoom room)
+{
+    switch (room) {
+    case policy::RunRoom::Free:
+        return "free";
+    case policy::RunRoom::LastSlots:
+        return "last-slots";
+    case policy::RunRoom::NoFreeSlot:
+        break;
+    }
+    return "none";
+}
+
+QJsonValue jsonOf(const std::optional<policy::WorkScore> &score)
+{
+    if (!score)
+        return QJsonValue::Null;
+    return QJsonObject{{"room", qstring(roomName(score->room))},
+                       {"finish_ms", score->finishMs},
+                       {"work_left_tokens", score->workLeftTokens},
+                       {"score", score->ms},
+                       {"spread", score->spread}};
+}
+
 QJsonObject jsonOf(const ExplainedCandidate &it)
 {
     QJsonArray obstacles;
@@ -91,6 +115,7 @@
             {"prefill", jsonOf(it.figures.prefill)},
             {"may_prefill", it.figures.mayPrefill},
             {"run", run},
+            {"run_by_work", jsonOf(it.figures.work)},
             {"may_run", it.figures.mayRun}};
 }
 
@@ -163,6 +188,11 @@
             score->expectedTokens, score->prefillMs, score->restMs, score->crossDomainMs,
             score->ms(), score->spread, score->fetch ? " fetches" : "",
             it.figures.isPreferred ? " preferred" : "");
+    if (const auto &score = it.figures.work)
+        absl::StrAppendFormat(
+            &text, "    run: room=%s finish=%.1fms work-left=%.0f score=%.1fms spread=%.1fms\n",
+            std::string(roomName(score->room)), score->finishMs, score->workLeftTokens, score->ms,
+            score->spread);
     if (const auto &score = it.figures.run)
         absl::StrAppendFormat(&text, "    run: score=%.3f spread=%.3f\n", score->share,
                               score->spread);
--- a/src/serving/gatewayexplain.cpp
+++ b/src/serving/gatewayexplain.cpp
@@ -63,7 +63,8 @@
     const ExplainServices services{
         m_settings.name, config.get(),      acceptsNoRequests(core::BootClock::now()),
         m_endpoints,     m_promptScheduler, m_placement,
-        m_outputLengths, m_quarantine,      m_quotas};
+        m_outputLengths, m_quarantine,      m_quotas,
+        m_runSteps};
     const auto explanation = explain(services, *metadata, m_random);
     if (!explanation.ok())
         sendText(responder, statusOf(explanation.status()), ExplainTextType,
--- a/test/correctness/explain.cpp
+++ b/test/correctness/explain.cpp
@@ -61,8 +61,9 @@
     {
         const auto metadata = platform::decodeExplainQuery(query);
         cr_assert(metadata.ok());
-        const serving::ExplainServices services{
-            "g", &config, false, endpoints, scheduler, placement, lengths, quarantine, quotas};
+        const serving::ExplainServices services{"g",       &config,   false,   endpoints,
+                                                scheduler, placement, lengths, quarantine,
+                                                quotas,    runSteps};
         return serving::explain(services, *metadata, random);
     }
 
@@ -78,6 +79,7 @@
     serving::QuarantineKeeper quarantine{store, "g"};
     serving::TeamQuotas quotas{io, settings, random, []() {}};
     serving::PromptScheduler scheduler{io, endpoints, placement, random, []() { return 1U; }};
+    std::map<std::string, policy::DecodeStepEstimator> runSteps;
     uint64_t revision = 0;
 };
 
@@ -200,6 +202,32 @@
     cr_assert_eq(node.scheduler.waitingCount(), 0U);
 }
 
+// Guards against a run that is placed by work left and explained by its share of slots, and against
+// a request beyond an engine's memory that is explained as if it were sent.
+Test(explain, work_left_and_the_memory_of_engines_are_explained)
+{
+    Node node;
+    node.config.services["model"].engine.emplace().cacheTokens = 520'000;
+    node.placement.predictsByPace = true;
+    for (const uint32_t rest : {1'080U, 24U})
+        node.add(serving::Stage::Decode).ownLoad = {40, 0, 40 * rest};
+    const auto byWork = node.explain(Chat);
+    cr_assert(byWork.ok() && !byWork->refusal && *byWork->run == 1U && byWork->runByWork);
+    cr_assert(byWork->candidates[0].figures.work->workLeftTokens == 43'200);
+    const std::string text = serving::renderExplanationText(*byWork);
+    cr_assert_neq(text.find("work-left=960 "), std::string::npos);
+    cr_assert_neq(text.find("shortest expected time to the end"), std::string::npos);
+    serving::ExplainQuery large = Chat;
+    large.tokens = "493990,24";
+    node.placement.predictsByPace = false; // With contention alone, runs are placed as before.
+    cr_assert_not(node.explain(large)->refusal.has_value());
+    node.placement.avoidsUnreachable = true;
+    const auto refused = node.explain(large);
+    cr_assert(refused->refusal && refused->refusal->why == serving::TooLargeForEngines);
+    cr_assert(refused->candidates[1].figures.run && !refused->candidates[1].figures.work);
+    cr_assert_not(node.explain(Chat)->refusal.has_value());
+}
+
 // Guards against an explained engine that differs from the one which the scheduler assigns: random
 // loads and queues, in both modes of prediction, with prompts that wait before this one.
 Test(explain, the_explained_engine_is_the_one_that_the_scheduler_assigns)
--- a/test/correctness/explainplacement.cpp
+++ b/test/correctness/explainplacement.cpp
@@ -25,6 +25,9 @@
             it.domain = random() % 2 == 0 ? "a" : "b";
             it.slots = 64;
             it.running = static_cast<double>(random() % 70);
+            it.remainingTokens = random() % 4 == 0 ? 0 : it.running * uniform(20, 1'000);
+            it.reported = random() % 4 == 0 ? static_cast<double>(random() % 70) : 0;
+            it.reportsWaiting = random() % 8 == 0;
             it.backlogTokens = static_cast<double>(random() % 8'000);
             it.cachedTokens = random() % 3 == 0 ? 0 : static_cast<uint32_t>(random() % 6'000);
             it.slowness = uniform(0.7, 3);
@@ -43,6 +46,7 @@
         }
         settings.predictsByPace = random() % 2 == 0;
         settings.domain = "a";
+        settings.gateways = 1 + random() % 20;
         prompt = {static_cast<uint32_t>(random() % 9'000), random() % 3 == 0 ? 0 : random(),
                   random() % 2 == 0 ? 0 : static_cast<uint32_t>(random() % 6'000),
                   static_cast<uint32_t>(random() % 10)};
@@ -147,3 +151,63 @@
     }
     cr_assert_gt(runs, 3'000);
 }
+
+// Guards against figures of a run that differ from those of the choice by work left, and against
+// an explanation by that rule where the other one decides. The lowest explained score with the
+// random parts of the real choice, among the engines with the best room, has to be the real choice.
+Test(explainplacement, runs_placed_by_work_left_are_explained_by_it)
+{
+    int byWork = 0;
+    int allFull = 0;
+    int drawn = 0;
+    for (uint64_t seed = 1; seed <= 5'000; ++seed) {
+        RandomCase it(seed);
+        std::erase_if(it.candidates, [](const auto &each) { return each.isPrefillEngine; });
+        policy::PlacementQuery query{it.prompt, false, std::nullopt, it.uniform(20, 900)};
+        for (int i = 0; i < 50; ++i)
+            query.steps.note(10.0 + i, 20 + it.uniform(0, 1) * i, false);
+        const auto explained =
+            policy::explainPlacement(it.candidates, query, it.settings, it.random);
+        std::mt19937_64 draws = it.random;
+        const auto real =
+            policy::chooseRunner(it.candidates, query.outputTokens, it.settings.domain, query.steps,
+                                 it.settings, it.random);
+        cr_assert(explained.run == real.index);
+        if (!real.index)
+            continue;
+        const auto &chosen = explained.candidates[*real.index];
+        cr_assert(chosen.mayRun);
+        cr_assert_eq(chosen.work.has_value(), it.settings.predictsByPace);
+        cr_assert_neq(chosen.run.has_value(), explained.runByWork);
+        if (chosen.work) {
+            cr_assert_eq(static_cast<int64_t>(chosen.work->finishMs), real.expectedTime.count());
+            cr_assert_eq(chosen.work->workLeftTokens, real.workLeftTokens);
+            allFull += explained.runByWork ? 0 : 1;
+        }
+        if (!explained.runByWork)
+            continue;
+        ++byWork;
+        std::optional<size_t> lowest;
+        double best = std::numeric_limits<double>::max();
+        size_t possible = 0;
+        for (size_t i = 0; i < it.candidates.size(); ++i) {
+            const auto &figures = explained.candidates[i];
+            possible += figures.mayRun ? 1 : 0;
+            if (!figures.work)
+                continue;
+            cr_assert(figures.work->room >= chosen.work->room);
+            const double score = figures.work->ms
+                + figures.work->spread * std::uniform_real_distribution<double>(0, 1)(draws);
+            if (figures.work->room == chosen.work->room && score < best) {
+                best = score;
+                lowest = i;
+            }
+        }
+        cr_assert(draws == it.random);
+        cr_assert(lowest == real.index);
+        drawn += possible > 1 ? 1 : 0;
+    }
+    cr_assert_gt(byWork, 1'500);
+    cr_assert_gt(drawn, 100);
+    cr_assert_gt(allFull, 50);
+}
