--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -1,6 +1,7 @@
 #include "policy/placement.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <xxhash.h>
 
@@ -69,7 +70,7 @@
 } // namespace
 
 // The smoothed slowness of an engine that prefills its own prompts contains its usual pace.
-static double runFactor(const PlacementCandidate &endpoint)
+double runFactor(const PlacementCandidate &endpoint)
 {
     return endpoint.usualPace == 1 ? endpoint.slowness * endpoint.pace : endpoint.pace;
 }
@@ -177,6 +178,105 @@
     return choice;
 }
 
+namespace {
+
+// Load figures are not recent enough to tell smaller differences. The more gateways decide on the
+// same figures, the more runs reach the best engine before the figures change.
+constexpr double RunTieShare = 0.02;
+constexpr double MaxRunTieShare = 0.1;
+// The remaining slots are for runs that other gateways have sent since their last message, as a
+// wait for a slot delays the first token. With 0.9 twice as many runs waited
+// (docs/design/work-left.md).
+constexpr double SoonFullSlotShare = 0.75;
+
+DecodeBacklog backlogOf(const PlacementCandidate &endpoint, const DecodeStepEstimator &steps,
+                        double usualRemaining)
+{
+    return {{endpoint.running, endpoint.remainingTokens, endpoint.reported, endpoint.reportsWaiting,
+             endpoint.slots},
+            steps,
+            usualRemaining,
+            runFactor(endpoint)};
+}
+
+RunRoom roomOf(const PlacementCandidate &endpoint, const DecodeBacklog &backlog)
+{
+    if (backlog.full())
+        return RunRoom::NoFreeSlot;
+    return backlog.streams() >= endpoint.slots * SoonFullSlotShare ? RunRoom::LastSlots
+                                                                   : RunRoom::Free;
+}
+
+} // namespace
+
+// Half of the run if no endpoint states it, as streams are in all states between their first and
+// their last token.
+double usualRemainingTokens(const std::vector<PlacementCandidate> &endpoints, double outputTokens)
+{
+    double tokens = 0;
+    double streams = 0;
+    for (const PlacementCandidate &it : endpoints) {
+        if (it.isPrefillEngine || it.remainingTokens <= 0)
+            continue;
+        tokens += it.remainingTokens;
+        streams += it.running;
+    }
+    return streams > 0 ? tokens / streams : outputTokens / 2;
+}
+
+WorkScore scoreRunByWork(const PlacementCandidate &endpoint, double outputTokens,
+                         double usualRemaining, std::string_view domain,
+                         const DecodeStepEstimator &steps, const PlacementSettings &settings)
+{
+    const DecodeBacklog backlog = backlogOf(endpoint, steps, usualRemaining);
+    WorkScore score;
+    score.room = roomOf(endpoint, backlog);
+    score.finishMs = backlog.finishMs(outputTokens);
+    score.workLeftTokens = backlog.remainingTokens();
+    score.ms =
+        score.finishMs * (endpoint.domain == domain ? 1 : 1 + settings.crossDomainSlotPenalty);
+    score.spread = score.ms
+        * std::min(RunTieShare * std::sqrt(std::max(1U, settings.gateways)), MaxRunTieShare);
+    return score;
+}
+
+RunChoice chooseRunner(const std::vector<PlacementCandidate> &endpoints, double outputTokens,
+                       std::string_view domain, const DecodeStepEstimator &steps,
+                       const PlacementSettings &settings, std::mt19937_64 &random)
+{
+    RunChoice choice;
+    if (!settings.predictsByPace) {
+        choice.index = chooseLeastLoadedEndpoint(endpoints, domain, settings, random);
+        return choice;
+    }
+    const double usualRemaining = usualRemainingTokens(endpoints, outputTokens);
+    const auto scoreOf = [&](const PlacementCandidate &it) {
+        return scoreRunByWork(it, outputTokens, usualRemaining, domain, steps, settings);
+    };
+    RunRoom bestRoom = RunRoom::NoFreeSlot;
+    double best = std::numeric_limits<double>::max();
+    std::uniform_real_distribution<double> tie(0, 1);
+    for (size_t i = 0; i < endpoints.size(); ++i) {
+        if (!endpoints[i].usable)
+            continue;
+        const WorkScore figures = scoreOf(endpoints[i]);
+        const double score = figures.ms + figures.spread * tie(random);
+        if (figures.room < bestRoom || (figures.room == bestRoom && score < best)) {
+            bestRoom = figures.room;
+            best = score;
+            choice.index = i;
+        }
+    }
+    if (bestRoom == RunRoom::NoFreeSlot)
+        choice.index = chooseLeastLoadedEndpoint(endpoints, domain, settings, random);
+    if (!choice.index)
+        return choice;
+    const WorkScore chosen = scoreOf(endpoints[*choice.index]);
+    choice.expectedTime = wholeMs(chosen.finishMs);
+    choice.workLeftTokens = chosen.workLeftTokens;
+    return choice;
+}
+
 void applyHolds(std::vector<PlacementCandidate> &endpoints)
 {
     const bool othersHaveRoom =
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -5,6 +5,7 @@
  */
 
 #include "core/clock.h"
+#include "policy/decodebacklog.h"
 #include "policy/prefilldurationestimator.h"
 
 #include <cstdint>
@@ -33,9 +34,14 @@
     double usualPace = 1; ///< Low quantile of the reported paces.
     /** Prefills prompts that others decode; otherwise only those that it decodes. */
     bool isPrefillEngine = false;
-    bool usable = true; ///< Accepts new requests.
-    bool probe = false; ///< Ejected and due for a probe request.
-    bool held = false;  ///< Has just registered and may be assigned another stage shortly.
+    bool usable = true;         ///< Accepts new requests.
+    bool probe = false;         ///< Ejected and due for a probe request.
+    bool held = false;          ///< Has just registered and may be assigned another stage shortly.
+    double remainingTokens = 0; ///< Output tokens that its streams still have to produce.
+    /** Requests that the endpoint itself states, waiting ones included. The excess over running
+     * fades with the age of the report. */
+    double reported = 0;
+    bool reportsWaiting = false; ///< States that requests wait for a slot.
 };
 
 /** Properties of a prompt that its placement depends on. */
@@ -149,6 +155,9 @@
  * so that wrong figures never take an engine out of use. */
 double prefillFactor(const PlacementCandidate &engine);
 
+/** Factor by which a run on an endpoint takes longer than usual at this moment. */
+double runFactor(const PlacementCandidate &endpoint);
+
 /** Chooses the engine with the lowest predicted time to the first token, among prefill engines and
  * decode engines that prefill the prompt themselves. Returns nothing if no engine is usable. */
 std::optional<PrefillChoice> choosePrefillEngine(const std::vector<PlacementCandidate> &engines,
@@ -163,6 +172,45 @@
                                                 const PlacementSettings &settings,
                                                 std::mt19937_64 &random);
 
+/** How likely a run gets a slot at once; the lower one is preferred whatever the time. */
+enum class RunRoom { Free, LastSlots, NoFreeSlot };
+
+/** What the choice of an endpoint by work left is based on. */
+struct WorkScore
+{
+    RunRoom room = RunRoom::Free;
+    double finishMs = 0;       ///< From the send to the end of the run.
+    double workLeftTokens = 0; ///< Of the streams at the endpoint.
+    double ms = 0;             ///< finishMs with the penalty for another failure domain.
+    double spread = 0;         ///< A random part in [0, spread) is added to ms.
+};
+
+/** Endpoint chosen for a run. */
+struct RunChoice
+{
+    std::optional<size_t> index;       ///< Nothing: no endpoint is usable.
+    core::Milliseconds expectedTime{}; ///< From the send to the end of the run; 0: not predicted.
+    double workLeftTokens = 0;         ///< Of the streams at the endpoint.
+};
+
+/** Mean tokens left of a stream over all endpoints, for those that do not state it.
+ * \param outputTokens expected output of the run to be placed. */
+double usualRemainingTokens(const std::vector<PlacementCandidate> &endpoints, double outputTokens);
+
+/** Scores an endpoint for a run by the work that it has left. Among the endpoints with the best
+ * room, the lowest ms is chosen.
+ * \param usualRemaining result of usualRemainingTokens().
+ * \param domain from which the run is sent. */
+WorkScore scoreRunByWork(const PlacementCandidate &endpoint, double outputTokens,
+                         double usualRemaining, std::string_view domain,
+                         const DecodeStepEstimator &steps, const PlacementSettings &settings);
+
+/** Chooses the endpoint at which a run ends soonest, among those with the best room. If all seem
+ * full, or if predictsByPace is not set, chooseLeastLoadedEndpoint() decides. */
+RunChoice chooseRunner(const std::vector<PlacementCandidate> &endpoints, double outputTokens,
+                       std::string_view domain, const DecodeStepEstimator &steps,
+                       const PlacementSettings &settings, std::mt19937_64 &random);
+
 /** Marks the held endpoints as unusable, unless no other decode engine has a free slot. */
 void applyHolds(std::vector<PlacementCandidate> &endpoints);
 
--- a/src/serving/endpoints.h
+++ b/src/serving/endpoints.h
@@ -29,6 +29,11 @@
 {
     uint32_t running = 0;       ///< Requests in progress.
     uint32_t backlogTokens = 0; ///< Prompt tokens sent and not prefilled yet.
+    /** Output tokens that the requests still have to produce; 0 where placement does not use it
+     * (policy::PlacementSettings::predictsByPace). */
+    uint32_t remainingTokens = 0;
+
+    OutstandingLoad &operator+=(const OutstandingLoad &other);
 };
 
 /** Load that an endpoint has reported, with the age of the report. */
@@ -220,6 +225,11 @@
 };
 Obstacles obstaclesOf(const Endpoint &endpoint, core::TimePoint now);
 
+/** Adds the requests that an endpoint has reported beyond those that the gateways know of, and
+ * whether it has reported waiting ones, if the report is recent. */
+void addReportedLoad(policy::PlacementCandidate &view, const Endpoint &endpoint,
+                     core::TimePoint now);
+
 /** \return the view of an endpoint for a placement. */
 policy::PlacementCandidate placementViewOf(const Endpoint &endpoint,
                                            const std::vector<policy::PrefixLink> &prompt,
--- a/src/serving/gateway.cpp
+++ b/src/serving/gateway.cpp
@@ -139,6 +139,9 @@
           [this](const std::string &service) -> policy::DecodeStepEstimator & {
               return m_decodeSteps[service];
           },
+          [this](const std::string &service) -> policy::DecodeStepEstimator & {
+              return m_runSteps[service];
+          },
           std::make_shared<http::BufferBudget>(m_settings.memoryBytes / AnswerMemoryDivisor),
           [this](const QuotaCharge &charge) { m_quotas.refund(charge); }},
       m_config(nullptr),
--- a/src/serving/gossip.cpp
+++ b/src/serving/gossip.cpp
@@ -100,7 +100,7 @@
     gossip.rates = {reader.getPromptTokensPerSecond(), reader.getOutputTokensPerSecond()};
     for (const auto it : reader.getShares())
         gossip.shares.push_back({it.getEndpoint(),
-                                 {it.getRunning(), it.getBacklogTokens()},
+                                 {it.getRunning(), it.getBacklogTokens(), it.getRemainingTokens()},
                                  it.getChanging(),
                                  it.getFailing(),
                                  it.getLeaving(),
@@ -218,6 +218,7 @@
         shares[i].setEndpoint(gossip.shares[i].endpoint);
         shares[i].setRunning(static_cast<uint16_t>(gossip.shares[i].load.running));
         shares[i].setBacklogTokens(gossip.shares[i].load.backlogTokens);
+        shares[i].setRemainingTokens(gossip.shares[i].load.remainingTokens);
         shares[i].setChanging(gossip.shares[i].changing);
         shares[i].setFailing(gossip.shares[i].failing);
         shares[i].setLeaving(gossip.shares[i].leaving);
--- a/src/serving/session.h
+++ b/src/serving/session.h
@@ -12,6 +12,7 @@
 #include "policy/placement.h"
 #include "policy/prefillrateestimator.h"
 #include "policy/prefilltimeestimator.h"
+#include "policy/requestcost.h"
 #include "policy/sendbudget.h"
 #include "serving/endpointhealth.h"
 #include "serving/eventframer.h"
@@ -62,6 +63,8 @@
     PrefixBlockGossip &prefixBlockGossip;
     QuarantineKeeper &quarantine;
     std::function<policy::DecodeStepEstimator &(const std::string &service)> decodeSteps;
+    /** Step times of an engine of usual speed; learned where placement predicts runs. */
+    std::function<policy::DecodeStepEstimator &(const std::string &service)> runSteps;
     std::shared_ptr<http::BufferBudget> answerBudget; ///< Of answers that are buffered here.
     std::function<void(const QuotaCharge &)> refundQuota;
     std::set<std::shared_ptr<Session>> open{}; ///< Sessions that have not ended.
@@ -78,6 +81,26 @@
                             const policy::PlacementSettings &placement,
                             const policy::OutputLengthEstimator &outputLengths);
 
+/** Why a request that no engine can hold is refused. */
+inline constexpr char TooLargeForEngines[] = "the request exceeds the memory of the engines";
+
+/** Expected output of a stream and what limits it. */
+struct StreamWork
+{
+    double outputTokens = 0; ///< Expected; 0: placement does not depend on it.
+    uint32_t tokensPerEvent = 1;
+    policy::RequestCost cost;
+    uint64_t memoryLimit = 0; ///< Tokens that an engine can hold; 0: not known.
+    bool tooLarge = false;    ///< No engine can ever hold the request, so it is refused.
+};
+
+/** Determines the work of a request at the engines of its service. A request that is not a stream,
+ * or whose service has no engines, has none. */
+StreamWork streamWork(const FleetConfig &config, const Route &route, uint32_t promptTokens,
+                      const policy::OutputRequest &request,
+                      const policy::PlacementSettings &placement,
+                      const policy::OutputLengthEstimator &outputLengths);
+
 /** Bounds of the Retry-After of a refusal for lack of room; the value is random within them. */
 struct RetryAfterRange
 {
@@ -135,6 +158,18 @@
     void sendRunTo(const EndpointPtr &endpoint);
     uint32_t enginePriority() const;
     EndpointPtr chooseRunner();
+    /** Determines the expected output, where placement depends on it. \return false if the request
+     * has ended, as no engine can hold it. */
+    bool estimateWork();
+    /** Records at the endpoint of the send what the request still has to produce. */
+    void updateWork();
+    /** Removes this from the endpoint. */
+    void removeWork();
+    /** Output tokens that this request's runs have sent. */
+    double streamedTokens() const;
+    void recordRunTime();
+    /** Determines the expected time of a run at the engine that was assigned to its prompt. */
+    void expectRunAt(const Endpoint &endpoint, core::Milliseconds firstToken);
     void send(Purpose purpose, const EndpointPtr &endpoint, SendMetadata metadata);
     /** Ends the send in progress; its connection returns to the pool or is closed. */
     void endSend(bool keepConnection);
@@ -229,6 +264,12 @@
     PrefillPlan m_prefillPlan;        ///< Without an engine: no plan.
     uint32_t m_sentBacklogTokens = 0; ///< This send's part of the endpoint's backlog.
     EventCounter m_events;            ///< Events of this send's answer.
+    uint64_t m_earlierEvents = 0;     ///< Events of earlier sends' answers.
+    /** Expected output of the request; 0: placement does not depend on it. */
+    double m_plannedOutputTokens = 0;
+    uint32_t m_tokensPerEvent = 1;
+    uint32_t m_sentRemainingTokens = 0; ///< This send's part of the endpoint's remaining tokens.
+    policy::RunChoice m_runChoice;      ///< Of the last placement of a run.
     http::Head m_head;
     AnswerMetadata m_answer;
     double m_expectedOutputTokens = 0;
