--- a/src/serving/main.cpp
+++ b/src/serving/main.cpp
@@ -12,9 +12,12 @@
 #include <boost/asio/signal_set.hpp>
 #include <gflags/gflags.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <optional>
+#include <string>
 
 DEFINE_string(
     settings, "",
@@ -54,6 +57,23 @@
     return path ? path : "";
 }
 
+// Returns the first argument that is not a flag of this program. The flag library ends the process
+// with status 1 at such an argument.
+std::optional<std::string> unknownFlag(int argc, char **argv)
+{
+    for (int i = 1; i < argc; ++i) {
+        const std::string argument = argv[i];
+        const size_t begin = argument.find_first_not_of('-');
+        if (begin == 0 || begin == std::string::npos)
+            continue;
+        const std::string name = argument.substr(begin, argument.find('=') - begin);
+        gflags::CommandLineFlagInfo info;
+        if (!gflags::GetCommandLineFlagInfo(name.c_str(), &info))
+            return argument;
+    }
+    return std::nullopt;
+}
+
 // Runs the command --explain. \return the exit status.
 int explain(int argc, char **argv)
 {
@@ -104,6 +124,12 @@
 int runGateway(int argc, char **argv)
 {
     gflags::SetUsageMessage("routes client requests to the endpoints of the fleet");
+    const bool explains = std::any_of(
+        argv + 1, argv + argc, [](const char *it) { return std::string(it) == "--explain"; });
+    if (const auto flag = explains ? unknownFlag(argc, argv) : std::nullopt) {
+        std::cerr << "jujube-gateway: unknown flag " << *flag << '\n';
+        return ExitUsage;
+    }
     gflags::ParseCommandLineFlags(&argc, &argv, true);
     if (FLAGS_explain)
         return explain(argc, argv);
