--- a/test/soak/soakdeployment.h
+++ b/test/soak/soakdeployment.h
@@ -48,7 +48,7 @@
     RetryBudgetLimits retryLimits{};
     std::optional<QuotaRule> quotaRule{};
     bool contention = false; ///< Teams get equal shares while prompts wait.
-    uint64_t memoryMb = 0; ///< Of each gateway; 0: their default.
+    uint64_t memoryMb = 0;   ///< Of each gateway; 0: their default.
 };
 
 /** Gateways as child processes, fakes in this process, and relays between them. */
