Review case 6: an order runs on several workers

Cause: a request whose last byte was not sent is taken for one that has not run. A worker may work on and answer a request before it has read a long body.

Workers begin an order of 1 MB when they have its head, work on it for 3 s and read on after their answer. After 2.25 s the gateway resets the connection and sends the order to the next worker.

--- a/review/casekit/caseclient.cpp
+++ b/review/casekit/caseclient.cpp
@@ -60,7 +60,7 @@
 }
 
 std::shared_ptr<CaseCall> CaseClient::send(const std::string &method, const std::string &target,
-                                           const std::string &id, ReadPace pace)
+                                           const std::string &id, ReadPace pace, size_t bodyBytes)
 {
     m_call = std::make_shared<CaseCall>();
     m_call->id = id;
@@ -69,11 +69,13 @@
     m_bytesSincePause = 0;
     m_paused = false;
     m_head.clear();
-    m_request = core::concat(method, " ", target, " HTTP/1.1\r\nHost: ", CaseFleet::Host,
-                             "\r\nRequest-Id: ", id, "\r\nX-Api-Key: ", CaseFleet::Key,
-                             "\r\nDeadline-Ms: 10000\r\n",
-                             method == "GET" ? "" : "Content-Length: 0\r\n", "\r\n");
-    m_record.add(m_name, " sends ", method, " ", target, " ", id);
+    m_request = core::concat(
+        method, " ", target, " HTTP/1.1\r\nHost: ", CaseFleet::Host, "\r\nRequest-Id: ", id,
+        "\r\nX-Api-Key: ", CaseFleet::Key, "\r\nDeadline-Ms: 10000\r\n",
+        method == "GET" ? "" : core::concat("Content-Length: ", bodyBytes, "\r\n"), "\r\n");
+    m_request.append(bodyBytes, 'x');
+    m_record.add(m_name, " sends ", method, " ", target, " ", id,
+                 bodyBytes > 0 ? core::concat(", body of ", bodyBytes, " bytes") : "");
     asio::async_write(m_socket, asio::buffer(m_request),
                       [self = shared_from_this()](const ErrorCode &ec, size_t) {
                           if (ec)
--- a/review/casekit/caseclient.h
+++ b/review/casekit/caseclient.h
@@ -49,9 +49,9 @@
 
     /** \param receiveBufferBytes of the kernel; 0: its default, which it enlarges by itself. */
     bool connect(const std::string &address, int receiveBufferBytes = 0);
-    /** Sends a request without a body. Its answer must state its length. */
+    /** Sends a request. Its answer must state its length. */
     std::shared_ptr<CaseCall> send(const std::string &method, const std::string &target,
-                                   const std::string &id, ReadPace pace = {});
+                                   const std::string &id, ReadPace pace = {}, size_t bodyBytes = 0);
     void close();
 
 private:
--- a/review/casekit/casefleet.cpp
+++ b/review/casekit/casefleet.cpp
@@ -91,6 +91,11 @@
     return m_endpoints.back().get();
 }
 
+std::string CaseFleet::endpointAddress(size_t number) const
+{
+    return address(3, static_cast<uint16_t>(EndpointPort + number));
+}
+
 void CaseFleet::publishConfig(const std::vector<CaseRoute> &routes, const std::string &services)
 {
     std::string list;
--- a/review/casekit/casefleet.h
+++ b/review/casekit/casefleet.h
@@ -58,11 +58,12 @@
     /** Adds a worker and registers it. Null if its address cannot be used. */
     test::FakeEndpoint *addEndpoint(const std::string &service,
                                     serving::Stage stage = serving::Stage::None);
+    /** Address for a further stand-in of a worker. */
+    std::string endpointAddress(size_t number) const;
     /** Writes a configuration with these routes, as the operator does.
      * \param services members of the list of services. */
     void publishConfig(const std::vector<CaseRoute> &routes, const std::string &services);
-    /** Starts a gateway and waits until it is ready.
-     * \param contracts of the settings file. */
+    /** Starts a gateway and waits until it is ready. */
     bool startGateway();
     void signalGateway(size_t gateway, int number);
     std::string clientAddress(size_t gateway) const;
--- /dev/null
+++ b/review/casekit/longworker.h
@@ -0,0 +1,64 @@
+#pragma once
+
+/** \file
+ * Defines a stand-in of a worker whose work on a request takes seconds.
+ */
+
+#include "caserecord.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace jujube::review {
+
+/** When the worker begins to work on a request, and reads its body. */
+enum class WorkStart {
+    AfterBody, ///< It reads the whole body first.
+    AfterHead  ///< It reads the body only after its answer, and keeps the connection.
+};
+
+/** Runs the requests of a service: answers each with 200 once it has worked on it. It stops its
+ * work if the connection ends. */
+class LongWorker
+{
+public:
+    LongWorker(boost::asio::io_context &io, CaseRecord &record, std::string id, WorkStart start,
+               core::Milliseconds workTime);
+    ~LongWorker();
+    LongWorker(const LongWorker &) = delete;
+    LongWorker &operator=(const LongWorker &) = delete;
+
+    bool listen(const std::string &address);
+    /** Entry of the worker in the store, as JSON. */
+    std::string makeEntry(const std::string &service) const;
+    const std::string &id() const { return m_id; }
+    /** Number of times that it began to work on a request. */
+    size_t runCount(const std::string &requestId) const;
+
+private:
+    struct Connection;
+
+    void accept();
+    void readHead(const std::shared_ptr<Connection> &connection);
+    void handleHead(const std::shared_ptr<Connection> &connection);
+    void readBody(const std::shared_ptr<Connection> &connection);
+    void work(const std::shared_ptr<Connection> &connection);
+    void watchForClose(const std::shared_ptr<Connection> &connection);
+    void answer(const std::shared_ptr<Connection> &connection);
+    void end(const std::shared_ptr<Connection> &connection, const std::string &why);
+
+    boost::asio::io_context &m_io;
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    CaseRecord &m_record;
+    std::string m_id;
+    std::string m_address;
+    WorkStart m_start;
+    core::Milliseconds m_workTime;
+    std::map<std::string, size_t> m_runs;
+};
+
+} // namespace jujube::review
