Review case 6: an order runs again after an early answer

Cause: a worker answers 200 before it has read a long body and closes the connection. The gateway sees the failed write before it reads the answer, and takes the order for one that has not run.

--- a/review/casekit/longworker.cpp
+++ b/review/casekit/longworker.cpp
@@ -49,12 +49,13 @@
 };
 
 LongWorker::LongWorker(asio::io_context &io, CaseRecord &record, std::string id, WorkStart start,
-                       core::Milliseconds workTime)
+                       AfterAnswer after, core::Milliseconds workTime)
     : m_io(io),
       m_acceptor(io),
       m_record(record),
       m_id(std::move(id)),
       m_start(start),
+      m_after(after),
       m_workTime(workTime)
 {
 }
@@ -188,11 +189,12 @@
                  " bytes of its body are not read yet");
     const std::string body = core::concat("receipt of ", connection->requestId);
     connection->output = core::concat("HTTP/1.1 200 OK\r\nRequest-Id: ", connection->requestId,
-                                      "\r\nServer-Seal: ", m_id,
-                                      ".seal\r\nContent-Length: ", body.size(), "\r\n\r\n", body);
+                                      "\r\nServer-Seal: ", m_id, ".seal\r\n",
+                                      m_after == AfterAnswer::Closes ? "Connection: close\r\n" : "",
+                                      "Content-Length: ", body.size(), "\r\n\r\n", body);
     asio::async_write(connection->socket, asio::buffer(connection->output),
                       [this, connection](const ErrorCode &ec, size_t) {
-                          if (ec)
+                          if (ec || m_after == AfterAnswer::Closes)
                               end(connection, ec.message());
                           else if (connection->bodyLeft > 0)
                               readBody(connection);
--- a/review/casekit/longworker.h
+++ b/review/casekit/longworker.h
@@ -1,7 +1,7 @@
 #pragma once
 
 /** \file
- * Defines a stand-in of a worker whose work on a request takes seconds.
+ * Defines a stand-in of a worker that may begin to work before it has read the body of a request.
  */
 
 #include "caserecord.h"
@@ -21,13 +21,19 @@
     AfterHead  ///< It reads the body only after its answer, and keeps the connection.
 };
 
+/** What the worker does with the connection once it has answered. */
+enum class AfterAnswer {
+    KeepsConnection, ///< It reads what is left of the body first.
+    Closes           ///< It says so in its answer.
+};
+
 /** Runs the requests of a service: answers each with 200 once it has worked on it. It stops its
  * work if the connection ends. */
 class LongWorker
 {
 public:
     LongWorker(boost::asio::io_context &io, CaseRecord &record, std::string id, WorkStart start,
-               core::Milliseconds workTime);
+               AfterAnswer after, core::Milliseconds workTime);
     ~LongWorker();
     LongWorker(const LongWorker &) = delete;
     LongWorker &operator=(const LongWorker &) = delete;
@@ -57,6 +63,7 @@
     std::string m_id;
     std::string m_address;
     WorkStart m_start;
+    AfterAnswer m_after;
     core::Milliseconds m_workTime;
     std::map<std::string, size_t> m_runs;
 };
