Review case 9: streams break off at workers that read on later

Cause: once an answer has begun, the kernel's user timeout of 2.5 s is set again on the connection to the worker, although the rest of the request is unsent.

--- a/review/casekit/caseclient.cpp
+++ b/review/casekit/caseclient.cpp
@@ -17,6 +17,7 @@
 using ErrorCode = boost::system::error_code;
 
 constexpr std::string_view EndOfHead = "\r\n\r\n";
+constexpr std::string_view EndOfChunks = "\r\n0\r\n\r\n";
 
 // Reads the status and the length from the head of an answer.
 void parseHead(const std::string &head, CaseCall &call)
@@ -69,6 +70,7 @@
     m_bytesSincePause = 0;
     m_paused = false;
     m_head.clear();
+    m_tail.clear();
     m_request = core::concat(
         method, " ", target, " HTTP/1.1\r\nHost: ", CaseFleet::Host, "\r\nRequest-Id: ", id,
         "\r\nX-Api-Key: ", CaseFleet::Key, "\r\nDeadline-Ms: 10000\r\n",
@@ -118,6 +120,15 @@
         finish(call.bodyBytes == *call.length, "");
         return;
     }
+    // A body of chunks ends with an empty one.
+    m_tail =
+        (m_tail + std::string(m_buffer.data(), n))
+            .substr(n + m_tail.size() > EndOfChunks.size() ? n + m_tail.size() - EndOfChunks.size()
+                                                           : 0);
+    if (!call.length && m_tail == EndOfChunks) {
+        finish(true, "");
+        return;
+    }
     const bool pauses = m_pace.pause.count() > 0 && (m_pace.repeated || !m_paused)
         && m_bytesSincePause >= m_pace.bytesBeforePause;
     if (pauses)
@@ -148,7 +159,7 @@
     const auto taken =
         std::chrono::duration_cast<core::Milliseconds>(m_call->endedAt - m_call->sentAt);
     m_record.add(m_name, " got ", m_call->id, " status ", m_call->status, ", ", m_call->bodyBytes,
-                 " of ", m_call->length.value_or(0), " bytes, ",
+                 m_call->length ? core::concat(" of ", *m_call->length) : "", " bytes, ",
                  complete ? "complete" : core::concat("the connection ended: ", error), ", after ",
                  taken.count(), " ms");
 }
--- a/review/casekit/caseclient.h
+++ b/review/casekit/caseclient.h
@@ -49,7 +49,7 @@
 
     /** \param receiveBufferBytes of the kernel; 0: its default, which it enlarges by itself. */
     bool connect(const std::string &address, int receiveBufferBytes = 0);
-    /** Sends a request. Its answer must state its length. */
+    /** Sends a request. Its answer must state its length or have chunks. */
     std::shared_ptr<CaseCall> send(const std::string &method, const std::string &target,
                                    const std::string &id, ReadPace pace = {}, size_t bodyBytes = 0);
     void close();
@@ -68,6 +68,7 @@
     std::string m_name;
     std::string m_request;
     std::string m_head;
+    std::string m_tail; ///< Last bytes of the answer.
     std::array<char, 16'384> m_buffer{};
     std::shared_ptr<CaseCall> m_call;
     ReadPace m_pace;
--- a/review/casekit/casefleet.cpp
+++ b/review/casekit/casefleet.cpp
@@ -103,7 +103,7 @@
         core::append(list, list.empty() ? "" : ",", R"({"Name":"r)", it.prefix, R"(","Host":")",
                      Host, R"(","PathPrefix":")", it.prefix, R"(","Kind":")", it.kind,
                      R"(","Service":")", it.service, R"(","TimeoutMs":)", it.timeout.count(),
-                     R"(,"TargetLatencyMs":300,"TargetGapMs":200,"Priority":1)", it.more, "}");
+                     R"(,"TargetLatencyMs":300,"TargetGapMs":400,"Priority":1)", it.more, "}");
     m_store.put("op/config",
                 core::concat(R"({"Version":)", ++m_configVersion, R"(,"Routes":[)", list,
                              R"(],"Services":[)", services,
--- a/review/casekit/longworker.cpp
+++ b/review/casekit/longworker.cpp
@@ -15,6 +15,7 @@
 using asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 
+constexpr core::Milliseconds EventInterval{400};
 constexpr std::string_view EndOfHead = "\r\n\r\n";
 
 // Value of a header field in the bytes of a head.
@@ -44,19 +45,22 @@
     std::string output;
     std::string requestId;
     size_t bodyLeft = 0;
+    core::TimePoint workEndsAt{};
+    size_t events = 0;
     bool working = false;
     bool answered = false;
 };
 
 LongWorker::LongWorker(asio::io_context &io, CaseRecord &record, std::string id, WorkStart start,
-                       AfterAnswer after, core::Milliseconds workTime)
+                       AfterAnswer after, core::Milliseconds workTime, AnswerKind kind)
     : m_io(io),
       m_acceptor(io),
       m_record(record),
       m_id(std::move(id)),
       m_start(start),
       m_after(after),
-      m_workTime(workTime)
+      m_workTime(workTime),
+      m_kind(kind)
 {
 }
 
@@ -163,12 +167,54 @@
     m_record.add(m_id, " begins to work on ", connection->requestId, ", ", connection->bodyLeft,
                  " bytes of its body are not read yet");
     connection->working = true;
+    watchForClose(connection);
+    if (m_kind == AnswerKind::Events) {
+        connection->workEndsAt = core::BootClock::now() + m_workTime;
+        connection->events = 0;
+        write(connection,
+              core::concat("HTTP/1.1 200 OK\r\nRequest-Id: ", connection->requestId,
+                           "\r\nServer-Seal: ", m_id,
+                           ".seal\r\nContent-Type: text/event-stream\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n"),
+              [this, connection]() { writeEvents(connection); });
+        return;
+    }
     connection->timer.expires_after(m_workTime);
     connection->timer.async_wait([this, connection](const ErrorCode &ec) {
         if (!ec && connection->working)
             answer(connection);
     });
-    watchForClose(connection);
+}
+
+void LongWorker::writeEvents(const std::shared_ptr<Connection> &connection)
+{
+    if (core::BootClock::now() >= connection->workEndsAt) {
+        write(connection, "0\r\n\r\n", [this, connection]() { handleAnswered(connection); });
+        return;
+    }
+    const std::string event =
+        core::concat("id: ", ++connection->events, "\ndata: ", connection->requestId, "\n\n");
+    write(connection, core::concat(absl::Hex(event.size()), "\r\n", event, "\r\n"),
+          [this, connection]() {
+              connection->timer.expires_after(EventInterval);
+              connection->timer.async_wait([this, connection](const ErrorCode &ec) {
+                  if (!ec && connection->working)
+                      writeEvents(connection);
+              });
+          });
+}
+
+void LongWorker::write(const std::shared_ptr<Connection> &connection, std::string bytes,
+                       std::function<void()> done)
+{
+    connection->output = std::move(bytes);
+    asio::async_write(connection->socket, asio::buffer(connection->output),
+                      [this, connection, done = std::move(done)](const ErrorCode &ec, size_t) {
+                          if (ec)
+                              end(connection, ec.message());
+                          else
+                              done();
+                      });
 }
 
 // The end of the connection is visible without a read: the kernel reports an error.
@@ -182,25 +228,28 @@
 }
 
 void LongWorker::answer(const std::shared_ptr<Connection> &connection)
+{
+    const std::string body = core::concat("receipt of ", connection->requestId);
+    write(connection,
+          core::concat("HTTP/1.1 200 OK\r\nRequest-Id: ", connection->requestId,
+                       "\r\nServer-Seal: ", m_id, ".seal\r\n",
+                       m_after == AfterAnswer::Closes ? "Connection: close\r\n" : "",
+                       "Content-Length: ", body.size(), "\r\n\r\n", body),
+          [this, connection]() { handleAnswered(connection); });
+}
+
+void LongWorker::handleAnswered(const std::shared_ptr<Connection> &connection)
 {
     connection->working = false;
     connection->answered = true;
-    m_record.add(m_id, " answers ", connection->requestId, " with 200, ", connection->bodyLeft,
+    m_record.add(m_id, " has answered ", connection->requestId, " with 200, ", connection->bodyLeft,
                  " bytes of its body are not read yet");
-    const std::string body = core::concat("receipt of ", connection->requestId);
-    connection->output = core::concat("HTTP/1.1 200 OK\r\nRequest-Id: ", connection->requestId,
-                                      "\r\nServer-Seal: ", m_id, ".seal\r\n",
-                                      m_after == AfterAnswer::Closes ? "Connection: close\r\n" : "",
-                                      "Content-Length: ", body.size(), "\r\n\r\n", body);
-    asio::async_write(connection->socket, asio::buffer(connection->output),
-                      [this, connection](const ErrorCode &ec, size_t) {
-                          if (ec || m_after == AfterAnswer::Closes)
-                              end(connection, ec.message());
-                          else if (connection->bodyLeft > 0)
-                              readBody(connection);
-                          else
-                              readHead(connection);
-                      });
+    if (m_after == AfterAnswer::Closes)
+        end(connection, "");
+    else if (connection->bodyLeft > 0)
+        readBody(connection);
+    else
+        readHead(connection);
 }
 
 void LongWorker::end(const std::shared_ptr<Connection> &connection, const std::string &why)
--- a/review/casekit/longworker.h
+++ b/review/casekit/longworker.h
@@ -9,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -27,13 +28,20 @@
     Closes           ///< It says so in its answer.
 };
 
-/** Runs the requests of a service: answers each with 200 once it has worked on it. It stops its
- * work if the connection ends. */
+/** How the worker answers. */
+enum class AnswerKind {
+    Document, ///< Once its work is done.
+    Events    ///< A stream of events while it works.
+};
+
+/** Runs the requests of a service, and answers each with 200. It stops its work if the connection
+ * ends. */
 class LongWorker
 {
 public:
     LongWorker(boost::asio::io_context &io, CaseRecord &record, std::string id, WorkStart start,
-               AfterAnswer after, core::Milliseconds workTime);
+               AfterAnswer after, core::Milliseconds workTime,
+               AnswerKind kind = AnswerKind::Document);
     ~LongWorker();
     LongWorker(const LongWorker &) = delete;
     LongWorker &operator=(const LongWorker &) = delete;
@@ -55,6 +63,10 @@
     void work(const std::shared_ptr<Connection> &connection);
     void watchForClose(const std::shared_ptr<Connection> &connection);
     void answer(const std::shared_ptr<Connection> &connection);
+    void writeEvents(const std::shared_ptr<Connection> &connection);
+    void write(const std::shared_ptr<Connection> &connection, std::string bytes,
+               std::function<void()> done);
+    void handleAnswered(const std::shared_ptr<Connection> &connection);
     void end(const std::shared_ptr<Connection> &connection, const std::string &why);
 
     boost::asio::io_context &m_io;
@@ -65,6 +77,7 @@
     WorkStart m_start;
     AfterAnswer m_after;
     core::Milliseconds m_workTime;
+    AnswerKind m_kind;
     std::map<std::string, size_t> m_runs;
 };
 
