--- a/review/casekit/casefleet.cpp
+++ b/review/casekit/casefleet.cpp
@@ -1,5 +1,6 @@
 #include "casefleet.h"
 
+#include <array>
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
@@ -25,6 +26,20 @@
 constexpr Milliseconds StartTime{15'000};
 constexpr Milliseconds ProbeTime{500};
 constexpr Milliseconds LoopStep{5};
+constexpr size_t MaxGateways = 8;
+constexpr int CannotRun = 2;
+
+// Processes to end if this one is ended by a signal.
+std::array<volatile pid_t, MaxGateways> startedPids{};
+
+void endProcesses(int)
+{
+    for (const pid_t it : startedPids) {
+        if (it > 0)
+            kill(it, SIGKILL);
+    }
+    _exit(CannotRun);
+}
 
 } // namespace
 
@@ -45,6 +60,8 @@
           }),
       m_client(io)
 {
+    std::signal(SIGTERM, endProcesses);
+    std::signal(SIGINT, endProcesses);
     // Addresses of its own for each run, as the ports are fixed.
     constexpr uint32_t hosts = 250;
     const auto pid = static_cast<uint32_t>(getpid());
@@ -166,6 +183,8 @@
     posix_spawn_file_actions_destroy(&actions);
     if (failed != 0)
         return false;
+    if (m_gateways.size() < startedPids.size())
+        startedPids.at(m_gateways.size()) = process.pid;
     m_gateways.push_back(process);
     m_record.add("gateway ", process.name, " started at ", process.ip);
     return runUntil([this, ip = process.ip]() { return isReady(ip); }, StartTime);
@@ -200,7 +219,7 @@
 {
     Process &process = m_gateways.at(gateway);
     if (process.pid > 0 && waitpid(process.pid, nullptr, WNOHANG) == process.pid)
-        process.pid = 0;
+        startedPids.at(gateway) = process.pid = 0;
     return process.pid > 0;
 }
 
