--- a/review/6/earlyanswercase.cpp
+++ b/review/6/earlyanswercase.cpp
@@ -24,7 +24,8 @@
 constexpr int Broken = 1;
 constexpr int CannotRun = 2;
 constexpr size_t Workers = 3;
-constexpr size_t Clients = 20;
+constexpr size_t Rounds = 6;
+constexpr size_t OrdersOfRound = 5;      // A worker has six slots, whichever of them it gets.
 constexpr size_t BodyBytes = 1UL << 20U; // A quarter of the limit in the configuration.
 constexpr Milliseconds WorkTime{30};
 constexpr Milliseconds WholeTime{12'000};
@@ -54,19 +55,22 @@
         return CannotRun;
     std::vector<std::shared_ptr<CaseClient>> clients;
     std::vector<std::shared_ptr<CaseCall>> calls;
-    for (size_t i = 0; i < Clients; ++i) {
-        clients.push_back(CaseClient::create(io, record, core::concat("client-", i)));
-        if (!clients.back()->connect(fleet.clientAddress(0)))
-            return CannotRun;
-        calls.push_back(
-            clients.back()->send("POST", "/release/1", core::concat("order-", i), {}, BodyBytes));
+    for (size_t round = 0; round < Rounds; ++round) {
+        for (size_t i = 0; i < OrdersOfRound; ++i) {
+            clients.push_back(
+                CaseClient::create(io, record, core::concat("client-", clients.size())));
+            if (!clients.back()->connect(fleet.clientAddress(0)))
+                return CannotRun;
+            calls.push_back(clients.back()->send(
+                "POST", "/release/1", core::concat("order-", calls.size()), {}, BodyBytes));
+        }
+        fleet.runUntil(
+            [&]() {
+                return std::all_of(calls.begin(), calls.end(),
+                                   [](const auto &it) { return it->ended; });
+            },
+            WholeTime);
     }
-    fleet.runUntil(
-        [&]() {
-            return std::all_of(calls.begin(), calls.end(),
-                               [](const auto &it) { return it->ended; });
-        },
-        WholeTime);
     size_t runTwice = 0;
     size_t refusedAfterRun = 0;
     for (const auto &call : calls) {
--- a/review/casekit/casefleet.cpp
+++ b/review/casekit/casefleet.cpp
@@ -27,6 +27,23 @@
 constexpr Milliseconds ProbeTime{500};
 constexpr Milliseconds LoopStep{5};
 constexpr size_t MaxGateways = 8;
+
+constexpr const char *AccraFigures =
+    "[Limits]\nCpuShare = 0.19\nCores = 1\nMemoryMb = 260\nMaxFds = 4100\nLinkMbps = 1000.0\n"
+    "DiskMb = 0\n[Bounds]\nSeedLagS = 3\nAddrReuseS = 2\nContactMs = 3000\nAckMs = 4000\n"
+    "CatchUpS = 4\nDrainMs = 2000\nGraceS = 8\nLossSlackMs = 200\nConfigApplyMs = 2000\n"
+    "DowngradeSlackMs = 250\nOuterBoundMs = 5000\nRetryBudgetRatio = 0.2\nBudgetWindowS = 10\n"
+    "RetryBudgetSlack = 58\nRequireFence = true\nLeaseMs = 3000\nThawSlackMs = 300\n"
+    "ReportWindowS = 5\nUsageTolerance = 0.05\nUsageLateS = 10\nRecoveryS = 12\n"
+    "TransitMs = 120\nRetryAfterS = 7.7\n";
+constexpr const char *RigaGrownFigures =
+    "[Limits]\nCpuShare = 0.5\nCores = 1\nMemoryMb = 160\nMaxFds = 4100\nLinkMbps = 200.0\n"
+    "DiskMb = 0\n[Bounds]\nSeedLagS = 3\nAddrReuseS = 2\nContactMs = 4000\nAckMs = 6000\n"
+    "CatchUpS = 6\nDrainMs = 3000\nGraceS = 8\nLossSlackMs = 200\nConfigApplyMs = 3000\n"
+    "DowngradeSlackMs = 250\nOuterBoundMs = 6000\nRetryBudgetRatio = 0.2\nBudgetWindowS = 10\n"
+    "RetryBudgetSlack = 84\nRequireFence = false\nLeaseMs = 3000\nThawSlackMs = 300\n"
+    "ReportWindowS = 5\nUsageTolerance = 0.05\nUsageLateS = 10\nRecoveryS = 15\n"
+    "TransitMs = 200\nRetryAfterS = 6.8\n";
 constexpr int CannotRun = 2;
 
 // Processes to end if this one is ended by a signal.
@@ -43,9 +60,10 @@
 
 } // namespace
 
-CaseFleet::CaseFleet(boost::asio::io_context &io, CaseRecord &record)
+CaseFleet::CaseFleet(boost::asio::io_context &io, CaseRecord &record, CaseSite site)
     : m_io(io),
       m_record(record),
+      m_site(site),
       m_store(io),
       m_duties(
           io,
@@ -140,16 +158,10 @@
            "\"split\", \"stream\", \"engine\", \"tenants\", \"leader\", \"platform\"]\n"
         << "[Listen]\nFront = \"" << process.ip << ":" << ClientPort << "\"\nReady = \""
         << process.ip << ":" << ReadyPort << "\"\n"
-        << "[Limits]\nCpuShare = 0.19\nCores = 1\nMemoryMb = 260\nMaxFds = 4100\n"
-           "LinkMbps = 1000.0\nDiskMb = 0\n"
-        << "[Bounds]\nSeedLagS = 3\nAddrReuseS = 2\nContactMs = 3000\nAckMs = 4000\n"
-           "CatchUpS = 4\nDrainMs = 2000\nGraceS = 8\nLossSlackMs = 200\nConfigApplyMs = 2000\n"
-           "DowngradeSlackMs = 250\nOuterBoundMs = 5000\nRetryBudgetRatio = 0.2\n"
-           "BudgetWindowS = 10\nRetryBudgetSlack = 58\nRequireFence = true\nLeaseMs = 3000\n"
-           "ThawSlackMs = 300\nReportWindowS = 5\nUsageTolerance = 0.05\nUsageLateS = 10\n"
-           "RecoveryS = 12\nTransitMs = 120\nRetryAfterS = 7.7\n"
-        << "[Platform]\nAddress = \"" << address(1, StorePort)
-        << "\"\nform = \"kv\"\nWritesPerS = 400\nReadsPerS = 2000\nHistoryS = 20\n"
+        << (m_site == CaseSite::Accra ? AccraFigures : RigaGrownFigures)
+        << "[Platform]\nAddress = \"" << address(1, StorePort) << "\"\nform = \"kv\"\nWritesPerS = "
+        << (m_site == CaseSite::Accra ? "400\nReadsPerS = 2000" : "1200\nReadsPerS = 6000")
+        << "\nHistoryS = 20\n"
            "ValueBytes = 1048576\nMinTtlMs = 1000\n"
         << "[CloudApi]\nAddress = \"" << address(1, DutyPort)
         << "\"\nRatePerS = 50.0\nDuties = [\"usage_report\", \"autoscale\"]\nDutyPerS = 50.0\n";
--- a/review/casekit/casefleet.h
+++ b/review/casekit/casefleet.h
@@ -30,6 +30,9 @@
     std::string body;
 };
 
+/** Sheet whose figures the settings of the gateways hold. */
+enum class CaseSite { Accra, RigaGrown };
+
 /** What is served to clients: a route and its service. */
 struct CaseRoute
 {
@@ -47,7 +50,7 @@
     static constexpr const char *Host = "desk.example";
     static constexpr const char *Key = "key-a";
 
-    CaseFleet(boost::asio::io_context &io, CaseRecord &record);
+    CaseFleet(boost::asio::io_context &io, CaseRecord &record, CaseSite site = CaseSite::Accra);
     ~CaseFleet();
     CaseFleet(const CaseFleet &) = delete;
     CaseFleet &operator=(const CaseFleet &) = delete;
@@ -95,6 +98,7 @@
 
     boost::asio::io_context &m_io;
     CaseRecord &m_record;
+    CaseSite m_site;
     std::string m_networkPrefix;
     std::string m_folder;
     test::FakeStore m_store;
