--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -82,6 +82,8 @@
     /** Whether the peer certainly has not received the whole request of this exchange, and cannot
      * receive it after reset(). False if the peer has begun to answer. */
     bool requestIncomplete() const { return !m_answerBegun && m_writtenBytes < m_requestBytes; }
+    /** Bytes of the last exchange's request that were not passed to the kernel. */
+    size_t unwrittenBytes() const { return m_requestBytes - m_writtenBytes; }
     /** What the peer has not taken of the request that was given up because it takes too little;
      * nothing if the exchange ended otherwise. */
     const std::optional<SlowSend> &slowSend() const { return m_slowSend; }
--- a/src/serving/sessionanswer.cpp
+++ b/src/serving/sessionanswer.cpp
@@ -390,6 +390,7 @@
         .with("status", m_head.status)
         .with("events", m_events.count())
         .with("blocks", sharedBlockIds())
+        .with("unwritten", m_connection ? m_connection->unwrittenBytes() : 0)
         .with("why", why);
     m_avoidedEndpoints.insert(m_endpoint->record.id);
     if (notRun && m_answer.notRun)
