Do not send on a kept connection that its peer has closed

What callers see: if an endpoint closes a kept connection while the event loop is late, the next request is written into it. It is lost with the connection, and so far it was sent again on the ground that it was not written whole as far as the process knew.

Cause: ConnectionPool::acquire() went by what the event loop had processed.

Change: it asks the kernel (poll) whether the peer has closed or sent bytes. The query is shared with the one for clients that have left.

Evidence: caller/a_kept_connection_that_its_peer_has_closed_is_not_used fails without the query (client.cpp:235) and passes with it.

Conclusion: what the kernel knows at the moment of the send is no longer found out by the failure of the request.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -131,7 +131,7 @@
         auto connection = std::move(idle.back());
         idle.pop_back();
         connection->onIdleClose({});
-        if (connection->isReusable())
+        if (connection->isReusable() && !connection->idlePeerActive())
             return connection;
         connection->close();
     }
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -1,6 +1,7 @@
 #include "http/clientconnection.h"
 
 #include "core/socketaddress.h"
+#include "http/socketstate.h"
 
 #include <boost/asio/ip/address_v4.hpp>
 
@@ -276,6 +277,11 @@
         handler->onFailure(failure, why);
 }
 
+bool ClientConnection::idlePeerActive()
+{
+    return hasPollEvents(m_socket, POLLIN | POLLRDHUP | POLLHUP | POLLERR);
+}
+
 void ClientConnection::close()
 {
     const auto self = shared_from_this();
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -78,6 +78,9 @@
     {
         return m_open && !m_exchangeActive && m_reuseDeadline > core::BootClock::now();
     }
+    /** Whether the peer of an idle connection has closed it or sent bytes, even if the event loop
+     * has not processed that yet. */
+    bool idlePeerActive();
     bool isOpen() const { return m_open; }
     /** Whether the peer certainly has not received the whole request of this exchange, and cannot
      * receive it after reset(). False if the peer has begun to answer. */
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -4,12 +4,12 @@
 #include "core/metrics.h"
 #include "core/socketaddress.h"
 #include "http/clientconnection.h"
+#include "http/socketstate.h"
 #include "http/transferrate.h"
 
 #include <boost/asio/ip/address_v4.hpp>
 
 #include <algorithm>
-#include <poll.h>
 
 namespace jujube::http {
 
@@ -431,8 +431,7 @@
 {
     if (m_closed)
         return true;
-    pollfd state{m_socket.native_handle(), POLLRDHUP, 0};
-    return poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+    return hasPollEvents(m_socket, POLLRDHUP | POLLHUP | POLLERR);
 }
 
 void ServerConnection::checkTimeouts(core::TimePoint now)
--- a/test/correctness/client.cpp
+++ b/test/correctness/client.cpp
@@ -193,3 +193,44 @@
     cr_assert(drips.has_value());
     cr_assert_leq(drips->count(), 1'800);
 }
+
+// Guards against a request that is sent on a kept connection which its peer has closed, so that it
+// is not known whether it ran: the event loop has not processed the close yet.
+Test(caller, a_kept_connection_that_its_peer_has_closed_is_not_used)
+{
+    boost::asio::io_context serverIo;
+    http::Server server(serverIo, [&](const http::Request &, const http::Responder &responder) {
+        http::Head head;
+        head.status = 200;
+        responder.send(head, "answer");
+    });
+    const std::string address = test::loopbackAddress(7008);
+    cr_assert(server.listen(address).ok());
+    boost::asio::io_context io;
+    http::ConnectionPool pool(io);
+    const auto kept = pool.acquire(address);
+    bool ended = false;
+    http::ExchangeHandler handler;
+    handler.onHead = [](const http::Head &) { return true; };
+    handler.onBody = [](std::string &bytes) { bytes.clear(); };
+    handler.onEnd = [&]() {
+        ended = true;
+        pool.release(kept);
+    };
+    handler.onFailure = [](http::Failure, const std::string &) {};
+    http::Head head;
+    head.method = "GET";
+    head.target = "/";
+    kept->send(http::renderRequest(head, {}), false, 1'000ms, std::move(handler));
+    for (int n = 0; n < 200 && !ended; ++n) {
+        serverIo.restart();
+        serverIo.run_for(1ms);
+        io.restart();
+        io.run_for(1ms);
+    }
+    cr_assert(ended);
+    cr_assert_eq(pool.acquire(address), kept);
+    pool.release(kept);
+    server.closeIdleConnections();
+    cr_assert_neq(pool.acquire(address), kept);
+}
