Read an answer that has arrived before a failed write is judged

The order ran again at the next endpoint, or its client got 503.

Cause: the answer and the reset are in the kernel when the gateway wakes. The reactor completes the pending write first, with the error; the handler of that write ended the exchange, and the read that had completed behind it was dropped.

Why this works: a failed write only ends the writing. The end of the connection follows what was received, so the read finds the answer, or the end, and decides. If the consumer has paused reading, that happens when it goes on.

The kernel reports the error of a connection once. The end counts as orderly only if the whole request was written or the kernel does not report the connection as closed.

Evidence: on earlyanswers/are_delivered* (503 in place of 200) and that_are_cut_off* (503) fail; all four pass now. With the write judged at once are_delivered* and are_read_to_their_end* fail; with each end taken as orderly that_are_cut_off* fails with 200 for 7 bytes of a body.

--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -95,6 +95,7 @@
     m_answerBegun = false;
     m_requestBytes = bytes.size();
     m_writtenBytes = 0;
+    m_writeError.clear();
     m_slowSend.reset();
     m_headDelivered = false;
     m_skippedBytes = 0;
@@ -183,14 +184,24 @@
         }
         // An orderly shutdown completes a close-delimited body; a connection reset does not.
         if (ec == asio::error::eof && self->m_headDelivered && !self->m_skippingResponse
-            && !self->m_parser->consumeEof()) {
+            && self->endedInOrder() && !self->m_parser->consumeEof()) {
             self->finishExchange();
             return;
         }
-        self->fail(Failure::ConnectionLost, ec.message());
+        self->fail(Failure::ConnectionLost,
+                   self->m_writeError.empty() ? ec.message() : self->m_writeError);
     });
 }
 
+// The kernel reports the error of a connection once. If a write has taken it, reads return what was
+// received and then the end of the stream, as after an orderly shutdown.
+bool ClientConnection::endedInOrder()
+{
+    if (unwrittenBytes() == 0)
+        return true; // No write can have failed.
+    return m_writeError.empty() && !hasPollEvents(m_socket, POLLHUP | POLLERR);
+}
+
 void ClientConnection::processInput()
 {
     if (!m_exchangeActive) {
@@ -248,7 +259,8 @@
     const Head &head = m_parser->head();
     // The connection is not reusable if the response came before the whole request was sent, as the
     // peer still expects the rest of it, or if extra bytes follow the response.
-    const bool keep = head.keepAlive && !head.closeDelimited && !m_writeActive && m_input.empty();
+    const bool keep = head.keepAlive && !head.closeDelimited && unwrittenBytes() == 0
+        && m_input.empty();
     m_reuseDeadline = core::BootClock::now() + reuseTimeout(head.fields);
     m_exchangeActive = false;
     endWatch();
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -106,6 +106,9 @@
     void write();
     void writeLastByte();
     void handleWritten();
+    void handleWriteFailed(const std::string &why);
+    /** Whether the peer has ended the connection in order, when a read returns its end. */
+    bool endedInOrder();
     /** Checks regularly, until all is sent, whether the peer takes the request. */
     void watchSend();
     void checkSend();
@@ -147,6 +150,7 @@
     // State of the request that is being sent.
     size_t m_requestBytes = 0;
     size_t m_writtenBytes = 0; ///< Passed to the kernel.
+    std::string m_writeError;  ///< Why the rest cannot be written; empty: no write has failed.
     size_t m_takenBytes = 0;   ///< Acknowledged by the peer at the last check.
     core::TimePoint m_takenAt{};
     uint32_t m_stalledChecks = 0; ///< In a row, without a byte taken.
--- a/src/http/clientoutput.cpp
+++ b/src/http/clientoutput.cpp
@@ -86,10 +86,19 @@
                                   self->m_writeActive = false;
                                   self->m_output = {};
                                   if (ec && !self->m_closed && self->m_exchangeActive)
-                                      self->fail(Failure::ConnectionLost, ec.message());
+                                      self->handleWriteFailed(ec.message());
                               });
 }
 
+// The peer may have answered before it closed the connection. What was received is read first; the
+// end of the connection, which follows it, fails the exchange if the answer is not complete.
+void ClientConnection::handleWriteFailed(const std::string &why)
+{
+    m_writeError = why;
+    endWatch();
+    read();
+}
+
 void ClientConnection::handleWritten()
 {
     const size_t left = m_requestBytes - m_writtenBytes;
