A request whose head was sent may have run

Cause: Failure::NotWhole and requestIncomplete() took "not received whole" for "not run". An endpoint may work on a request once it has the head. Three places concluded from it: the failure of a send, the deadline, and a planned stop.

Change: Failure::HeadNotSent, for a send that ended inside the head, is all that remains beside NotSent; headMayArrive() takes the place of requestIncomplete() at the deadline and the stop. A request that was not written whole is still reset, so that its peer does not go on with it. The last byte, which was held back as proof, goes out with the others.

Why it works: the statements that are left hold without any guess about the endpoint.

What callers lose: a large order at an endpoint that reads nothing got 503 with Retry-After and could return; it gets 502 or 504 now, as a small one always did.

Conclusion: no conclusion rests on how much of a body was written.

--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -26,6 +26,7 @@
 constexpr core::Milliseconds DefaultIdleTimeout{3'000};
 // Subtracted from an announced idle timeout, to allow for the transit time of a request.
 constexpr core::Milliseconds IdleTimeoutMargin{700};
+constexpr std::string_view EndOfHead = "\r\n\r\n";
 constexpr int KeepAliveSeconds = 1;
 constexpr int KeepAliveProbes = 2;
 
@@ -94,6 +95,7 @@
     m_writeStarted = false;
     m_answerBegun = false;
     m_requestBytes = bytes.size();
+    m_headBytes = bytes.find(EndOfHead) + EndOfHead.size();
     m_writtenBytes = 0;
     m_writeError.clear();
     m_slowSend.reset();
@@ -278,12 +280,13 @@
         return;
     const auto self = shared_from_this();
     const auto handler = std::exchange(m_handler, {});
-    if (!m_writeStarted) {
+    if (!m_writeStarted)
         failure = Failure::NotSent;
-    } else if (requestIncomplete()) {
-        failure = Failure::NotWhole;
+    else if (!headMayArrive())
+        failure = Failure::HeadNotSent;
+    // The peer must not receive the rest of a request that may be sent elsewhere now.
+    if (unwrittenBytes() > 0)
         discardUnsent();
-    }
     closeSocket();
     if (handler)
         handler->onFailure(failure, why);
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -22,7 +22,7 @@
 /** How an exchange failed. */
 enum class Failure {
     NotSent,        ///< No byte of the request left this process: the peer cannot have acted on it.
-    NotWhole,       ///< Its end never left this process: the peer cannot have received the whole.
+    HeadNotSent,    ///< The end of its head never left it: the peer cannot have begun to act on it.
     ConnectionLost, ///< The connection ended or timed out before the response was complete.
     Malformed,      ///< The received bytes are not a valid response.
 };
@@ -82,9 +82,12 @@
      * has not processed that yet. */
     bool idlePeerActive();
     bool isOpen() const { return m_open; }
-    /** Whether the peer certainly has not received the whole request of this exchange, and cannot
-     * receive it after reset(). False if the peer has begun to answer. */
-    bool requestIncomplete() const { return !m_answerBegun && m_writtenBytes < m_requestBytes; }
+    /** Whether the peer may have received the whole head of this exchange's request, or may do so
+     * after reset(). It may begin to work on the request then, before it reads the body. */
+    bool headMayArrive() const
+    {
+        return m_writeStarted && m_writtenBytes >= m_headBytes;
+    }
     /** Bytes of the last exchange's request that were not passed to the kernel. */
     size_t unwrittenBytes() const { return m_requestBytes - m_writtenBytes; }
     /** What the peer has not taken of the request that was given up because it takes too little;
@@ -104,7 +107,6 @@
     void handleConnected();
     void startWriting();
     void write();
-    void writeLastByte();
     void handleWritten();
     void handleWriteFailed(const std::string &why);
     /** Whether the peer has ended the connection in order, when a read returns its end. */
@@ -149,6 +151,7 @@
 
     // State of the request that is being sent.
     size_t m_requestBytes = 0;
+    size_t m_headBytes = 0;
     size_t m_writtenBytes = 0; ///< Passed to the kernel.
     std::string m_writeError;  ///< Why the rest cannot be written; empty: no write has failed.
     size_t m_takenBytes = 0;   ///< Acknowledged by the peer at the last check.
--- a/src/http/clientoutput.cpp
+++ b/src/http/clientoutput.cpp
@@ -24,9 +24,6 @@
 // The kernel takes no more while it holds this much that it has not sent yet. What is sent and not
 // acknowledged does not count, so this does not limit the rate.
 constexpr int MaxUnsentKernelBytes = 64 << 10;
-// The last byte of a larger request stays in this process until the kernel has sent the others.
-// Smaller ones fit the receive buffer of an idle connection.
-constexpr size_t MaxWholeWriteBytes = 16UL << 10U;
 constexpr core::Milliseconds CheckInterval{250};
 // A peer that has taken nothing for 2 s does not read. Checks are counted instead of the time, as
 // this process may itself be paused.
@@ -64,30 +61,27 @@
 {
     m_writeActive = true;
     m_writeStarted = true;
+    if (m_requestBytes > MaxUnsentKernelBytes)
+        setTcpOption(m_socket.native_handle(), TCP_NOTSENT_LOWAT, MaxUnsentKernelBytes);
     write();
 }
 
 void ClientConnection::write()
 {
-    size_t end = m_requestBytes;
-    if (m_requestBytes > MaxWholeWriteBytes) {
-        if (m_writtenBytes == 0)
-            setTcpOption(m_socket.native_handle(), TCP_NOTSENT_LOWAT, MaxUnsentKernelBytes);
-        end = std::max(m_writtenBytes + 1, m_requestBytes - 1);
-    }
     const auto self = shared_from_this();
-    m_socket.async_write_some(asio::buffer(m_output.data() + m_writtenBytes, end - m_writtenBytes),
-                              [self](const ErrorCode &ec, size_t n) {
-                                  self->m_writtenBytes += n;
-                                  if (!ec && !self->m_closed && self->m_exchangeActive) {
-                                      self->handleWritten();
-                                      return;
-                                  }
-                                  self->m_writeActive = false;
-                                  self->m_output = {};
-                                  if (ec && !self->m_closed && self->m_exchangeActive)
-                                      self->handleWriteFailed(ec.message());
-                              });
+    m_socket.async_write_some(
+        asio::buffer(m_output.data() + m_writtenBytes, m_requestBytes - m_writtenBytes),
+        [self](const ErrorCode &ec, size_t n) {
+            self->m_writtenBytes += n;
+            if (!ec && !self->m_closed && self->m_exchangeActive) {
+                self->handleWritten();
+                return;
+            }
+            self->m_writeActive = false;
+            self->m_output = {};
+            if (ec && !self->m_closed && self->m_exchangeActive)
+                self->handleWriteFailed(ec.message());
+        });
 }
 
 // The peer may have answered before it closed the connection. What was received is read first; the
@@ -110,28 +104,7 @@
         return;
     }
     watchSend();
-    if (left == 1 && m_requestBytes > MaxWholeWriteBytes)
-        writeLastByte();
-    else
-        write();
-}
-
-// As long as the kernel has not sent the rest, the peer cannot have received the whole request, and
-// never will if the connection is reset.
-void ClientConnection::writeLastByte()
-{
-    const int fd = m_socket.native_handle();
-    if (unsentKernelBytes() == 0) {
-        setTcpOption(fd, TCP_NOTSENT_LOWAT, MaxUnsentKernelBytes);
-        write();
-        return;
-    }
-    setTcpOption(fd, TCP_NOTSENT_LOWAT, 1); // Writable as soon as all is sent.
-    const auto self = shared_from_this();
-    m_socket.async_wait(asio::socket_base::wait_write, [self](const ErrorCode &ec) {
-        if (!ec && !self->m_closed && self->m_exchangeActive)
-            self->writeLastByte();
-    });
+    write();
 }
 
 void ClientConnection::watchSend()
@@ -189,8 +162,6 @@
     setTcpOption(m_socket.native_handle(), TCP_USER_TIMEOUT, static_cast<int>(UserTimeout.count()));
 }
 
-// The peer may have received the whole request if only the kernel holds a part of it: by the time
-// of the reset it may have been sent.
 void ClientConnection::giveUpSend(const std::string &why)
 {
     if (m_closed || !m_watching)
--- a/src/serving/session.h
+++ b/src/serving/session.h
@@ -207,7 +207,7 @@
     /** Takes one repeated send from the service's retry budget. \return false if none is left. */
     bool spendRetryBudget();
     bool mayRunAgain() const;
-    /** Whether an endpoint may be running the request: it may have received the whole of it. */
+    /** Whether an endpoint may be running the request: it may have received the head. */
     bool runInProgress() const;
     /** Counts the request for its team's usage, once. */
     void countForUsage();
--- a/src/serving/sessionanswer.cpp
+++ b/src/serving/sessionanswer.cpp
@@ -368,8 +368,8 @@
     if (failure == http::Failure::ConnectionLost && mayHaveCrashedEndpoint())
         m_services.quarantine.recordCrash(m_sharedBlocks, m_endpoint->record,
                                           m_request.metadata.id);
-    // An endpoint does not run a request that it has not received whole.
-    const bool notRun = failure == http::Failure::NotSent || failure == http::Failure::NotWhole;
+    // An endpoint may begin to work on a request once it has the head.
+    const bool notRun = failure == http::Failure::NotSent || failure == http::Failure::HeadNotSent;
     handleRunFailure(notRun, failure != http::Failure::NotSent, why);
 }
 
--- a/src/serving/sessionend.cpp
+++ b/src/serving/sessionend.cpp
@@ -122,7 +122,7 @@
 
 bool Session::runInProgress() const
 {
-    return m_connection && m_purpose == Purpose::Run && !m_connection->requestIncomplete();
+    return m_connection && m_purpose == Purpose::Run && m_connection->headMayArrive();
 }
 
 void Session::onDeadline()
--- a/test/correctness/earlyanswers.cpp
+++ b/test/correctness/earlyanswers.cpp
@@ -121,6 +121,56 @@
     cr_assert_eq(received, answerBytes);
 }
 
+// Guards against an order that runs again at another endpoint, or is refused as not run, because
+// its connection ended before the whole request was written: its endpoint may work on it already.
+Test(earlywork, of_an_order_is_not_repeated_when_its_connection_ends)
+{
+    for (const auto after : {AfterAnswer::Closes, AfterAnswer::Resets, AfterAnswer::ShutsDown}) {
+        Bench it;
+        it.setAnswer({}, after);
+        const auto answer = it.send("/order/1", "r1");
+        cr_assert_eq(answer.status(), http::status::BadGateway, "%d: %u", static_cast<int>(after),
+                     answer.status());
+        cr_assert_eq(it.runCount("r1"), 1U);
+    }
+}
+
+// The same at the deadline of the request.
+Test(earlywork, of_an_order_counts_as_a_run_at_its_deadline)
+{
+    Bench it(1'000);
+    const auto answer = it.send("/order/1", "r1");
+    cr_assert_eq(answer.status(), http::status::GatewayTimeout, "%u", answer.status());
+    cr_assert_eq(it.runCount("r1"), 1U);
+}
+
+// The same at a planned stop of the gateway.
+Test(earlywork, of_an_order_counts_as_a_run_when_the_gateway_stops)
+{
+    serving::NodeSettings settings;
+    settings.drainGrace = 3s;
+    Bench it(20'000, settings);
+    bool stopped = false;
+    it.deployment.gateway().drain([&]() { stopped = true; });
+    it.deployment.runFor(1'500ms);
+    const auto answer = std::make_shared<ClientResponse>();
+    const auto client = it.deployment.startRequest("/order/1", "r1", answer, {}, 0,
+                                                   std::string(BodyBytes, 'x'));
+    cr_assert(it.deployment.runUntil([&]() { return stopped; }));
+    cr_assert_eq(answer->status(), http::status::GatewayTimeout, "%u", answer->status());
+    cr_assert_eq(it.runCount("r1"), 1U);
+}
+
+// Requests that may run again go to another endpoint, within the attempts of their route.
+Test(earlywork, of_a_repeatable_request_is_repeated_within_its_attempts)
+{
+    Bench it;
+    it.setAnswer({}, AfterAnswer::Resets);
+    const auto answer = it.send("/read/1", "r1");
+    cr_assert_eq(answer.status(), http::status::BadGateway);
+    cr_assert_eq(it.runCount("r1"), 2U);
+}
+
 // Guards against a part of an answer that looks complete (MIXED): the answer has no length and its
 // connection is reset while the request is being written. The failed write takes the error, so that
 // the next read returns the end of the stream.
