Count a write whose outcome is not known as sent

What callers saw: 503 for a request that its endpoint had received whole and ran.

Cause: the bytes of a write count only when the event loop handles its completion. A deadline, or a planned stop, that is handled between the write and its completion saw 0 bytes written. A process that stood still until the deadline, with the connection just established, does both in one turn.

Change: as long as a write is in progress, the head may arrive.

Evidence: earlywork/counts_as_a_run_between_a_write_and_its_completion stops the event loop for 150 ms between the two.

--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -86,7 +86,7 @@
      * after reset(). It may begin to work on the request then, before it reads the body. */
     bool headMayArrive() const
     {
-        return m_writeStarted && m_writtenBytes >= m_headBytes;
+        return m_writeStarted && (m_writeActive || m_writtenBytes >= m_headBytes);
     }
     /** Bytes of the last exchange's request that were not passed to the kernel. */
     size_t unwrittenBytes() const { return m_requestBytes - m_writtenBytes; }
@@ -141,7 +141,7 @@
     bool m_open = false;
     bool m_exchangeActive = false;
     bool m_closed = false;
-    bool m_writeActive = false;
+    bool m_writeActive = false; ///< The outcome of a write is not known yet.
     bool m_writeStarted = false;
     bool m_headRequest = false;
     bool m_headDelivered = false;
--- a/test/correctness/earlyanswers.cpp
+++ b/test/correctness/earlyanswers.cpp
@@ -9,6 +9,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <thread>
 
 using namespace jujube;
 using namespace std::chrono_literals;
@@ -171,6 +172,27 @@
     cr_assert_eq(it.runCount("r1"), 2U);
 }
 
+// Guards against 503 for a request that its endpoint has received whole: the event loop handles the
+// deadline between the write and its completion, as after a pause of the process.
+Test(earlywork, counts_as_a_run_between_a_write_and_its_completion)
+{
+    Bench it;
+    it.setAnswer(test::sealedAnswer(), AfterAnswer::KeepsOpen);
+    const auto waiting = [&it]() {
+        return std::any_of(it.endpoints.begin(), it.endpoints.end(),
+                           [](const auto &one) { return one->hasWaitingConnection(); });
+    };
+    const auto answer = std::make_shared<ClientResponse>();
+    const auto client =
+        it.deployment.startRequest("/order/1", "r1", answer, {{"Deadline-Ms", "100"}});
+    while (!waiting())
+        it.deployment.io().run_one();
+    std::this_thread::sleep_for(150ms);
+    cr_assert(it.deployment.runUntil([&]() { return answer->complete; }));
+    cr_assert(it.deployment.runUntil([&]() { return it.runCount("r1") > 0; }, 500ms));
+    cr_assert_eq(answer->status(), http::status::GatewayTimeout, "%u", answer->status());
+}
+
 // Guards against a part of an answer that looks complete (MIXED): the answer has no length and its
 // connection is reset while the request is being written. The failed write takes the error, so that
 // the next read returns the end of the stream.
