Leave an order with an endpoint that may be working on it

Cause: "takes nothing for 2 s" ended each request, on the ground that another endpoint could run it instead. For a request that may not be repeated, or has no attempt left, nothing is gained.

Change: such a request waits for its deadline; the others move as before.

Evidence: with the former rule slowendpoints/an_order_whose_body_is_not_taken* fails (502 in place of 504 at the deadline) and keep_orders_until_they_read_again fails (502 in place of 200); both pass now. The status and the time in the first one change with the rule; that_take_nothing_lose_repeatable_requests_to_others holds the former bounds (2 s to 3 s) where they apply.

--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -88,9 +88,10 @@
 }
 
 void ClientConnection::send(std::string bytes, bool headRequest, core::Milliseconds connectTimeout,
-                            ExchangeHandler handler)
+                            ExchangeHandler handler, StalledSend stalledSend)
 {
     m_exchangeActive = true;
+    m_stalledSend = stalledSend;
     ++m_exchangeCount;
     m_writeStarted = false;
     m_answerBegun = false;
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -34,6 +34,12 @@
     core::Milliseconds stalledFor{};
 };
 
+/** What becomes of a request whose peer answers, but takes nothing of it for some seconds. */
+enum class StalledSend {
+    GiveUp,
+    Wait, ///< The peer may work on it already, and another must not.
+};
+
 /** Callbacks of one exchange. None of them is invoked after ClientConnection::close(). */
 struct ExchangeHandler
 {
@@ -62,7 +68,7 @@
      * \param headRequest Whether its method is HEAD, whose response has no body.
      */
     void send(std::string bytes, bool headRequest, core::Milliseconds connectTimeout,
-              ExchangeHandler handler);
+              ExchangeHandler handler, StalledSend stalledSend = StalledSend::GiveUp);
     /** Applies back pressure: stops reading from the socket until resumeReading(). */
     void pauseReading() { m_readPaused = true; }
     void resumeReading();
@@ -115,6 +121,8 @@
     void watchSend();
     void checkSend();
     void endWatch();
+    /** Whether the peer's kernel has left what was sent without an acknowledgement for too long. */
+    bool peerUnresponsive();
     void giveUpSend(const std::string &why);
     size_t unackedBytes();
     size_t unsentKernelBytes();
@@ -159,6 +167,7 @@
     uint32_t m_stalledChecks = 0; ///< In a row, without a byte taken.
     uint32_t m_slowChecks = 0;    ///< In a row, with little taken.
     bool m_watching = false;
+    StalledSend m_stalledSend = StalledSend::GiveUp;
     SlowSendShare m_slowShare;
     std::optional<SlowSend> m_slowSend;
 
--- a/src/http/clientoutput.cpp
+++ b/src/http/clientoutput.cpp
@@ -28,6 +28,7 @@
 // A peer that has taken nothing for 2 s does not read. Checks are counted instead of the time, as
 // this process may itself be paused.
 constexpr uint32_t ChecksUntilStalled = 8;
+constexpr int MinUnansweredSends = 2;
 // The pause of a peer that reads may be longer than the time between two checks.
 constexpr uint32_t ChecksUntilSlow = 2;
 constexpr uint64_t MsPerSecond = 1'000;
@@ -134,6 +135,10 @@
             self->endWatch();
             return;
         }
+        if (self->peerUnresponsive()) {
+            self->giveUpSend("the endpoint does not respond");
+            return;
+        }
         const core::TimePoint now = core::BootClock::now();
         const size_t unacked = self->unackedBytes();
         const size_t taken = self->m_writtenBytes - std::min(self->m_writtenBytes, unacked);
@@ -141,7 +146,8 @@
         if (progress > 0 || unacked == 0) {
             self->m_takenAt = now;
             self->m_stalledChecks = 0;
-        } else if (++self->m_stalledChecks >= ChecksUntilStalled) {
+        } else if (++self->m_stalledChecks >= ChecksUntilStalled
+                   && self->m_stalledSend == StalledSend::GiveUp) {
             self->giveUpSend("the endpoint takes nothing of the request");
             return;
         }
@@ -162,6 +168,18 @@
     setTcpOption(m_socket.native_handle(), TCP_USER_TIMEOUT, static_cast<int>(UserTimeout.count()));
 }
 
+// A peer that keeps its window closed acknowledges the kernel's probes; one that has vanished leaves
+// them, or data that is sent again, without an answer.
+bool ClientConnection::peerUnresponsive()
+{
+    tcp_info info{};
+    socklen_t n = sizeof(info);
+    if (getsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &n) != 0)
+        return false;
+    return info.tcpi_probes + info.tcpi_retransmits >= MinUnansweredSends
+        && core::Milliseconds(info.tcpi_last_ack_recv) >= UserTimeout;
+}
+
 void ClientConnection::giveUpSend(const std::string &why)
 {
     if (m_closed || !m_watching)
--- a/src/serving/session.cpp
+++ b/src/serving/session.cpp
@@ -400,8 +400,12 @@
     const Milliseconds connectTimeout = m_services.placement.avoidsUnreachable
         ? policy::connectTimeout(m_request.route->latencyObjective)
         : ConnectTimeout;
+    // If no other endpoint may run the request, nothing is gained by giving this one up.
+    const bool mayMove = purpose == Purpose::Prefill
+        || (m_request.route->repeatable() && !m_relayingLargeAnswer && mayRunAgain());
     m_connection->send(http::renderRequest(head, m_request.message.body), head.method == "HEAD",
-                       connectTimeout, std::move(handler));
+                       connectTimeout, std::move(handler),
+                       mayMove ? http::StalledSend::GiveUp : http::StalledSend::Wait);
 }
 
 // The end of its connection makes the endpoint stop its work on the request.
