Take a status that is none of HTTP's for no answer

Cause: parseResponses() skips each status below 200 as an interim response, and 600 to 999 were passed on. 101 was skipped as well, although what follows it is not HTTP.

The exchange fails at once: 502, or a repeat where it is allowed. All readers of answers in src/http and src/serving share the parser: runs, prefills, and calls to the store, the platform, peers, reports, health checks and handles.

Evidence: on of_a_run* fails with 504 after 2 s, is_not_skipped* with the 200 behind the 000, and fails_a_call with a wait of 2 s; they pass now. of_a_prefill* passed before, after the timeout of the prefill.

Conclusion: a client never got 000 from this gateway, but waited, or got what followed.

--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -1,5 +1,7 @@
 #include "http/message.h"
 
+#include "core/httpstatus.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/status.hpp>
@@ -139,6 +141,8 @@
                                                 ErrorCode &ec)
 {
     m_head.status = static_cast<uint32_t>(code);
+    if (!core::isValidHttpStatus(m_head.status))
+        ec = beast::http::error::bad_status;
     m_head.reason = view(reason);
 }
 
