Fail an agent's exchange whose answer has an invalid status

Cause: kj-http passes any three digits on, and wire::HttpClient did not check them.

Change: a status that is not final, or not one of HTTP's, fails the exchange as one that may have run. This covers agents, the store's client and the controller's calls.

--- a/src/core/httpstatus.h
+++ b/src/core/httpstatus.h
@@ -18,4 +18,11 @@
     return status >= lowest && status <= highest && status != switchingProtocols;
 }
 
+/** The same, for a response that is not an interim one. */
+constexpr bool isFinalHttpStatus(uint32_t status)
+{
+    constexpr uint32_t lowest = 200;
+    return status >= lowest && isValidHttpStatus(status);
+}
+
 } // namespace jujube::core
--- a/src/wire/httpclient.cpp
+++ b/src/wire/httpclient.cpp
@@ -1,5 +1,6 @@
 #include "wire/httpclient.h"
 
+#include "core/httpstatus.h"
 #include "core/text.h"
 #include "wire/guardedsocket.h"
 
@@ -85,6 +86,9 @@
         HttpResponse result;
         result.status = response.statusCode;
         result.contentType = contentTypeOf(*response.headers);
+        if (!core::isFinalHttpStatus(result.status))
+            co_return sendFailure(SendState::MaybeSent,
+                                  core::concat("invalid status ", result.status));
 
         char buf[ReadBufferBytes];
         size_t received = 0;
--- a/test/correctness/invalidstatus.cpp
+++ b/test/correctness/invalidstatus.cpp
@@ -5,11 +5,14 @@
 #include "core/text.h"
 #include "http/client.h"
 #include "support/deployment.h"
+#include "support/loop.h"
 #include "support/rawendpoint.h"
+#include "wire/httpclient.h"
 
 #include <criterion/criterion.h>
 
 #include <optional>
+#include <thread>
 
 using namespace jujube;
 using namespace std::chrono_literals;
@@ -29,6 +32,38 @@
                         "Content-Length: ", body.size(), "\r\n\r\n", body);
 }
 
+/** An endpoint whose event loop runs on a thread of its own. */
+class ThreadedEndpoint
+{
+public:
+    ThreadedEndpoint(const std::string &answer, AfterAnswer after) : m_endpoint(m_io, Port)
+    {
+        m_endpoint.setAnswer(answer, after);
+        m_thread = std::thread([this]() { m_io.run_for(10s); });
+    }
+    ~ThreadedEndpoint()
+    {
+        m_io.stop();
+        m_thread.join();
+    }
+    ThreadedEndpoint(const ThreadedEndpoint &) = delete;
+    ThreadedEndpoint &operator=(const ThreadedEndpoint &) = delete;
+
+    wire::HttpRequest makePost(size_t bodyBytes) const
+    {
+        wire::HttpRequest request;
+        request.address = m_endpoint.address();
+        request.method = "POST";
+        request.body = std::string(bodyBytes, 'x');
+        return request;
+    }
+
+private:
+    boost::asio::io_context m_io;
+    RawEndpoint m_endpoint;
+    std::thread m_thread;
+};
+
 } // namespace
 
 // Guards against a request that waits for its deadline, or is given the next bytes of the
@@ -115,3 +150,42 @@
         cr_assert_lt(core::BootClock::now() - begin, 1s, "%s", status);
     }
 }
+
+// Guards against status 000 of a service that its caller gets as 200: the product's own interface
+// takes a status of 0 for that of an answer without one.
+Test(invalidstatus, fails_an_exchange_of_an_agent)
+{
+    test::Loop loop;
+    wire::HttpClient client(loop.io());
+    for (const char *status : InvalidStatuses) {
+        const ThreadedEndpoint endpoint(answerWithStatus(status), AfterAnswer::KeepsOpen);
+        wire::HttpLimits limits;
+        limits.totalTimeout = 2s;
+        limits.progressTimeout = 2s;
+        const auto response = loop.wait(client.send(endpoint.makePost(1), limits));
+        cr_assert_not(response.ok(), "%s: %u", status, response->status);
+        cr_assert(wire::sendStateOf(response.status()) == wire::SendState::MaybeSent);
+    }
+}
+
+// Guards against a part of an answer that an agent takes for a whole one: it has no length, and its
+// connection is reset while the request is being written.
+Test(cutanswers, of_a_service_are_not_complete)
+{
+    test::Loop loop;
+    wire::HttpClient client(loop.io());
+    for (const auto after : {AfterAnswer::Closes, AfterAnswer::Resets}) {
+        for (const size_t answerBytes : {7UL, 100UL << 10U}) {
+            const ThreadedEndpoint endpoint(
+                "HTTP/1.1 200 OK\r\nServer-Seal: x\r\n\r\n" + std::string(answerBytes, 'a'), after);
+            for (const size_t bodyBytes : {1UL, 200UL << 10U, 4UL << 20U}) {
+                // A request that fits the buffers of the kernel may be written when the answer
+                // ends.
+                const auto response = loop.wait(client.send(endpoint.makePost(bodyBytes), {}));
+                if (bodyBytes == 1 && after == AfterAnswer::Closes)
+                    continue; // The endpoint has read all of it: this connection ends in order.
+                cr_assert_not(response.ok(), "%zu of %zu", answerBytes, bodyBytes);
+            }
+        }
+    }
+}
