Keep a stream whose endpoint reads the rest of the request later

Cause: the kernel's limit for unacknowledged data, which counts a closed window as such, is off while a request is watched, and the watch ended with the first byte of the answer.

Change: the limit stays off until all is sent. Once an answer has begun, the watch only ends connections whose peer's kernel does not answer.

--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -56,8 +56,7 @@
     setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &KeepAliveSeconds, sizeof(KeepAliveSeconds));
     setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &KeepAliveSeconds, sizeof(KeepAliveSeconds));
     setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &KeepAliveProbes, sizeof(KeepAliveProbes));
-    const auto userTimeoutMs = static_cast<unsigned>(UserTimeout.count());
-    setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &userTimeoutMs, sizeof(userTimeoutMs));
+    setUserTimeout(socket, UserTimeout);
 }
 
 std::shared_ptr<ClientConnection>
@@ -262,8 +261,8 @@
     const Head &head = m_parser->head();
     // The connection is not reusable if the response came before the whole request was sent, as the
     // peer still expects the rest of it, or if extra bytes follow the response.
-    const bool keep = head.keepAlive && !head.closeDelimited && unwrittenBytes() == 0
-        && m_input.empty();
+    const bool keep =
+        head.keepAlive && !head.closeDelimited && unwrittenBytes() == 0 && m_input.empty();
     m_reuseDeadline = core::BootClock::now() + reuseTimeout(head.fields);
     m_exchangeActive = false;
     endWatch();
--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -121,11 +121,7 @@
     void watchSend();
     void checkSend();
     void endWatch();
-    /** Whether the peer's kernel has left what was sent without an acknowledgement for too long. */
-    bool peerUnresponsive();
     void giveUpSend(const std::string &why);
-    size_t unackedBytes();
-    size_t unsentKernelBytes();
     void read();
     void processInput();
     void parseResponses();
@@ -175,11 +171,6 @@
     bool m_readPaused = false; ///< The consumer of the body applies back pressure.
 };
 
-/** Time for which a peer may leave sent data unacknowledged. Together with the keep-alive probes it
- * detects an unresponsive peer after about three seconds, which is within the shortest time limit
- * that the system guarantees. */
-inline constexpr core::Milliseconds UserTimeout{2'500};
-
 /** Disables Nagle's algorithm and sets keep-alive and user timeouts, so that a peer that vanished
  * without a reset is detected. */
 void setTcpOptions(boost::asio::ip::tcp::socket &socket);
--- a/src/http/clientoutput.cpp
+++ b/src/http/clientoutput.cpp
@@ -4,14 +4,13 @@
 
 #include "http/clientconnection.h"
 
+#include "http/socketstate.h"
 #include "http/transferrate.h"
 
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
-#include <linux/sockios.h>
 #include <netinet/tcp.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace jujube::http {
@@ -28,42 +27,21 @@
 // A peer that has taken nothing for 2 s does not read. Checks are counted instead of the time, as
 // this process may itself be paused.
 constexpr uint32_t ChecksUntilStalled = 8;
-constexpr int MinUnansweredSends = 2;
 // The pause of a peer that reads may be longer than the time between two checks.
 constexpr uint32_t ChecksUntilSlow = 2;
 constexpr uint64_t MsPerSecond = 1'000;
 constexpr size_t SlowBytesPerCheck =
     MinTransferBytesPerSecond * static_cast<uint64_t>(CheckInterval.count()) / MsPerSecond;
 
-void setTcpOption(int fd, int option, int value)
-{
-    setsockopt(fd, IPPROTO_TCP, option, &value, sizeof(value));
-}
-
-size_t queueBytes(int fd, unsigned long query)
-{
-    int bytes = 0;
-    return ioctl(fd, query, &bytes) == 0 && bytes > 0 ? static_cast<size_t>(bytes) : 0;
-}
-
 } // namespace
 
-size_t ClientConnection::unackedBytes()
-{
-    return queueBytes(m_socket.native_handle(), SIOCOUTQ);
-}
-
-size_t ClientConnection::unsentKernelBytes()
-{
-    return queueBytes(m_socket.native_handle(), SIOCOUTQNSD);
-}
-
 void ClientConnection::startWriting()
 {
     m_writeActive = true;
     m_writeStarted = true;
     if (m_requestBytes > MaxUnsentKernelBytes)
-        setTcpOption(m_socket.native_handle(), TCP_NOTSENT_LOWAT, MaxUnsentKernelBytes);
+        setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT, &MaxUnsentKernelBytes,
+                   sizeof(MaxUnsentKernelBytes));
     write();
 }
 
@@ -100,7 +78,7 @@
     if (left == 0) {
         m_writeActive = false;
         m_output = {}; // An idle connection would keep the memory.
-        if (unsentKernelBytes() > 0)
+        if (unsentBytes(m_socket) > 0)
             watchSend();
         return;
     }
@@ -118,7 +96,7 @@
     m_slowChecks = 0;
     // The kernel's limit would also end connections whose peer takes some data, but keeps its
     // window nearly closed.
-    setTcpOption(m_socket.native_handle(), TCP_USER_TIMEOUT, 0);
+    setUserTimeout(m_socket, core::Milliseconds(0));
     checkSend();
 }
 
@@ -130,17 +108,23 @@
         if (ec || !self || !self->m_watching)
             return;
         const size_t unsent =
-            self->m_requestBytes - self->m_writtenBytes + self->unsentKernelBytes();
-        if (unsent == 0 || self->m_answerBegun) {
+            self->m_requestBytes - self->m_writtenBytes + unsentBytes(self->m_socket);
+        if (unsent == 0) {
             self->endWatch();
             return;
         }
-        if (self->peerUnresponsive()) {
+        if (isUnresponsive(self->m_socket)) {
             self->giveUpSend("the endpoint does not respond");
             return;
         }
+        if (self->m_answerBegun) {
+            // It may read the rest of the request after its answer.
+            self->m_slowShare.set(0, {});
+            self->checkSend();
+            return;
+        }
         const core::TimePoint now = core::BootClock::now();
-        const size_t unacked = self->unackedBytes();
+        const size_t unacked = unackedBytes(self->m_socket);
         const size_t taken = self->m_writtenBytes - std::min(self->m_writtenBytes, unacked);
         const size_t progress = taken - std::min(taken, self->m_takenBytes);
         if (progress > 0 || unacked == 0) {
@@ -165,26 +149,14 @@
         return;
     m_timer.cancel();
     m_slowShare.set(0, {});
-    setTcpOption(m_socket.native_handle(), TCP_USER_TIMEOUT, static_cast<int>(UserTimeout.count()));
-}
-
-// A peer that keeps its window closed acknowledges the kernel's probes; one that has vanished leaves
-// them, or data that is sent again, without an answer.
-bool ClientConnection::peerUnresponsive()
-{
-    tcp_info info{};
-    socklen_t n = sizeof(info);
-    if (getsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &n) != 0)
-        return false;
-    return info.tcpi_probes + info.tcpi_retransmits >= MinUnansweredSends
-        && core::Milliseconds(info.tcpi_last_ack_recv) >= UserTimeout;
+    setUserTimeout(m_socket, UserTimeout);
 }
 
 void ClientConnection::giveUpSend(const std::string &why)
 {
     if (m_closed || !m_watching)
         return;
-    const size_t unacked = unackedBytes();
+    const size_t unacked = unackedBytes(m_socket);
     m_slowSend = SlowSend{
         m_requestBytes - m_writtenBytes + unacked,
         std::chrono::duration_cast<core::Milliseconds>(core::BootClock::now() - m_takenAt)};
--- a/test/correctness/earlyanswers.cpp
+++ b/test/correctness/earlyanswers.cpp
@@ -155,8 +155,8 @@
     it.deployment.gateway().drain([&]() { stopped = true; });
     it.deployment.runFor(1'500ms);
     const auto answer = std::make_shared<ClientResponse>();
-    const auto client = it.deployment.startRequest("/order/1", "r1", answer, {}, 0,
-                                                   std::string(BodyBytes, 'x'));
+    const auto client =
+        it.deployment.startRequest("/order/1", "r1", answer, {}, 0, std::string(BodyBytes, 'x'));
     cr_assert(it.deployment.runUntil([&]() { return stopped; }));
     cr_assert_eq(answer->status(), http::status::GatewayTimeout, "%u", answer->status());
     cr_assert_eq(it.runCount("r1"), 1U);
@@ -234,3 +234,29 @@
     cr_assert_str_eq(answer.response->body.c_str(), "answer to r1");
     cr_assert_eq(it.runCount("r1"), 1U);
 }
+
+// Guards against a stream that breaks off (LOST) although its events arrive: its endpoint reads the
+// rest of the request only after the stream, and the kernel ended connections whose window was
+// closed for 2.5 s.
+Test(earlyanswers, may_last_longer_than_the_kernels_limit_for_a_closed_window)
+{
+    constexpr int events = 8;
+    std::vector<std::string> pieces{"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: x\r\n"
+                                    "Content-Type: text/event-stream\r\n\r\n"};
+    std::string whole;
+    for (int i = 1; i <= events; ++i) {
+        pieces.push_back(core::concat("id: ", i, "\ndata: {id}\n\n"));
+        whole += core::concat("id: ", i, "\ndata: r1\n\n");
+    }
+    Bench it(10'000);
+    for (const auto &endpoint : it.endpoints)
+        endpoint->setPieces(pieces, 500ms, AfterAnswer::ShutsDown);
+    const auto answer = std::make_shared<ClientResponse>();
+    const auto client = it.deployment.startRequest("/stream/once/1", "r1", answer, {}, 0,
+                                                   std::string(BodyBytes, 'x'));
+    cr_assert(
+        it.deployment.runUntil([&]() { return answer->complete || !answer->error.empty(); }, 8s));
+    cr_assert(answer->complete, "%s", answer->error.c_str());
+    cr_assert_str_eq(answer->response->body.c_str(), whole.c_str());
+    cr_assert_eq(it.runCount("r1"), 1U);
+}
--- a/test/support/rawendpoint.cpp
+++ b/test/support/rawendpoint.cpp
@@ -48,7 +48,6 @@
     // Smaller than a head, so that most of a body stays in the kernel.
     std::array<char, 1'024> buffer{};
     std::string input;
-    std::string output;
     std::string requestId;
     bool working = false;
 };
@@ -78,7 +77,15 @@
 
 void RawEndpoint::setAnswer(std::string bytes, AfterAnswer after)
 {
-    m_answer = std::move(bytes);
+    setPieces(bytes.empty() ? std::vector<std::string>() : std::vector{std::move(bytes)}, {},
+              after);
+}
+
+void RawEndpoint::setPieces(std::vector<std::string> pieces, core::Milliseconds pause,
+                            AfterAnswer after)
+{
+    m_pieces = std::move(pieces);
+    m_pause = pause;
     m_after = after;
 }
 
@@ -136,19 +143,31 @@
                                   });
     connection->timer.expires_after(m_workTime);
     connection->timer.async_wait([this, connection](const ErrorCode &ec) {
-        if (!ec && connection->working && (!m_answer.empty() || m_after != AfterAnswer::KeepsOpen))
-            answer(connection);
+        if (!ec && connection->working)
+            answer(connection, 0);
     });
 }
 
-void RawEndpoint::answer(const std::shared_ptr<Connection> &connection)
+void RawEndpoint::answer(const std::shared_ptr<Connection> &connection, size_t piece)
 {
-    connection->output = m_answer;
-    for (size_t at = 0; (at = connection->output.find(IdPlaceholder, at)) != std::string::npos;)
-        connection->output.replace(at, IdPlaceholder.size(), connection->requestId);
-    // Written at once, so that the end of the connection follows the answer without a delay.
+    if (m_pieces.empty() && m_after == AfterAnswer::KeepsOpen)
+        return;
     ErrorCode ec;
-    asio::write(connection->socket, asio::buffer(connection->output), ec);
+    if (piece < m_pieces.size()) {
+        std::string bytes = m_pieces[piece];
+        for (size_t at = 0; (at = bytes.find(IdPlaceholder, at)) != std::string::npos;)
+            bytes.replace(at, IdPlaceholder.size(), connection->requestId);
+        // Written at once, so that the end of the connection follows the answer without a delay.
+        asio::write(connection->socket, asio::buffer(bytes), ec);
+    }
+    if (!ec && piece + 1 < m_pieces.size()) {
+        connection->timer.expires_after(m_pause);
+        connection->timer.async_wait([this, connection, piece](const ErrorCode &waitError) {
+            if (!waitError && connection->working)
+                answer(connection, piece + 1);
+        });
+        return;
+    }
     connection->working = false;
     if (!ec)
         handleAnswered(connection);
--- a/test/support/rawendpoint.h
+++ b/test/support/rawendpoint.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace jujube::test {
 
@@ -40,6 +41,8 @@
     const std::string &address() const { return m_address; }
     /** Sets what it answers; "{id}" stands for the id of the request. */
     void setAnswer(std::string bytes, AfterAnswer after);
+    /** Sets an answer that it writes in pieces, with a pause before each but the first. */
+    void setPieces(std::vector<std::string> pieces, core::Milliseconds pause, AfterAnswer after);
     void setWorkTime(core::Milliseconds time) { m_workTime = time; }
     /** Number of times that it began to work on a request. */
     size_t runCount(const std::string &requestId) const;
@@ -55,13 +58,14 @@
     void accept();
     void readHead(const std::shared_ptr<Connection> &connection);
     void work(const std::shared_ptr<Connection> &connection);
-    void answer(const std::shared_ptr<Connection> &connection);
+    void answer(const std::shared_ptr<Connection> &connection, size_t piece);
     void handleAnswered(const std::shared_ptr<Connection> &connection);
     void readOn(const std::shared_ptr<Connection> &connection);
 
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::string m_address;
-    std::string m_answer;
+    std::vector<std::string> m_pieces; ///< Of the answer; none: it does not answer.
+    core::Milliseconds m_pause{};
     AfterAnswer m_after = AfterAnswer::KeepsOpen;
     core::Milliseconds m_workTime{30};
     std::map<std::string, size_t> m_runs;
