Let clients pause while they read an answer

Cause: TCP_USER_TIMEOUT of 2.5 s held for connections of clients. The kernel counts a closed window as unacknowledged data.

Change: the option is off for them. Connections with output that is not acknowledged are checked with the timeouts, every 500 ms, and end if the client's kernel leaves probes or repeated data unanswered for 2.5 s. One system call more for each connection in half a second, and only after output.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -208,6 +208,8 @@
         }
         ErrorCode ignored;
         setTcpOptions(socket);
+        // The kernel's limit would also end connections whose client pauses reading.
+        setUserTimeout(socket, core::Milliseconds(0));
         if (m_outputBudget)
             socket.set_option(asio::socket_base::send_buffer_size(SendBufferBytes), ignored);
         const auto connection = std::make_shared<ServerConnection>(*this, std::move(socket));
@@ -436,6 +438,8 @@
 
 void ServerConnection::checkTimeouts(core::TimePoint now)
 {
+    if (!m_closed)
+        checkClient();
     if (m_requestActive || m_closed)
         return;
     const ServerLimits &limits = m_server.m_limits;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -167,6 +167,8 @@
      */
     bool isStalled() const;
     void updateOutputShare();
+    /** Closes the connection if the client has vanished while it is sent output. */
+    void checkClient();
 
     Server &m_server;
     boost::asio::ip::tcp::socket m_socket;
@@ -176,6 +178,7 @@
     OutputShare m_outputShare;   ///< Of both.
     size_t m_takenOutput = 0;    ///< Bytes of m_pendingOutput that were sent or are being written.
     core::TimePoint m_writeStartedAt{};
+    bool m_outputUnacked = false; ///< The client may not have received all of the output.
     std::array<char, 8192> m_readBuffer{};
     std::unique_ptr<RequestParser> m_parser;
     std::shared_ptr<BufferShare> m_bodyShare; ///< Of the request that is being received.
--- a/src/http/serveroutput.cpp
+++ b/src/http/serveroutput.cpp
@@ -3,6 +3,7 @@
  */
 
 #include "http/server.h"
+#include "http/socketstate.h"
 
 #include <boost/asio/write.hpp>
 
@@ -61,6 +62,7 @@
     }
     updateOutputShare();
     m_writeStartedAt = core::BootClock::now();
+    m_outputUnacked = true;
     const auto self = shared_from_this();
     asio::async_write(m_socket, asio::buffer(m_activeOutput), [self](const ErrorCode &ec, size_t) {
         self->m_activeOutput.clear();
@@ -94,6 +96,16 @@
     }
 }
 
+void ServerConnection::checkClient()
+{
+    if (!m_outputUnacked)
+        return;
+    if (m_activeOutput.empty() && unackedBytes(m_socket) == 0)
+        m_outputUnacked = false;
+    else if (isUnresponsive(m_socket))
+        handleDisconnect();
+}
+
 bool ServerConnection::isStalled() const
 {
     return !m_activeOutput.empty() && m_outputShare.bytes() > OutputBudget::ReservedBytes;
--- a/test/correctness/slowclients.cpp
+++ b/test/correctness/slowclients.cpp
@@ -245,3 +245,61 @@
     }
     cr_assert_geq(received, answerBytes);
 }
+
+namespace {
+
+/** Reads an answer whole. \return its bytes until the connection ends or stays silent for 1 s. */
+std::string readAll(boost::asio::io_context &io, tcp::socket &socket, size_t bytesPerRead,
+                    core::Milliseconds interval)
+{
+    std::string text;
+    std::string buffer(bytesPerRead, 0);
+    core::TimePoint lastRead = core::BootClock::now();
+    while (core::BootClock::now() - lastRead < 1s) {
+        boost::system::error_code ec;
+        const size_t n = socket.read_some(boost::asio::buffer(buffer), ec);
+        text.append(buffer, 0, n);
+        if (n > 0)
+            lastRead = core::BootClock::now();
+        if (ec && ec != boost::asio::error::would_block)
+            break;
+        io.restart();
+        io.run_for(interval);
+    }
+    return text;
+}
+
+std::string bodyOf(const std::string &answer)
+{
+    constexpr std::string_view endOfHead = "\r\n\r\n";
+    const size_t at = answer.find(endOfHead);
+    return at == std::string::npos ? "" : answer.substr(at + endOfHead.size());
+}
+
+std::string orderRequest(const std::string &id)
+{
+    return "POST /order/1 HTTP/1.1\r\nHost: test.example\r\nX-Api-Key: key-a\r\n"
+           "Content-Length: 0\r\nRequest-Id: "
+        + id + "\r\n\r\n";
+}
+
+} // namespace
+
+// Guards against the loss of answers and streams (LOST) whose clients pause for a few seconds while
+// they read: the kernel ended connections whose window was closed for 2.5 s.
+Test(slowclients, that_pause_while_they_read_get_the_whole_answer)
+{
+    constexpr size_t bodyBytes = 240UL << 10U;
+    Deployment it;
+    auto &endpoint = it.addEndpoint("app");
+    endpoint.setBodySize(bodyBytes);
+    it.publishConfig(1, R"(["key-a"])", 10'000);
+    it.startGateway();
+    std::vector<tcp::socket> clients;
+    for (int i = 0; i < 4; ++i)
+        clients.push_back(sendUnread(it.io(), it.clientAddress(0),
+                                     orderRequest(core::concat("r", i)), ModerateReceiveBuffer));
+    it.runFor(4s);
+    for (tcp::socket &client : clients)
+        cr_assert_eq(bodyOf(readAll(it.io(), client, 1UL << 20U, 1ms)).size(), bodyBytes);
+}
