Send no 408 to a client that still takes its answer

What callers saw: behind an answer that its client takes slowly, a 408 that answers no request, and the end of the connection, once the time limit for a head had passed.

Cause: a connection whose output was not all written counted as one on which a request had begun.

Change: such a connection ends only if no piece of the output is taken within the idle timeout.

Evidence: slowclients/get_nothing_behind_an_answer_that_they_take_slowly got more than the answer before and gets exactly that now.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -443,7 +443,11 @@
     if (m_requestActive || m_closed)
         return;
     const ServerLimits &limits = m_server.m_limits;
-    if (isIdle()) {
+    const bool takesAnswer = !m_activeOutput.empty() && m_input.empty() && !m_parser->started();
+    if (takesAnswer) {
+        if (now - m_writeStartedAt > limits.idleTimeout)
+            close();
+    } else if (isIdle()) {
         if (now - m_phaseStart > limits.idleTimeout)
             close();
     } else if (!m_parser->headDone() && now - m_phaseStart > limits.headTimeout) {
--- a/test/correctness/slowclients.cpp
+++ b/test/correctness/slowclients.cpp
@@ -303,3 +303,25 @@
     for (tcp::socket &client : clients)
         cr_assert_eq(bodyOf(readAll(it.io(), client, 1UL << 20U, 1ms)).size(), bodyBytes);
 }
+
+// Guards against a 408 behind an answer that its client takes slowly: output that was not sent was
+// taken for the begin of another request.
+Test(slowclients, get_nothing_behind_an_answer_that_they_take_slowly)
+{
+    constexpr size_t bodyBytes = 600UL << 10U;
+    boost::asio::io_context io;
+    http::Server server(io, [](const http::Request &, const http::Responder &responder) {
+        http::Head head;
+        head.status = 200;
+        responder.send(head, std::string(bodyBytes, 'a'));
+    });
+    http::ServerLimits limits;
+    limits.headTimeout = 500ms;
+    server.setLimits(limits);
+    server.setMemory(MiB, MiB);
+    const std::string address = test::loopbackAddress(7009);
+    cr_assert(server.listen(address).ok());
+    tcp::socket client = sendUnread(io, address, orderRequest("r1"));
+    // About 200 KB/s.
+    cr_assert_eq(bodyOf(readAll(io, client, 2'000, 10ms)).size(), bodyBytes);
+}
