--- a/test/correctness/oddentries.cpp
+++ b/test/correctness/oddentries.cpp
@@ -8,6 +8,8 @@
 
 #include <criterion/criterion.h>
 
+#include <map>
+
 using namespace jujube;
 using namespace std::chrono_literals;
 using test::Deployment;
@@ -17,8 +19,29 @@
 std::string entry(const std::string &address, const std::string &slots = "4",
                   const std::string &more = "")
 {
-    return core::concat(R"({"Service":"app","Address":")", address, R"(","Zone":"a","Slots":)",
-                        slots, R"(,"State":"ready","ColdLeftMs":0,"Sequence":1)", more, "}");
+    return core::concat(R"({"Service":"app","Address":")", address,
+                        R"(","Zone":"a","Version":"v1","Slots":)", slots,
+                        R"(,"State":"ready","ColdLeftMs":0,"Sequence":1)", more, "}");
+}
+
+/** A sound entry in which one field has another value; without a value it is missing. */
+std::string entryWith(const std::string &field, const std::string &value)
+{
+    std::string text = "{";
+    for (const auto &[name, sound] :
+         std::map<std::string, std::string>{{"Service", R"("app")"},
+                                            {"Address", R"("127.0.0.1:80")"},
+                                            {"Zone", R"("a")"},
+                                            {"Version", R"("v1")"},
+                                            {"Slots", "4"},
+                                            {"State", R"("ready")"},
+                                            {"ColdLeftMs", "0"},
+                                            {"Sequence", "1"}}) {
+        const std::string &used = name == field ? value : sound;
+        if (!used.empty())
+            text += core::concat(text.size() > 1 ? "," : "", "\"", name, "\":", used);
+    }
+    return text + "}";
 }
 
 std::string nested(size_t depth)
@@ -48,13 +71,23 @@
     for (const char *more :
          {R"(,"born":1e300)", R"(,"born":-1)", R"(,"born":"then")", R"(,"Stage":17)"})
         entries.push_back(entry("127.0.0.1:80", "4", more));
+    for (const char *field :
+         {"Service", "Address", "Zone", "Version", "Slots", "State", "ColdLeftMs", "Sequence"}) {
+        for (const char *value : {"", "null", "true", "[]", "{}"})
+            entries.push_back(entryWith(field, value));
+    }
+    for (const char *field : {"Service", "Address", "Zone", "Version", "State"})
+        entries.push_back(entryWith(field, "7"));
+    for (const char *field : {"Slots", "ColdLeftMs", "Sequence"})
+        entries.push_back(entryWith(field, "\"7\""));
     return entries;
 }
 
 } // namespace
 
-// Guards against endpoints that cannot be called and numbers that are undefined when converted: an
-// entry that cannot be read names no endpoint.
+// Guards against endpoints that cannot be called, numbers that are undefined when converted, and
+// requests that run at another service (ROUTE): an entry that cannot be read, or lacks a field that
+// each endpoint writes, comes from another writer and names no endpoint.
 Test(oddentries, no_endpoint_is_read_from_an_odd_entry)
 {
     for (const std::string &value : oddEntries())
@@ -66,7 +99,8 @@
     // Numbers beyond what matters are limited instead: the endpoint is there.
     const auto cold = platform::decodeEndpoint(
         "servers/i-1",
-        R"({"Service":"app","Address":"127.0.0.1:80","Zone":"a","Slots":4,"State":"ready",)"
+        R"({"Service":"app","Address":"127.0.0.1:80","Zone":"a","Version":"v1","Slots":4,)"
+        R"("State":"ready",)"
         R"("ColdLeftMs":1e300,"Sequence":1e300})",
         {0, 1});
     cr_assert(cold.ok());
