Soak: an endpoint that begins before it reads the body

The service of the slow readers has a fourth endpoint, which works on a request once it has the head, and then answers, answers in part, answers with status 000 or not at all, and keeps, closes, resets or shuts down its connection.

--- a/test/correctness/earlyanswers.cpp
+++ b/test/correctness/earlyanswers.cpp
@@ -4,6 +4,7 @@
 
 #include "core/text.h"
 #include "support/deployment.h"
+#include "support/loopback.h"
 #include "support/rawendpoint.h"
 
 #include <criterion/criterion.h>
@@ -34,7 +35,7 @@
     {
         for (size_t i = 0; i < EndpointCount; ++i) {
             endpoints.push_back(std::make_unique<RawEndpoint>(
-                deployment.io(), static_cast<uint16_t>(FirstPort + i)));
+                deployment.io(), test::loopbackAddress(static_cast<uint16_t>(FirstPort + i))));
             deployment.store().put(core::concat("servers/w-", i),
                                    endpoints.back()->makeEntry("app"));
         }
@@ -86,7 +87,7 @@
 {
     constexpr size_t answerBytes = 40UL << 10U; // More than one read, less than the first window.
     boost::asio::io_context io;
-    RawEndpoint endpoint(io, FirstPort);
+    RawEndpoint endpoint(io, test::loopbackAddress(FirstPort));
     endpoint.setAnswer(core::concat("HTTP/1.1 200 OK\r\nContent-Length: ", answerBytes, "\r\n\r\n",
                                     std::string(answerBytes, 'a')),
                        AfterAnswer::Closes);
--- a/test/correctness/invalidstatus.cpp
+++ b/test/correctness/invalidstatus.cpp
@@ -6,6 +6,7 @@
 #include "http/client.h"
 #include "support/deployment.h"
 #include "support/loop.h"
+#include "support/loopback.h"
 #include "support/rawendpoint.h"
 #include "wire/httpclient.h"
 
@@ -36,7 +37,8 @@
 class ThreadedEndpoint
 {
 public:
-    ThreadedEndpoint(const std::string &answer, AfterAnswer after) : m_endpoint(m_io, Port)
+    ThreadedEndpoint(const std::string &answer, AfterAnswer after)
+        : m_endpoint(m_io, test::loopbackAddress(Port))
     {
         m_endpoint.setAnswer(answer, after);
         m_thread = std::thread([this]() { m_io.run_for(10s); });
@@ -73,7 +75,7 @@
     for (const char *status : InvalidStatuses) {
         for (const auto after : {AfterAnswer::KeepsOpen, AfterAnswer::Closes}) {
             Deployment it;
-            RawEndpoint endpoint(it.io(), Port);
+            RawEndpoint endpoint(it.io(), test::loopbackAddress(Port));
             endpoint.setAnswer(answerWithStatus(status), after);
             it.store().put("servers/w-1", endpoint.makeEntry("app"));
             it.publishConfig(1);
@@ -93,7 +95,7 @@
 {
     for (const char *status : {"000", "099", "101"}) {
         Deployment it;
-        RawEndpoint endpoint(it.io(), Port);
+        RawEndpoint endpoint(it.io(), test::loopbackAddress(Port));
         endpoint.setAnswer(answerWithStatus(status) + test::sealedAnswer(), AfterAnswer::KeepsOpen);
         it.store().put("servers/w-1", endpoint.makeEntry("app"));
         it.publishConfig(1);
@@ -108,7 +110,7 @@
 {
     for (const char *status : InvalidStatuses) {
         Deployment it;
-        RawEndpoint prefillEngine(it.io(), Port);
+        RawEndpoint prefillEngine(it.io(), test::loopbackAddress(Port));
         prefillEngine.setAnswer(
             answerWithStatus(status, R"({"KvHandle":"h","Tokens":9000,"Version":1})"),
             AfterAnswer::KeepsOpen);
@@ -134,7 +136,7 @@
 {
     for (const char *status : InvalidStatuses) {
         boost::asio::io_context io;
-        RawEndpoint endpoint(io, Port);
+        RawEndpoint endpoint(io, test::loopbackAddress(Port));
         endpoint.setAnswer(answerWithStatus(status), AfterAnswer::KeepsOpen);
         http::Client client(io);
         http::Request request;
--- a/test/correctness/slowclients.cpp
+++ b/test/correctness/slowclients.cpp
@@ -295,8 +295,10 @@
     endpoint.setBodySize(bodyBytes);
     it.publishConfig(1, R"(["key-a"])", 10'000);
     it.startGateway();
+    constexpr int clientCount = 4;
     std::vector<tcp::socket> clients;
-    for (int i = 0; i < 4; ++i)
+    clients.reserve(clientCount);
+    for (int i = 0; i < clientCount; ++i)
         clients.push_back(sendUnread(it.io(), it.clientAddress(0),
                                      orderRequest(core::concat("r", i)), ModerateReceiveBuffer));
     it.runFor(4s);
--- a/test/soak/slowreaders.cpp
+++ b/test/soak/slowreaders.cpp
@@ -20,6 +20,7 @@
 
 constexpr uint16_t EndpointPort = 7150;
 constexpr uint16_t ReaderPort = 7160;
+constexpr uint16_t EarlyEndpointPort = 7170;
 constexpr uint32_t EndpointHost = 2;
 constexpr size_t SlowEndpoints = 2;
 constexpr size_t Clients = 48; // More than the memory of the gateways for requests.
@@ -32,6 +33,7 @@
 constexpr int ReceiveBufferBytes = 16 * 1024;
 constexpr Milliseconds ReadInterval{50};
 constexpr Milliseconds MaxPause{200};
+constexpr Milliseconds MaxEarlyWork{3'000};
 constexpr double MinQuickShare = 0.97;
 constexpr size_t MinQuickRequests = 50;
 constexpr Milliseconds MaxQuickMedian{1'700}; // A stream of the load lasts 1.2 s.
@@ -84,6 +86,9 @@
         m_deployment.store().put("servers/" + endpoint->id(), endpoint->makeEntry(Service, "a"));
         m_endpoints.push_back(std::move(endpoint));
     }
+    m_earlyEndpoint = std::make_unique<test::RawEndpoint>(
+        m_io, m_deployment.address(EndpointHost, EarlyEndpointPort));
+    m_deployment.store().put("servers/bulk-early", m_earlyEndpoint->makeEntry(Service));
     m_deployment.publishService(
         Service,
         core::concat(R"({"Name":"bulk","Host":"test.example","PathPrefix":"/bulk/",)",
@@ -115,6 +120,7 @@
     std::uniform_int_distribution<size_t> choice(0, rates.size() - 1);
     for (const auto &it : m_readers)
         it->setRate(rates.at(choice(m_random)));
+    changeEarlyAnswer();
     std::uniform_int_distribution<int64_t> time(1'000, 5'000);
     m_timer.expires_after(Milliseconds(time(m_random)));
     m_timer.async_wait([this](const ErrorCode &ec) {
@@ -123,6 +129,23 @@
     });
 }
 
+void SlowReaders::changeEarlyAnswer()
+{
+    using test::AfterAnswer;
+    constexpr std::array<AfterAnswer, 5> ends{AfterAnswer::KeepsOpen, AfterAnswer::ReadsOn,
+                                              AfterAnswer::Closes, AfterAnswer::Resets,
+                                              AfterAnswer::ShutsDown};
+    const std::string head = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Seal: x\r\n";
+    const std::array<std::string, 4> answers{
+        "", head + "Content-Length: 5\r\n\r\nearly", head + "\r\npart of an answer",
+        "HTTP/1.1 000 Odd\r\nRequest-Id: {id}\r\nServer-Seal: x\r\nContent-Length: 0\r\n\r\n"};
+    std::uniform_int_distribution<size_t> end(0, ends.size() - 1);
+    std::uniform_int_distribution<size_t> answer(0, answers.size() - 1);
+    m_earlyEndpoint->setAnswer(answers.at(answer(m_random)), ends.at(end(m_random)));
+    std::uniform_int_distribution<int64_t> time(0, MaxEarlyWork.count());
+    m_earlyEndpoint->setWorkTime(Milliseconds(time(m_random)));
+}
+
 // Each call has a connection of its own, which the gateway closes after the answer.
 void SlowReaders::call(const std::shared_ptr<Client> &client)
 {
@@ -225,7 +248,7 @@
     size_t runs = 0;
     for (const auto &it : m_endpoints)
         runs += it->runCount(id);
-    return runs;
+    return runs + m_earlyEndpoint->runCount(id);
 }
 
 InvariantResult SlowReaders::checkRuns() const
--- a/test/soak/slowreaders.h
+++ b/test/soak/slowreaders.h
@@ -5,6 +5,7 @@
  */
 
 #include "soak/invariants.h"
+#include "support/rawendpoint.h"
 #include "support/slowreader.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -17,7 +18,8 @@
 namespace jujube::soak {
 
 /** A service of its own, whose requests and answers are large. Two of its endpoints read at rates
- * that change at random, the third one is quick; its clients read their answers at random rates. */
+ * that change at random, the third one is quick, and the fourth begins to work on a request before
+ * it reads the body; its clients read their answers at random rates. */
 class SlowReaders
 {
 public:
@@ -52,6 +54,8 @@
     struct Client;
 
     void changeRates();
+    /** Changes how the endpoint that does not read bodies answers. */
+    void changeEarlyAnswer();
     void call(const std::shared_ptr<Client> &client);
     void readSome(const std::shared_ptr<Client> &client);
     void end(const std::shared_ptr<Client> &client);
@@ -68,6 +72,7 @@
     boost::asio::steady_timer m_timer;
     std::vector<std::unique_ptr<test::FakeEndpoint>> m_endpoints;
     std::vector<std::unique_ptr<test::SlowReader>> m_readers;
+    std::unique_ptr<test::RawEndpoint> m_earlyEndpoint;
     std::vector<std::shared_ptr<Client>> m_clients;
     std::deque<Call> m_calls; ///< A deque: clients hold pointers to its elements.
     InvariantResult m_memory;
--- a/test/support/rawendpoint.cpp
+++ b/test/support/rawendpoint.cpp
@@ -1,7 +1,6 @@
 #include "support/rawendpoint.h"
 
 #include "core/text.h"
-#include "support/loopback.h"
 
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -52,11 +51,12 @@
     bool working = false;
 };
 
-RawEndpoint::RawEndpoint(asio::io_context &io, uint16_t port)
-    : m_acceptor(io), m_address(loopbackAddress(port))
+RawEndpoint::RawEndpoint(asio::io_context &io, const std::string &address)
+    : m_acceptor(io), m_address(address)
 {
-    const tcp::endpoint endpoint(asio::ip::make_address(m_address.substr(0, m_address.rfind(':'))),
-                                 port);
+    const size_t colon = address.rfind(':');
+    const tcp::endpoint endpoint(asio::ip::make_address(address.substr(0, colon)),
+                                 static_cast<uint16_t>(std::stoul(address.substr(colon + 1))));
     m_acceptor.open(endpoint.protocol());
     m_acceptor.set_option(asio::socket_base::reuse_address(true));
     // Inherited by accepted connections; it has to be set before they are established.
--- a/test/support/rawendpoint.h
+++ b/test/support/rawendpoint.h
@@ -30,8 +30,8 @@
 class RawEndpoint
 {
 public:
-    /** Listens on this test's loopback address. */
-    RawEndpoint(boost::asio::io_context &io, uint16_t port);
+    /** Listens on "address:port". */
+    RawEndpoint(boost::asio::io_context &io, const std::string &address);
     ~RawEndpoint();
     RawEndpoint(const RawEndpoint &) = delete;
     RawEndpoint &operator=(const RawEndpoint &) = delete;
