End an exchange whose write has failed on an open connection

Cause (read): a failed write waits for the read to end the exchange. After an error that leaves the connection open, such as a lack of memory in the kernel, nothing would end it before the deadline.

Change: the receiving side is shut down then, so that the read returns what has arrived and ends. Names and comments of the server's check of output that is still taken.

No test makes a write fail on an open connection.

--- a/src/http/clientconnection.h
+++ b/src/http/clientconnection.h
@@ -34,10 +34,10 @@
     core::Milliseconds stalledFor{};
 };
 
-/** What becomes of a request whose peer answers, but takes nothing of it for some seconds. */
+/** What becomes of a request whose peer responds, but takes nothing of it for some seconds. */
 enum class StalledSend {
     GiveUp,
-    Wait, ///< The peer may work on it already, and another must not.
+    Wait, ///< The peer may be working on it.
 };
 
 /** Callbacks of one exchange. None of them is invoked after ClientConnection::close(). */
--- a/src/http/clientoutput.cpp
+++ b/src/http/clientoutput.cpp
@@ -69,6 +69,11 @@
 {
     m_writeError = why;
     endWatch();
+    // After an error that leaves the connection open, such as a lack of memory, nothing would end
+    // it.
+    ErrorCode ignored;
+    if (!hasPollEvents(m_socket, POLLHUP | POLLERR))
+        m_socket.shutdown(asio::socket_base::shutdown_receive, ignored);
     read();
 }
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -438,13 +438,13 @@
 
 void ServerConnection::checkTimeouts(core::TimePoint now)
 {
-    if (!m_closed)
-        checkClient();
+    checkClient();
     if (m_requestActive || m_closed)
         return;
     const ServerLimits &limits = m_server.m_limits;
-    const bool takesAnswer = !m_activeOutput.empty() && m_input.empty() && !m_parser->started();
-    if (takesAnswer) {
+    const bool requestBegun = !m_input.empty() || m_parser->started();
+    if (!requestBegun && !m_activeOutput.empty()) {
+        // The client still takes the last answer.
         if (now - m_writeStartedAt > limits.idleTimeout)
             close();
     } else if (isIdle()) {
--- a/src/http/serveroutput.cpp
+++ b/src/http/serveroutput.cpp
@@ -98,7 +98,7 @@
 
 void ServerConnection::checkClient()
 {
-    if (!m_outputUnacked)
+    if (m_closed || !m_outputUnacked)
         return;
     if (m_activeOutput.empty() && unackedBytes(m_socket) == 0)
         m_outputUnacked = false;
