--- a/review/standins-3/readingrequester.cpp
+++ b/review/standins-3/readingrequester.cpp
@@ -83,6 +83,7 @@
     m_output = "POST " + path + m_name + " HTTP/1.1\r\nHost: t.example\r\nRequest-Id: " + id
         + "\r\nX-Api-Key: key\r\nDeadline-Ms: " + std::to_string(TimeLimit.count())
         + "\r\nContent-Length: 5\r\n\r\norder";
+    m_counts.sentAt[id] = m_record.elapsed();
     m_record.note("sent " + id + " " + path);
     asio::async_write(m_socket, asio::buffer(m_output),
                       [self](const ErrorCode &, size_t) { self->read(); });
--- a/review/standins-3/readingrequester.h
+++ b/review/standins-3/readingrequester.h
@@ -12,6 +12,7 @@
 
 #include <array>
 #include <cstddef>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -24,6 +25,7 @@
     size_t lost = 0;    ///< Channels that ended without the whole answer before the time limit.
     size_t late = 0;    ///< The same, shortly before the time limit or after it.
     size_t refused = 0; ///< Answers with another status.
+    std::map<std::string, std::chrono::milliseconds> sentAt; ///< By request id.
 };
 
 /** Sends one order after the other on one channel, after a first request with a short answer.
--- a/review/standins-3/slowtraffic.cpp
+++ b/review/standins-3/slowtraffic.cpp
@@ -139,6 +139,8 @@
 void SlowWorker::answer(const std::shared_ptr<Connection> &connection)
 {
     ++m_runs[connection->requestId];
+    if (m_onRun)
+        m_onRun(connection->requestId);
     const size_t bytes = connection->largeAnswer ? m_answerBytes : SmallAnswerBytes;
     connection->output = "HTTP/1.1 200 OK\r\nRequest-Id: " + connection->requestId
         + "\r\nServer-Seal: seal\r\nContent-Length: " + std::to_string(bytes) + "\r\n\r\n"
--- a/review/standins-3/slowtraffic.h
+++ b/review/standins-3/slowtraffic.h
@@ -35,6 +35,9 @@
     SlowWorker(boost::asio::io_context &io, const std::string &address, size_t bytesPerSecond,
                size_t answerBytes, Runs &runs);
 
+    /** Sets a callback that is invoked with the id of each request as it begins to run. */
+    void onRun(std::function<void(const std::string &)> callback) { m_onRun = std::move(callback); }
+
 private:
     struct Connection;
 
@@ -48,6 +51,7 @@
     size_t m_bytesPerSecond;
     size_t m_answerBytes;
     Runs &m_runs;
+    std::function<void(const std::string &)> m_onRun;
 };
 
 /** What the requesters send. */
