--- a/review/standins-3/answercase.cpp
+++ b/review/standins-3/answercase.cpp
@@ -29,7 +29,7 @@
 constexpr size_t AnswerBytes = 600'000;
 constexpr size_t SlowBytesPerSecond = 80'000; ///< An answer takes 7.5 s of the limit of 10 s.
 constexpr milliseconds StartTime{2'500};
-constexpr milliseconds SpreadOfStart{500};
+constexpr milliseconds SpreadOfStart{1'300};
 constexpr milliseconds SendTime{20'000};
 constexpr milliseconds LastAnswersTime{11'000};
 constexpr milliseconds SampleInterval{100};
--- a/review/standins-3/memorycase.cpp
+++ b/review/standins-3/memorycase.cpp
@@ -30,7 +30,7 @@
 constexpr uint64_t MemoryMb = 260;
 constexpr uint64_t MemoryBytes = MemoryMb << 20U;
 constexpr uint64_t BytesPerMb = 1UL << 20U;
-constexpr size_t UploadBytesPerSecond = 500'000;
+constexpr size_t UploadBytesPerSecond = 400'000;
 constexpr size_t SlowBytesPerSecond = 110'000;
 constexpr size_t AnswerBytes = 250'000;
 constexpr milliseconds Period{3'000};
