--- a/review/standins-3/answercase.cpp
+++ b/review/standins-3/answercase.cpp
@@ -28,6 +28,7 @@
 constexpr uint64_t MemoryMb = 260;
 constexpr size_t AnswerBytes = 600'000;
 constexpr size_t SlowBytesPerSecond = 80'000; ///< An answer takes 7.5 s of the limit of 10 s.
+constexpr milliseconds Period{8'000};
 constexpr milliseconds StartTime{2'500};
 constexpr milliseconds SpreadOfStart{1'300};
 constexpr milliseconds SendTime{20'000};
@@ -88,7 +89,7 @@
     for (size_t i = 0; i < Requesters; ++i) {
         requesters.push_back(std::make_shared<review::ReadingRequester>(
             io, "o" + std::to_string(i), unit.clientAddress(), trouble ? SlowBytesPerSecond : 0,
-            record, counts));
+            Period, record, counts));
         requesters.back()->start(SpreadOfStart * i / Requesters);
     }
     uint64_t highestBytes = 0;
--- a/review/standins-3/readingrequester.cpp
+++ b/review/standins-3/readingrequester.cpp
@@ -5,7 +5,6 @@
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
-#include <utility>
 
 namespace jujube::review {
 
@@ -20,7 +19,7 @@
 // Its kernel holds little, as the windows on the platform are small.
 constexpr int ReceiveBufferBytes = 16 * 1024;
 constexpr size_t MsPerSecond = 1'000;
-constexpr milliseconds PauseAfterAnswer{500};
+constexpr milliseconds MinPause{50};
 constexpr milliseconds PauseAfterEnd{1'000};
 // A channel that ends later may have met the time limit on the way.
 constexpr milliseconds LimitMargin{1'500};
@@ -28,12 +27,14 @@
 } // namespace
 
 ReadingRequester::ReadingRequester(asio::io_context &io, std::string name, std::string address,
-                                   size_t bytesPerSecond, Record &record, ReadingCounts &counts)
+                                   size_t bytesPerSecond, milliseconds period, Record &record,
+                                   ReadingCounts &counts)
     : m_socket(io),
       m_timer(io),
       m_name(std::move(name)),
       m_address(std::move(address)),
       m_bytesPerSecond(bytesPerSecond),
+      m_period(period),
       m_record(record),
       m_counts(counts)
 {
@@ -79,7 +80,7 @@
     m_headDone = false;
     m_bodyBytes = m_length = 0;
     m_sentAt = std::chrono::steady_clock::now();
-    const std::string path = std::exchange(m_fresh, false) ? "/note/" : "/order/";
+    const std::string path = m_fresh ? "/note/" : "/order/";
     m_output = "POST " + path + m_name + " HTTP/1.1\r\nHost: t.example\r\nRequest-Id: " + id
         + "\r\nX-Api-Key: key\r\nDeadline-Ms: " + std::to_string(TimeLimit.count())
         + "\r\nContent-Length: 5\r\n\r\norder";
@@ -129,6 +130,8 @@
 
 void ReadingRequester::handleAnswer()
 {
+    const bool first = m_fresh;
+    m_fresh = false;
     const bool ok = m_head.starts_with("HTTP/1.1 200");
     ++(ok ? m_counts.whole : m_counts.refused);
     m_record.note("answered " + m_name + "-" + std::to_string(m_count) + " " + m_head.substr(9, 3)
@@ -137,7 +140,9 @@
         ErrorCode ignored;
         m_socket.close(ignored);
     }
-    start(PauseAfterAnswer);
+    const auto taken =
+        std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - m_sentAt);
+    start(first ? MinPause : std::max(m_period - taken, MinPause));
 }
 
 void ReadingRequester::handleEnd()
--- a/review/standins-3/readingrequester.h
+++ b/review/standins-3/readingrequester.h
@@ -33,9 +33,11 @@
 class ReadingRequester : public std::enable_shared_from_this<ReadingRequester>
 {
 public:
-    /** \param bytesPerSecond rate at which it reads; 0: at once. */
+    /** \param bytesPerSecond rate at which it reads; 0: at once.
+     * \param period from an order to the next one, if it has ended by then. */
     ReadingRequester(boost::asio::io_context &io, std::string name, std::string address,
-                     size_t bytesPerSecond, Record &record, ReadingCounts &counts);
+                     size_t bytesPerSecond, std::chrono::milliseconds period, Record &record,
+                     ReadingCounts &counts);
 
     /** Sends the first request after a delay. */
     void start(std::chrono::milliseconds delay);
@@ -57,6 +59,7 @@
     std::string m_name;
     std::string m_address;
     size_t m_bytesPerSecond;
+    std::chrono::milliseconds m_period;
     Record &m_record;
     ReadingCounts &m_counts;
     std::string m_output;
--- a/review/standins-3/silentcase.cpp
+++ b/review/standins-3/silentcase.cpp
@@ -30,6 +30,7 @@
 constexpr size_t Workers = 3;
 constexpr size_t RequestersOfGateway = 60;
 constexpr size_t AnswerBytes = 800;
+constexpr milliseconds Period{500};
 constexpr milliseconds StartTime{2'500};
 constexpr milliseconds SteadyTime{5'000};
 constexpr milliseconds AfterConfig{30}; ///< From the change of the configuration to the silence.
@@ -109,7 +110,8 @@
     io.run_for(StartTime);
     for (size_t i = 0; i < Gateways * RequestersOfGateway; ++i) {
         requesters.push_back(std::make_shared<review::ReadingRequester>(
-            io, "o" + std::to_string(i), units[i % Gateways]->clientAddress(), 0, record, counts));
+            io, "o" + std::to_string(i), units[i % Gateways]->clientAddress(), 0, Period, record,
+            counts));
         requesters.back()->start(milliseconds(i * 4));
     }
     io.run_for(SteadyTime);
